--- /dev/null
+++ b/packages/core/src/errors/types.ts
@@ -0,0 +1,43 @@
+/** @fileoverview The closed list of error kinds and what a caller is told. */
+
+/** Whether a request ran, as far as the system can say truthfully. */
+export type RunState = 'not-run' | 'unknown';
+
+/** Every kind of error a caller can be answered with. */
+export type ErrorKind =
+  | 'bad-request'
+  | 'unknown-service'
+  | 'key-missing'
+  | 'key-too-long'
+  | 'body-too-large'
+  | 'header-too-large'
+  | 'no-owner'
+  | 'no-server'
+  | 'overloaded'
+  | 'deadline-exceeded'
+  | 'server-refused'
+  | 'server-lost'
+  | 'link-lost'
+  | 'lease-lost'
+  | 'cancelled'
+  | 'idempotency-mismatch'
+  | 'stopping'
+  | 'internal';
+
+/** What a caller receives for one kind of error. */
+export interface Answer {
+  /** HTTP status code. */
+  readonly status: number;
+  /** One sentence for people. */
+  readonly text: string;
+  /** Whether the same request may be sent again at once. */
+  readonly retryable: boolean;
+}
+
+/** A failed request: its kind and whether it ran. */
+export interface Failure {
+  readonly kind: ErrorKind;
+  readonly run: RunState;
+  /** Detail for people, without secrets. */
+  readonly detail: string;
+}
--- /dev/null
+++ b/packages/core/src/index.ts
@@ -0,0 +1,14 @@
+/** @fileoverview Public items of the core package. */
+
+export type * from './clock/types.js';
+export type * from './errors/types.js';
+export {ANSWERS, failure} from './errors/logic.js';
+export type * from './ids/types.js';
+export {NO_VERSION, compareIds, hostOf, memberOf} from './ids/logic.js';
+export {hashKey, sliceOf} from './keys/logic.js';
+export type * from './loop/subject.js';
+export type * from './loop/types.js';
+export type * from './messages/types.js';
+export type * from './ownership/types.js';
+export type * from './store/types.js';
+export type * from './workspace/types.js';
--- /dev/null
+++ b/packages/core/src/keys/logic.spec.ts
@@ -0,0 +1,28 @@
+/** @fileoverview Tests of the way from key to slice. */
+
+import test from 'ava';
+
+import {hashKey, sliceOf} from './logic.js';
+
+const CASES: ReadonlyArray<{key: string; slices: number}> = [
+  {key: '', slices: 1},
+  {key: 'dancer-1', slices: 64},
+  {key: 'ñandú', slices: 131072},
+];
+
+for (const {key, slices} of CASES) {
+  test(`"${key}" falls into one of ${slices} slices`, t => {
+    const slice = sliceOf(key, slices);
+    t.true(Number.isInteger(slice));
+    t.true(slice >= 0 && slice < slices);
+    t.is(slice, sliceOf(key, slices));
+  });
+}
+
+test('keys spread over the slices', t => {
+  const counts = new Array<number>(16).fill(0);
+  for (let i = 0; i < 16000; i++) counts[sliceOf(`key-${i}`, 16)]++;
+  t.true(Math.min(...counts) > 800);
+  t.true(Math.max(...counts) < 1200);
+  t.not(hashKey('a'), hashKey('b'));
+});
--- /dev/null
+++ b/packages/core/src/keys/logic.ts
@@ -0,0 +1,29 @@
+/** @fileoverview From a caller's key to the slice that holds it. */
+
+import murmurhash from 'murmurhash';
+
+import type {Slice} from '../ids/types.js';
+
+const HASH_SEED = 0x6a61636b;
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Hashes a key to 32 bits.
+ *
+ * @param key - The caller's key.
+ * @returns An unsigned 32-bit integer.
+ */
+export function hashKey(key: string): number {
+  return murmurhash.v3(key, HASH_SEED);
+}
+
+/**
+ * Finds the slice of a key; slices are equal ranges of the hash.
+ *
+ * @param key - The caller's key.
+ * @param slices - Number of slices of the service, at least 1.
+ * @returns The slice, 0 to `slices - 1`.
+ */
+export function sliceOf(key: string, slices: number): Slice {
+  return Math.floor((hashKey(key) / HASH_RANGE) * slices) as Slice;
+}
--- /dev/null
+++ b/packages/core/src/ownership/types.ts
@@ -0,0 +1,65 @@
+/** @fileoverview What other subjects may ask about ownership. */
+
+import type {Instant} from '../clock/types.js';
+import type {
+  Address,
+  Generation,
+  MemberId,
+  ServiceName,
+  Slice,
+  Version,
+  ZoneName,
+} from '../ids/types.js';
+
+/** Who owns a slice, as far as this daemon's map says. */
+export interface Placement {
+  readonly owner: MemberId | null;
+  readonly standby: MemberId | null;
+  readonly generation: Generation;
+  /** True while the slice moves; new requests for it wait. */
+  readonly moving: boolean;
+}
+
+/** The check at dispatch (rule R1). */
+export type Permission =
+  /** Dispatch is allowed; the lease holds until `until`. */
+  | {
+      readonly kind: 'granted';
+      readonly generation: Generation;
+      readonly until: Instant;
+    }
+  | {
+      readonly kind: 'denied';
+      readonly reason: 'not-owner' | 'no-lease' | 'moving';
+    };
+
+/** A member that offers a service and takes new work. */
+export interface Server {
+  readonly member: MemberId;
+  readonly address: Address;
+  readonly zone: ZoneName;
+  readonly slots: number;
+}
+
+/** The questions that routing and execution ask of ownership. */
+export interface OwnershipView {
+  /** This daemon's member id, or null while it has not joined. */
+  readonly self: MemberId | null;
+  readonly version: Version;
+  placement(service: ServiceName, slice: Slice): Placement;
+  addressOf(member: MemberId): Address | null;
+  /** True when the log says that this member has ended. */
+  isEnded(member: MemberId): boolean;
+  /** Rule R1 for keyed work. */
+  mayDispatch(service: ServiceName, slice: Slice, at: Instant): Permission;
+  /** Rule R1 for shared work: this member holds a lease and takes work. */
+  mayServe(at: Instant): Permission;
+  /** Live servers of a service that take new work. */
+  serversOf(service: ServiceName): readonly Server[];
+}
+
+/** What ownership asks of execution: work in flight at this daemon. */
+export interface WorkView {
+  inFlight(service: ServiceName, slice: Slice): number;
+  inFlightTotal(): number;
+}
--- /dev/null
+++ b/packages/core/src/workspace/types.ts
@@ -0,0 +1,66 @@
+/** @fileoverview The configuration of a workspace as every daemon holds it. */
+
+import type {ServiceName, WorkspaceName, ZoneName} from '../ids/types.js';
+
+/** Where a request carries its key. */
+export type KeySource =
+  | {readonly from: 'path'; readonly name: string}
+  | {readonly from: 'header'; readonly name: string};
+
+/** Deferrable work gives way to interactive work. */
+export type Priority = 'interactive' | 'deferrable';
+
+/** One kind of request and how it is carried. */
+export interface Route {
+  readonly method: string;
+  /** Path template, for example `/finder/{key}`. */
+  readonly path: string;
+  readonly service: ServiceName;
+  /** Whether a second run does no harm. */
+  readonly idempotent: boolean;
+  readonly priority: Priority;
+  /** Time from acceptance to the end of the answer, in milliseconds. */
+  readonly timeoutMs: number;
+}
+
+/** Who may run a request of a service. */
+export type Division =
+  /** Each key has one owner. */
+  | {
+      readonly kind: 'keyed';
+      /** Number of slices; fixed for the life of the service. */
+      readonly slices: number;
+      readonly key: KeySource;
+    }
+  /** Any backend server of the service. */
+  | {readonly kind: 'shared'};
+
+/** One service of the workspace. */
+export interface Service {
+  readonly name: ServiceName;
+  readonly division: Division;
+  /** Expected number of backend servers; for operators only. */
+  readonly upstreams: number;
+}
+
+/** Limits that hold in the whole workspace. */
+export interface Limits {
+  readonly maxBodyBytes: number;
+  readonly maxKeyBytes: number;
+  /** Retries and hedges as a share of requests, 0 to 1. */
+  readonly retryShare: number;
+  /** Slices that may be moving at the same time. */
+  readonly maxMovingSlices: number;
+  /** Bound on in-flight work when a slice moves, in milliseconds. */
+  readonly drainMs: number;
+}
+
+/** A configuration document; `version` rises at each accepted change. */
+export interface Workspace {
+  readonly name: WorkspaceName;
+  readonly version: number;
+  readonly zones: readonly ZoneName[];
+  readonly services: readonly Service[];
+  readonly routes: readonly Route[];
+  readonly limits: Limits;
+}
--- /dev/null
+++ b/packages/daemon/src/index.ts
@@ -0,0 +1,3 @@
+/** @fileoverview Public items of the daemon package. */
+
+export {};
