Default settings and the catalogue of log events

Cause: subjects need one place for tunables and numbered log events. Change: core/settings and core/logs; the log effect names its event.

--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -17,7 +17,8 @@
   Slice,
   Version,
 } from '../ids/types.js';
-import type {Header, Message} from '../messages/types.js';
+import type {LogName} from '../logs/catalogue.js';
+import type {Message} from '../messages/types.js';
 import type {StoreCall, StoreReply} from '../store/types.js';
 import type {Priority} from '../workspace/types.js';
 
@@ -214,7 +215,7 @@
     }
   | {
       readonly kind: 'log';
-      readonly code: LogCode;
+      readonly event: LogName;
       readonly fields: Readonly<Record<string, string | number | boolean>>;
     }
   | {
@@ -236,12 +237,6 @@
   /** Everything is handed over: the process may leave. */
   | {readonly kind: 'leave'};
 
-/** Number of a log event; the catalogue is docs/LOGS.md. */
-export type LogCode = number & {readonly brand: 'LogCode'};
-
 /** Latencies that are measured. */
 export type HistogramName =
   'request' | 'queue' | 'run' | 'renewal' | 'store' | 'unserved';
-
-/** Headers, for the runner's tables. */
-export type Headers = readonly Header[];
--- a/packages/core/src/ownership/types.ts
+++ b/packages/core/src/ownership/types.ts
@@ -10,6 +10,7 @@
   Version,
   ZoneName,
 } from '../ids/types.js';
+import type {Workspace} from '../workspace/types.js';
 
 /** Who owns a slice, as far as this daemon's map says. */
 export interface Placement {
@@ -46,6 +47,8 @@
   /** This daemon's member id, or null while it has not joined. */
   readonly self: MemberId | null;
   readonly version: Version;
+  /** The configuration in force here, or null before the first. */
+  readonly workspace: Workspace | null;
   placement(service: ServiceName, slice: Slice): Placement;
   addressOf(member: MemberId): Address | null;
   /** True when the log says that this member has ended. */
