--- /dev/null
+++ b/packages/core/src/coordinator/logic.ts
@@ -0,0 +1,238 @@
+/** @fileoverview What the coordinator changes next in the map. */
+
+import type {MemberId, ServiceName, Slice} from '../ids/types.js';
+import type {Change, Move, Run} from '../log/types.js';
+import {memberAt, takesWork} from '../map/logic.js';
+import {NO_MEMBER} from '../map/state.js';
+import type {ClusterMap, Member, ServiceMap} from '../map/types.js';
+
+/** Most runs or moves in one entry. */
+const MOST_RUNS = 2048;
+
+/**
+ * Finds the most urgent change of placement.
+ *
+ * @param map - The map.
+ * @returns The change, or null when nothing is to be done.
+ */
+export function nextPlacement(map: ClusterMap): Change | null {
+  const services = [...map.services.values()].filter(service =>
+    isConfigured(map, service.name),
+  );
+  for (const step of [placeUnowned, moveAway, placeStandbys, spread]) {
+    for (const service of services) {
+      const candidates = candidatesOf(map, service.name);
+      if (candidates.length === 0) continue;
+      const change = step(map, service, candidates);
+      if (change !== null) return change;
+    }
+  }
+  return null;
+}
+
+/**
+ * Lists the members that take new work of a service, in a stable order.
+ *
+ * @param map - The map.
+ * @param service - The service.
+ * @returns The members.
+ */
+export function candidatesOf(map: ClusterMap, service: ServiceName): Member[] {
+  const found: Member[] = [];
+  for (const member of map.members.values()) {
+    if (member.offer?.service !== service) continue;
+    if (takesWork(map, member)) found.push(member);
+  }
+  return found.sort((a, b) => (a.id < b.id ? -1 : 1));
+}
+
+function isConfigured(map: ClusterMap, name: ServiceName): boolean {
+  const services = map.configuration?.workspace.services ?? [];
+  return services.some(service => service.name === name);
+}
+
+/** Gives slices without an owner to the members with the fewest. */
+function placeUnowned(
+  _map: ClusterMap,
+  service: ServiceMap,
+  candidates: readonly Member[],
+): Change | null {
+  const counts = countOwned(service);
+  const free = countFree(service);
+  if (free === 0) return null;
+  const runs = new RunList();
+  const quota = Math.ceil(service.slices / candidates.length);
+  let at = 0;
+  for (let slice = 0; slice < service.slices; slice++) {
+    if (service.owner[slice] !== NO_MEMBER) continue;
+    const room = (member: Member): boolean =>
+      (counts.get(member.index) ?? 0) < quota;
+    while (at < candidates.length - 1 && !room(candidates[at])) at += 1;
+    const owner = candidates[at];
+    counts.set(owner.index, (counts.get(owner.index) ?? 0) + 1);
+    const standby = standbyFor(owner, candidates, slice);
+    if (!runs.add(slice, owner.id, standby?.id ?? null)) break;
+  }
+  return {kind: 'placed', service: service.name, runs: runs.list};
+}
+
+/** Moves slices away from members that take no new work. */
+function moveAway(
+  map: ClusterMap,
+  service: ServiceMap,
+  candidates: readonly Member[],
+): Change | null {
+  const eligible = new Map(candidates.map(each => [each.index, each]));
+  const counts = countOwned(service);
+  const moves = new MoveList();
+  for (let slice = 0; slice < service.slices; slice++) {
+    const owner = service.owner[slice];
+    if (owner === NO_MEMBER || eligible.has(owner)) continue;
+    const current = service.moves.get(slice as Slice);
+    if (current !== undefined && eligible.has(current)) continue;
+    const target =
+      eligible.get(service.standby[slice]) ?? leastLoaded(candidates, counts);
+    if (memberAt(map, owner) === null) continue;
+    counts.set(target.index, (counts.get(target.index) ?? 0) + 1);
+    if (!moves.add(slice, target.id)) break;
+  }
+  if (moves.list.length === 0) return null;
+  return {kind: 'moving', service: service.name, moves: moves.list};
+}
+
+/** Gives every slice a standby in another availability zone, if there is. */
+function placeStandbys(
+  map: ClusterMap,
+  service: ServiceMap,
+  candidates: readonly Member[],
+): Change | null {
+  const eligible = new Map(candidates.map(each => [each.index, each]));
+  const zones = new Set(candidates.map(each => each.zone));
+  const runs = new RunList();
+  for (let slice = 0; slice < service.slices; slice++) {
+    const owner = memberAt(map, service.owner[slice]);
+    if (owner === null || service.moves.has(slice as Slice)) continue;
+    const standby = eligible.get(service.standby[slice]);
+    const elsewhere = zones.size > 1 || !zones.has(owner.zone);
+    if (standby !== undefined) {
+      if (standby.zone !== owner.zone || !elsewhere) continue;
+    }
+    const chosen = standbyFor(owner, candidates, slice);
+    if (chosen === null && service.standby[slice] === NO_MEMBER) continue;
+    if (!runs.add(slice, owner.id, chosen?.id ?? null)) break;
+  }
+  if (runs.list.length === 0) return null;
+  return {kind: 'placed', service: service.name, runs: runs.list};
+}
+
+/** Evens out the number of slices, a few moves at a time. */
+function spread(
+  map: ClusterMap,
+  service: ServiceMap,
+  candidates: readonly Member[],
+): Change | null {
+  const limits = map.configuration?.workspace.limits;
+  const room = (limits?.maxMovingSlices ?? 0) - service.moves.size;
+  if (room <= 0 || service.moves.size > 0) return null;
+  const counts = countOwned(service);
+  const moves = new MoveList();
+  let taken = 0;
+  for (let slice = 0; slice < service.slices && taken < room; slice++) {
+    const from = memberAt(map, service.owner[slice]);
+    if (from === null) continue;
+    const to = leastLoaded(candidates, counts);
+    const gap = count(counts, from) - count(counts, to);
+    if (gap < 2) continue;
+    counts.set(from.index, count(counts, from) - 1);
+    counts.set(to.index, count(counts, to) + 1);
+    taken += 1;
+    if (!moves.add(slice, to.id)) break;
+  }
+  if (moves.list.length === 0) return null;
+  return {kind: 'moving', service: service.name, moves: moves.list};
+}
+
+/** Standbys of one owner are spread over the other members. */
+function standbyFor(
+  owner: Member,
+  candidates: readonly Member[],
+  salt: number,
+): Member | null {
+  let fallback: Member | null = null;
+  for (let step = 0; step < candidates.length; step++) {
+    const each = candidates[(salt + step) % candidates.length];
+    if (each.index === owner.index) continue;
+    if (each.zone !== owner.zone) return each;
+    fallback ??= each;
+  }
+  return fallback;
+}
+
+function leastLoaded(
+  candidates: readonly Member[],
+  counts: ReadonlyMap<number, number>,
+): Member {
+  let best = candidates[0];
+  for (const each of candidates) {
+    if (count(counts, each) < count(counts, best)) best = each;
+  }
+  return best;
+}
+
+function count(counts: ReadonlyMap<number, number>, member: Member): number {
+  return counts.get(member.index) ?? 0;
+}
+
+function countOwned(service: ServiceMap): Map<number, number> {
+  const counts = new Map<number, number>();
+  for (let slice = 0; slice < service.slices; slice++) {
+    const to = service.moves.get(slice as Slice) ?? service.owner[slice];
+    counts.set(to, (counts.get(to) ?? 0) + 1);
+  }
+  return counts;
+}
+
+function countFree(service: ServiceMap): number {
+  let free = 0;
+  for (const owner of service.owner) {
+    if (owner === NO_MEMBER) free += 1;
+  }
+  return free;
+}
+
+/** Collects runs, joining neighbours that are alike. */
+class RunList {
+  readonly list: Run[] = [];
+
+  /** Returns false when no more fit. */
+  add(slice: number, owner: MemberId, standby: MemberId | null): boolean {
+    const last = this.list.at(-1);
+    const alike =
+      last !== undefined &&
+      last.owner === owner &&
+      last.standby === standby &&
+      last.first + last.count === slice;
+    const first = alike ? last.first : (slice as Slice);
+    const length = alike ? last.count + 1 : 1;
+    if (alike) this.list.pop();
+    this.list.push({first, count: length, owner, standby});
+    return this.list.length < MOST_RUNS;
+  }
+}
+
+/** Collects moves, joining neighbours that are alike. */
+class MoveList {
+  readonly list: Move[] = [];
+
+  /** Returns false when no more fit. */
+  add(slice: number, to: MemberId): boolean {
+    const last = this.list.at(-1);
+    const alike =
+      last !== undefined && last.to === to && last.first + last.count === slice;
+    const first = alike ? last.first : (slice as Slice);
+    const length = alike ? last.count + 1 : 1;
+    if (alike) this.list.pop();
+    this.list.push({first, count: length, to});
+    return this.list.length < MOST_RUNS;
+  }
+}
--- /dev/null
+++ b/packages/core/src/journal/reader.ts
@@ -0,0 +1,232 @@
+/** @fileoverview Catching up: from the snapshot, the table and other members. */
+
+import type {MemberId, Version} from '../ids/types.js';
+import {entryOfLink, entryOfRow, linkEntry, nextVersion} from '../log/logic.js';
+import type {Committed} from '../log/types.js';
+import type {ControlMessage, LoggedEntry} from '../messages/types.js';
+import {callStore, send} from '../ownership/effects.js';
+import type {Context, Ownership} from '../ownership/state.js';
+import {currentRing} from '../ownership/state.js';
+import type {StoreReply} from '../store/types.js';
+
+/** Least wait after a failed read. */
+const RETRY_MS = 200;
+
+/**
+ * Reads the platform when no peer can help.
+ *
+ * @param context - The step.
+ */
+export function readIfDue(context: Context): void {
+  const {state, at} = context;
+  const {sync} = state;
+  if (sync.inFlight || at.monotonic < sync.notBefore) return;
+  if (!sync.needed && !isStale(context)) return;
+  sync.needed = false;
+  sync.inFlight = true;
+  if (sync.wantsSnapshot) {
+    const name = state.keys.snapshot;
+    callStore(context, {kind: 'loadSnapshot'}, {kind: 'getObject', name});
+    return;
+  }
+  readTail(context);
+}
+
+/**
+ * Takes a part of the log read from the table.
+ *
+ * @param context - The step.
+ * @param answer - The platform's reply.
+ * @param apply - Applies the next entry.
+ */
+export function takeTail(
+  context: Context,
+  answer: StoreReply,
+  apply: (committed: Committed) => void,
+): void {
+  const {state, at} = context;
+  const {sync} = state;
+  sync.inFlight = false;
+  if (answer.kind !== 'rows') {
+    retryRead(context);
+    return;
+  }
+  sync.failures = 0;
+  for (const row of answer.rows) {
+    const committed = entryOfRow(row);
+    if (committed.entry.version > nextVersion(state.map.version)) {
+      sync.wantsSnapshot = true;
+      sync.needed = true;
+      return;
+    }
+    apply(committed);
+  }
+  if (answer.rows.length >= state.settings.tuning.log.batchEntries) {
+    sync.needed = true;
+    return;
+  }
+  sync.complete = true;
+  sync.freshAt = at.monotonic;
+  state.dirty = true;
+}
+
+/**
+ * Notes that a read failed and plans the next.
+ *
+ * @param context - The step.
+ */
+export function retryRead(context: Context): void {
+  const {state, at} = context;
+  const {sync} = state;
+  sync.inFlight = false;
+  sync.needed = true;
+  sync.failures += 1;
+  const doublings = Math.min(sync.failures, 5);
+  const mostMs = state.settings.tuning.store.maxBackoffMs / 2;
+  const waitMs = Math.min(mostMs, RETRY_MS * 2 ** doublings);
+  sync.notBefore = at.monotonic + waitMs * (0.5 + context.random() / 2);
+}
+
+/**
+ * Answers a peer that asks for entries.
+ *
+ * @param context - The step.
+ * @param from - The peer.
+ * @param after - The peer's version.
+ */
+export function answerPull(
+  context: Context,
+  from: MemberId,
+  after: Version,
+): void {
+  const {state} = context;
+  send(context, from, {
+    kind: 'entries',
+    entries: entriesAfter(state, after),
+    version: state.map.version,
+  });
+}
+
+/**
+ * Takes entries from a peer.
+ *
+ * @param context - The step.
+ * @param from - The peer.
+ * @param message - Its entries.
+ * @param apply - Applies the next entry.
+ */
+export function takeEntries(
+  context: Context,
+  from: MemberId,
+  message: Extract<ControlMessage, {kind: 'entries'}>,
+  apply: (committed: Committed) => void,
+): void {
+  const {state} = context;
+  const before = state.map.version;
+  for (const logged of message.entries) {
+    if (logged.version !== nextVersion(state.map.version)) continue;
+    apply(entryOfLink(logged));
+  }
+  const progressed = state.map.version > before;
+  if (message.version <= state.map.version) return;
+  const useless = message.entries.length > 0 && !progressed;
+  const trimmed = message.entries.length === 0;
+  if (trimmed) state.sync.needed = true;
+  else if (progressed || useless) pullFrom(context, from);
+}
+
+/**
+ * Compares versions with a peer and catches up from it when it is ahead.
+ *
+ * @param context - The step.
+ * @param from - The peer.
+ * @param version - The peer's version.
+ */
+export function compareVersion(
+  context: Context,
+  from: MemberId,
+  version: Version,
+): void {
+  const {state, at} = context;
+  state.sync.freshAt = at.monotonic;
+  if (version > state.map.version) pullFrom(context, from);
+}
+
+/**
+ * Pushes a new entry to a few neighbours: those at distances of powers of two
+ * in the order of ids.
+ *
+ * @param context - The step.
+ * @param committed - The entry.
+ */
+export function pushEntry(context: Context, committed: Committed): void {
+  const {state} = context;
+  const message: ControlMessage = {
+    kind: 'entries',
+    entries: [linkEntry(committed)],
+    version: state.map.version,
+  };
+  for (const neighbour of neighboursOf(context)) {
+    send(context, neighbour, message);
+  }
+}
+
+/**
+ * Keeps an applied entry for other members.
+ *
+ * @param state - The state.
+ * @param committed - The entry.
+ */
+export function keepEntry(state: Ownership, committed: Committed): void {
+  state.recent.push(committed);
+  const most = state.settings.tuning.log.keptEntries;
+  if (state.recent.length > 2 * most) state.recent = state.recent.slice(-most);
+}
+
+function neighboursOf(context: Context): MemberId[] {
+  const {state} = context;
+  const order = currentRing(state).order;
+  const position = currentRing(state).position.get(state.self);
+  if (position === undefined) return [];
+  const neighbours: MemberId[] = [];
+  for (let distance = 1; distance < order.length; distance *= 2) {
+    neighbours.push(order[(position + distance) % order.length]);
+  }
+  return neighbours;
+}
+
+function entriesAfter(state: Ownership, after: Version): LoggedEntry[] {
+  const first = state.recent[0];
+  if (first === undefined || first.entry.version > after + 1) return [];
+  const start = after + 1 - first.entry.version;
+  const most = state.settings.tuning.log.batchEntries;
+  return state.recent.slice(start, start + most).map(linkEntry);
+}
+
+function pullFrom(context: Context, from: MemberId): void {
+  send(context, from, {kind: 'pull', after: context.state.map.version});
+}
+
+function readTail(context: Context): void {
+  const {state} = context;
+  const {keys, map, settings} = state;
+  callStore(
+    context,
+    {kind: 'tail'},
+    {
+      kind: 'read',
+      query: {
+        kind: 'range',
+        from: keys.log(nextVersion(map.version)),
+        to: keys.logEnd,
+        limit: settings.tuning.log.batchEntries,
+      },
+    },
+  );
+}
+
+function isStale(context: Context): boolean {
+  const {state, at} = context;
+  const {pollMs} = state.settings.tuning.log;
+  return at.monotonic - state.sync.freshAt > pollMs;
+}
--- /dev/null
+++ b/packages/core/src/journal/writer.ts
@@ -0,0 +1,258 @@
+/** @fileoverview Writing one entry at a time, conditional on the version. */
+
+import type {WriteId} from '../ids/types.js';
+import {entryOfRow, entryText, nextVersion} from '../log/logic.js';
+import type {Committed, Entry} from '../log/types.js';
+import type {MemberRow} from '../leases/types.js';
+import {callStore, newWriteId} from '../ownership/effects.js';
+import type {Context, Ownership, Wanted} from '../ownership/state.js';
+import type {Check, Put, Row, StoreReply, Transaction} from '../store/types.js';
+import type {Append} from './types.js';
+
+/** Least wait after a failed try. */
+const RETRY_MS = 100;
+/** Doublings of the wait after failures in a row. */
+const MOST_DOUBLINGS = 6;
+/** Write ids that are remembered. */
+const REMEMBERED_WRITES = 256;
+
+/**
+ * Begins to write an entry at the version after the map's.
+ *
+ * @param context - The step.
+ * @param wanted - The change and its conditions.
+ * @returns The id of the write.
+ */
+export function beginAppend(context: Context, wanted: Wanted): WriteId {
+  const {state, at} = context;
+  const writeId = newWriteId(context);
+  const entry: Entry = {
+    version: nextVersion(state.map.version),
+    writeId,
+    by: wanted.by,
+    at: at.wall,
+    change: wanted.change,
+  };
+  state.journal.append = {
+    entry,
+    transaction: transactionOf(state, entry, wanted),
+    firstSent: at,
+    inFlight: false,
+    unresolved: false,
+    tries: 0,
+    retryAt: 0,
+  };
+  remember(state, writeId, entry);
+  sendAppend(context, state.journal.append);
+  return writeId;
+}
+
+/**
+ * Sends the current entry again when its time has come.
+ *
+ * @param context - The step.
+ */
+export function retryAppend(context: Context): void {
+  const {append} = context.state.journal;
+  if (append === null || append.inFlight) return;
+  if (context.at.monotonic >= append.retryAt) sendAppend(context, append);
+}
+
+/**
+ * Takes the platform's reply to a try.
+ *
+ * @param context - The step.
+ * @param writeId - Id of the write that was tried.
+ * @param answer - The reply.
+ * @param apply - Applies an entry that the reply proves.
+ * @param takeRows - Looks at other rows of a conflict.
+ */
+export function takeAppended(
+  context: Context,
+  writeId: WriteId,
+  answer: StoreReply,
+  apply: (committed: Committed) => void,
+  takeRows: (rows: readonly Row[]) => void,
+): void {
+  const {state} = context;
+  const {append} = state.journal;
+  if (append === null || append.entry.writeId !== writeId) return;
+  append.inFlight = false;
+  switch (answer.kind) {
+    case 'committed':
+      state.journal.failures = 0;
+      apply({entry: append.entry, revision: answer.revision});
+      return;
+    case 'conflict':
+      takeConflict(context, append, answer.rows, apply);
+      takeRows(answer.rows);
+      return;
+    case 'refused':
+      if (!append.unresolved) state.journal.append = null;
+      waitLonger(context, append);
+      return;
+    case 'unknown':
+      append.unresolved = true;
+      state.sync.needed = true;
+      waitLonger(context, append);
+      return;
+    case 'rows':
+    case 'object':
+    case 'stored':
+      return;
+  }
+}
+
+/**
+ * Drops the current entry once its version is taken.
+ *
+ * @param context - The step.
+ * @param committed - An entry that was just applied.
+ */
+export function noteApplied(context: Context, committed: Committed): void {
+  const {journal} = context.state;
+  const {append} = journal;
+  if (append === null) return;
+  if (committed.entry.version < append.entry.version) return;
+  journal.append = null;
+  if (committed.entry.writeId === append.entry.writeId) return;
+  journal.failures += 1;
+  journal.notBefore = context.at.monotonic + raceWaitMs(context);
+}
+
+function takeConflict(
+  context: Context,
+  append: Append,
+  rows: readonly Row[],
+  apply: (committed: Committed) => void,
+): void {
+  const {state} = context;
+  const key = state.keys.log(append.entry.version);
+  const taken = rows.find(row => row.key === key && row.revision > 0);
+  state.sync.needed = true;
+  state.sync.notBefore = context.at.monotonic;
+  if (taken !== undefined) {
+    apply(entryOfRow(taken));
+    return;
+  }
+  // A row it is conditional on has changed for good: no try can succeed any
+  // more, but an earlier one may have, which reading the log will show.
+  if (!append.unresolved) state.journal.append = null;
+  else append.retryAt = context.at.monotonic + RETRY_MS;
+  state.journal.notBefore = context.at.monotonic + raceWaitMs(context);
+}
+
+function sendAppend(context: Context, append: Append): void {
+  append.inFlight = true;
+  append.tries += 1;
+  callStore(
+    context,
+    {kind: 'append', writeId: append.entry.writeId},
+    {kind: 'commit', transaction: append.transaction},
+  );
+}
+
+function waitLonger(context: Context, append: Append): void {
+  const {state, at} = context;
+  const {journal} = state;
+  journal.failures += 1;
+  const doublings = Math.min(journal.failures, MOST_DOUBLINGS);
+  const mostMs = state.settings.tuning.store.maxBackoffMs;
+  const waitMs = Math.min(mostMs, RETRY_MS * 2 ** doublings);
+  const until = at.monotonic + waitMs * (0.5 + context.random() / 2);
+  append.retryAt = until;
+  journal.notBefore = until;
+}
+
+/** Writers that lost a race wait for a random time. */
+function raceWaitMs(context: Context): number {
+  const {failures} = context.state.journal;
+  const doublings = Math.min(failures, MOST_DOUBLINGS);
+  return context.random() * 25 * 2 ** doublings;
+}
+
+function transactionOf(
+  state: Ownership,
+  entry: Entry,
+  wanted: Wanted,
+): Transaction {
+  const {keys, map} = state;
+  const text = entryText(entry);
+  const checks: Check[] = [{key: keys.log(entry.version), revision: 0}];
+  const puts: Put[] = [{key: keys.log(entry.version), value: text}];
+  if (map.version > 0) {
+    checks.push({key: keys.log(map.version), revision: map.revision});
+  }
+  for (const {member, revision} of wanted.ends ?? []) {
+    checks.push({key: keys.member(member), revision});
+    puts.push({key: keys.member(member), value: null});
+  }
+  addRowsOfChange(state, entry, checks, puts);
+  return {writeId: entry.writeId, checks, puts};
+}
+
+function addRowsOfChange(
+  state: Ownership,
+  entry: Entry,
+  checks: Check[],
+  puts: Put[],
+): void {
+  const {keys} = state;
+  const {change} = entry;
+  if (change.kind === 'joined') {
+    const key = keys.member(change.member);
+    checks.push({key, revision: 0});
+    puts.push({key, value: JSON.stringify(firstRow(entry, change))});
+  }
+  if (change.kind === 'configured') {
+    puts.push({key: keys.configuration, value: change.document});
+  }
+  if (isAudited(entry)) {
+    puts.push({key: keys.audit(entry.version), value: auditText(entry)});
+  }
+}
+
+function firstRow(
+  entry: Entry,
+  change: Extract<Entry['change'], {kind: 'joined'}>,
+): MemberRow {
+  return {
+    member: change.member,
+    zone: change.zone,
+    address: change.address,
+    grantors: [],
+    writeId: entry.writeId,
+  };
+}
+
+/** Placement changes are left out: the log has them, operators did not. */
+function isAudited(entry: Entry): boolean {
+  switch (entry.change.kind) {
+    case 'configured':
+    case 'zone':
+    case 'draining':
+    case 'ended':
+    case 'joined':
+      return true;
+    case 'offered':
+    case 'withdrawn':
+    case 'placed':
+    case 'moving':
+    case 'released':
+      return false;
+  }
+}
+
+function auditText(entry: Entry): string {
+  const {version, by, at, change} = entry;
+  const what = {...change, document: undefined};
+  return JSON.stringify({by, at, from: version - 1, to: version, what});
+}
+
+function remember(state: Ownership, writeId: WriteId, entry: Entry): void {
+  const {written} = state.journal;
+  written.set(writeId, entry.version);
+  if (written.size <= REMEMBERED_WRITES) return;
+  const oldest = written.keys().next().value;
+  if (oldest !== undefined) written.delete(oldest);
+}
--- /dev/null
+++ b/packages/core/src/leases/grantor.ts
@@ -0,0 +1,194 @@
+/** @fileoverview Promises made to other members, and closing them (R2, R4). */
+
+import type {MemberId} from '../ids/types.js';
+import type {ControlMessage} from '../messages/types.js';
+import {chooseGrantors, ranksOf} from '../membership/ring.js';
+import {send} from '../ownership/effects.js';
+import type {Context, Ownership} from '../ownership/state.js';
+import {currentRing, inForce} from '../ownership/state.js';
+import {standing} from './logic.js';
+import {createWard} from './state.js';
+import type {Ward} from './types.js';
+
+/** Time between two reports of one silent member. */
+const REPORT_GAP_MS = 400;
+/** First ranks that take reports in turn. */
+const REPORTED_RANKS = 3;
+/** Reports to others before this member begins the ending itself. */
+const REPORTS_TO_OTHERS = 4;
+
+/**
+ * Answers a renewal.
+ *
+ * @param context - The step.
+ * @param from - Sender on the link.
+ * @param message - The renewal.
+ */
+export function takeRenew(
+  context: Context,
+  from: MemberId,
+  message: Extract<ControlMessage, {kind: 'renew'}>,
+): void {
+  const {state} = context;
+  if (message.member !== from) return;
+  const reason = refusal(context, message);
+  if (reason === '') promise(context, message);
+  send(context, from, {
+    kind: 'renewed',
+    round: message.round,
+    granted: reason === '',
+    reason,
+    version: state.map.version,
+    configuration: state.map.configuration?.number ?? 0,
+  });
+}
+
+/**
+ * Closes a member when its promise has run out; it is never renewed again.
+ *
+ * @param state - The state.
+ * @param member - The member.
+ * @param now - Monotonic time, in milliseconds.
+ * @returns Whether it is closed.
+ */
+export function closeMember(
+  state: Ownership,
+  member: MemberId,
+  now: number,
+): boolean {
+  const ward = state.wards.get(member);
+  if (ward !== undefined && now < ward.promisedUntil) return false;
+  state.closed.add(member);
+  return true;
+}
+
+/**
+ * Watches the members whose first grantors in the ring include this one.
+ *
+ * @param context - The step.
+ */
+export function watchRing(context: Context): void {
+  const {state, at} = context;
+  const ring = currentRing(state);
+  const none: ReadonlySet<MemberId> = new Set();
+  for (const id of ring.order) {
+    if (id === state.self || state.wards.has(id)) continue;
+    if (!chooseGrantors(state.map, ring, id, none).includes(state.self)) {
+      continue;
+    }
+    state.wards.set(id, createWard(at.monotonic));
+  }
+  for (const id of [...state.wards.keys()]) {
+    if (!state.map.members.has(id)) state.wards.delete(id);
+  }
+  for (const id of [...state.closed]) {
+    if (state.map.ended.has(id)) state.closed.delete(id);
+  }
+}
+
+/**
+ * Reports members that are silent.
+ *
+ * @param context - The step.
+ * @param suspectHere - Begins the ending at this daemon.
+ */
+export function reportSilent(
+  context: Context,
+  suspectHere: (member: MemberId, reporter: MemberId) => void,
+): void {
+  const {state, at} = context;
+  const now = at.monotonic;
+  const {suspectMs} = state.settings.tuning.leases;
+  for (const [id, ward] of state.wards) {
+    if (now - ward.heard < suspectMs || now < ward.suspectAt) continue;
+    ward.suspectAt = now + REPORT_GAP_MS;
+    const target = reportTarget(state, id, ward.reports);
+    ward.reports += 1;
+    if (target === state.self) suspectHere(id, state.self);
+    else send(context, target, {kind: 'suspect', member: id});
+  }
+}
+
+/**
+ * Stops watching a member that others grant.
+ *
+ * @param state - The state.
+ * @param member - The member.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function clearWard(
+  state: Ownership,
+  member: MemberId,
+  now: number,
+): void {
+  const ward = state.wards.get(member);
+  if (ward !== undefined && now >= ward.promisedUntil) {
+    state.wards.delete(member);
+  }
+}
+
+function reportTarget(
+  state: Ownership,
+  silent: MemberId,
+  reports: number,
+): MemberId {
+  if (reports >= REPORTS_TO_OTHERS && reports % 2 === 0) return state.self;
+  const ranks = ranksOf(state.map).filter(id => id !== silent);
+  return ranks[reports % Math.min(REPORTED_RANKS, ranks.length)] ?? state.self;
+}
+
+function refusal(
+  context: Context,
+  message: Extract<ControlMessage, {kind: 'renew'}>,
+): string {
+  const {state, at} = context;
+  const {member} = message;
+  if (state.map.ended.has(member)) return 'ended';
+  if (!state.map.members.has(member)) return 'unknown';
+  const ward = wardOf(state, member, at.monotonic);
+  ward.heard = at.monotonic;
+  ward.reports = 0;
+  ward.version = message.version;
+  if (state.closed.has(member)) return 'closed';
+  if (inForce(state, 'R4') && standing(state, at).source === 'none') {
+    return 'no-lease';
+  }
+  if (staysBehind(state, ward, message.configuration, at.monotonic)) {
+    return 'behind';
+  }
+  return '';
+}
+
+function staysBehind(
+  state: Ownership,
+  ward: Ward,
+  configuration: number,
+  now: number,
+): boolean {
+  ward.configuration = configuration;
+  if (configuration >= (state.map.configuration?.number ?? 0)) {
+    ward.behindSince = null;
+    return false;
+  }
+  ward.behindSince ??= now;
+  return now - ward.behindSince > state.settings.tuning.leases.behindMs;
+}
+
+function promise(
+  context: Context,
+  message: Extract<ControlMessage, {kind: 'renew'}>,
+): void {
+  const {state, at} = context;
+  const {leaseMs, marginMs} = state.settings.tuning.leases;
+  const ward = wardOf(state, message.member, at.monotonic);
+  ward.promisedUntil = at.monotonic + leaseMs + marginMs;
+}
+
+function wardOf(state: Ownership, member: MemberId, now: number): Ward {
+  let ward = state.wards.get(member);
+  if (ward === undefined) {
+    ward = createWard(now);
+    state.wards.set(member, ward);
+  }
+  return ward;
+}
--- /dev/null
+++ b/packages/core/src/leases/holder.ts
@@ -0,0 +1,356 @@
+/** @fileoverview Renewing the own lease and writing the own row (R3, R7, R8). */
+
+import type {Instant} from '../clock/types.js';
+import type {MemberId} from '../ids/types.js';
+import type {ControlMessage} from '../messages/types.js';
+import {chooseGrantors} from '../membership/ring.js';
+import {callStore, log, newWriteId, send} from '../ownership/effects.js';
+import type {Context, Ownership} from '../ownership/state.js';
+import {currentRing} from '../ownership/state.js';
+import type {Row, StoreReply} from '../store/types.js';
+import {possibleGrantors, standing} from './logic.js';
+import type {Contact, Lease, MemberRow, RowWrite} from './types.js';
+
+/** Renewal rounds that are remembered. */
+const REMEMBERED_ROUNDS = 64;
+/** Unresolved writes whose ids are remembered. */
+const REMEMBERED_WRITES = 8;
+/** Time without an answer after which a grantor counts as silent. */
+const SILENT_MS = 700;
+/** Least time between two writes of the own row. */
+const WRITE_GAP_MS = 300;
+/** Life left of a lease below which it is touched. */
+const TOUCH_BELOW_MS = 800;
+
+/**
+ * Renews, touches and changes grantors as time passes.
+ *
+ * @param context - The step.
+ */
+export function keepLease(context: Context): void {
+  const {state, at} = context;
+  if (state.lease.revision === 0) return;
+  noteStanding(context);
+  if (state.phase === 'left') return;
+  if (at.monotonic >= state.lease.renewAt) renew(context);
+  markSilent(state, at);
+  writeRowIfDue(context);
+}
+
+/**
+ * Takes a grantor's answer to a renewal.
+ *
+ * @param context - The step.
+ * @param from - The grantor.
+ * @param message - Its answer.
+ */
+export function takeRenewed(
+  context: Context,
+  from: MemberId,
+  message: Extract<ControlMessage, {kind: 'renewed'}>,
+): void {
+  const {lease} = context.state;
+  const round = lease.rounds.get(message.round);
+  if (round === undefined || round.to !== from) return;
+  lease.rounds.delete(message.round);
+  const contact = contactOf(lease, from);
+  contact.unansweredSince = null;
+  if (message.granted) {
+    const known = lease.promises.get(from);
+    if (known === undefined || known.monotonic < round.sentAt.monotonic) {
+      lease.promises.set(from, round.sentAt);
+    }
+    return;
+  }
+  if (message.reason === 'closed') contact.closed = true;
+}
+
+/**
+ * Takes the reply to a write of the own row.
+ *
+ * @param context - The step.
+ * @param write - The write.
+ * @param answer - The platform's reply.
+ */
+export function takeRowWritten(
+  context: Context,
+  write: RowWrite,
+  answer: StoreReply,
+): void {
+  const {state} = context;
+  const {lease} = state;
+  write.inFlight = false;
+  switch (answer.kind) {
+    case 'committed':
+      settleRow(context, answer.revision, write.grantors, write.sentAt);
+      return;
+    case 'conflict':
+      if (!takeOwnRow(context, answer.rows)) readOwnRow(context);
+      return;
+    case 'refused':
+      lease.pending = lease.pending.filter(each => each !== write);
+      postpone(context);
+      return;
+    case 'unknown':
+      postpone(context);
+      return;
+    case 'rows':
+    case 'object':
+    case 'stored':
+      return;
+  }
+}
+
+/**
+ * Takes the reply to a read of the own row.
+ *
+ * @param context - The step.
+ * @param answer - The platform's reply.
+ */
+export function takeRowRead(context: Context, answer: StoreReply): void {
+  if (answer.kind !== 'rows') return;
+  if (!takeOwnRow(context, answer.rows)) context.state.sync.needed = true;
+}
+
+/**
+ * Settles what the own row says.
+ *
+ * @param context - The step.
+ * @param revision - Its revision.
+ * @param grantors - Its grantors.
+ * @param sentAt - When the write that made it was sent, if it is ours.
+ */
+export function settleRow(
+  context: Context,
+  revision: number,
+  grantors: readonly MemberId[],
+  sentAt: Instant | null,
+): void {
+  const {lease} = context.state;
+  if (revision <= lease.revision) return;
+  const changed = grantors.join() !== lease.grantors.join();
+  lease.revision = revision;
+  lease.grantors = grantors;
+  lease.pending = [];
+  lease.failures = 0;
+  if (sentAt !== null) lease.touched = sentAt;
+  if (!changed) return;
+  lease.ringDiffersSince = null;
+  lease.renewAt = context.at.monotonic;
+  for (const grantor of [...lease.promises.keys()]) {
+    if (!grantors.includes(grantor)) lease.promises.delete(grantor);
+  }
+  log(context, 'grantorsChanged', {grantors: grantors.join(' ')});
+}
+
+function noteStanding(context: Context): void {
+  const {state, at} = context;
+  const {source} = standing(state, at);
+  const held = source !== 'none';
+  if (held === state.lease.held) return;
+  state.lease.held = held;
+  log(context, held ? 'leaseHeld' : 'leaseLost', {source});
+}
+
+function renew(context: Context): void {
+  const {state, at} = context;
+  const {lease, map} = state;
+  lease.renewAt = at.monotonic + state.settings.tuning.leases.renewMs;
+  for (const grantor of possibleGrantors(lease)) {
+    if (!map.members.has(grantor)) continue;
+    const round = lease.nextRound++;
+    lease.rounds.set(round, {to: grantor, sentAt: at});
+    contactOf(lease, grantor).unansweredSince ??= at.monotonic;
+    send(context, grantor, {
+      kind: 'renew',
+      member: state.self,
+      round,
+      version: map.version,
+      configuration: map.configuration?.number ?? 0,
+    });
+  }
+  while (lease.rounds.size > REMEMBERED_ROUNDS) {
+    const oldest = lease.rounds.keys().next().value;
+    if (oldest === undefined) return;
+    lease.rounds.delete(oldest);
+  }
+}
+
+function markSilent(state: Ownership, at: Instant): void {
+  const {lease} = state;
+  const passOverMs = state.settings.tuning.membership.passOverMs;
+  for (const contact of lease.contacts.values()) {
+    const since = contact.unansweredSince;
+    if (since === null || at.monotonic - since < SILENT_MS) continue;
+    contact.unansweredSince = null;
+    contact.passedOverUntil = at.monotonic + passOverMs;
+  }
+}
+
+function writeRowIfDue(context: Context): void {
+  const {state, at} = context;
+  const {lease} = state;
+  const now = at.monotonic;
+  if (state.phase === 'ending') return;
+  if (now < lease.writeAfter) return;
+  if (lease.pending.some(write => write.inFlight)) return;
+  const wanted = wantedGrantors(state, now);
+  const lost = lease.grantors.some(id => !usable(state, id, now));
+  const differs = wanted.join() !== lease.grantors.join();
+  const urgent = lost && differs;
+  const unsettled = lease.pending.length > 0;
+  if (
+    urgent ||
+    unsettled ||
+    needsTouch(state, at) ||
+    followsRing(context, differs)
+  ) {
+    writeRow(context, wanted);
+  }
+}
+
+function needsTouch(state: Ownership, at: Instant): boolean {
+  const held = standing(state, at);
+  if (held.source === 'none') return true;
+  return held.until.monotonic - at.monotonic < TOUCH_BELOW_MS;
+}
+
+function followsRing(context: Context, differs: boolean): boolean {
+  const {state, at} = context;
+  const {lease} = state;
+  if (!differs) lease.ringDiffersSince = null;
+  else lease.ringDiffersSince ??= at.monotonic + context.random() * 1000;
+  if (lease.ringDiffersSince === null) return false;
+  const waitMs = state.settings.tuning.membership.followRingMs;
+  return at.monotonic - lease.ringDiffersSince > waitMs;
+}
+
+function wantedGrantors(state: Ownership, now: number): MemberId[] {
+  const passedOver = new Set<MemberId>();
+  for (const id of state.lease.contacts.keys()) {
+    if (!usable(state, id, now)) passedOver.add(id);
+  }
+  const ring = currentRing(state);
+  const chosen = chooseGrantors(state.map, ring, state.self, passedOver);
+  if (chosen.length > 0) return chosen;
+  return chooseGrantors(state.map, ring, state.self, closedBy(state.lease));
+}
+
+function usable(state: Ownership, id: MemberId, now: number): boolean {
+  if (!state.map.members.has(id)) return false;
+  const contact = state.lease.contacts.get(id);
+  if (contact === undefined) return true;
+  return !contact.closed && contact.passedOverUntil <= now;
+}
+
+/**
+ * Lists the members that have closed this incarnation.
+ *
+ * @param lease - The lease.
+ * @returns The members.
+ */
+export function closedBy(lease: Lease): Set<MemberId> {
+  const closed = new Set<MemberId>();
+  for (const [id, contact] of lease.contacts) {
+    if (contact.closed) closed.add(id);
+  }
+  return closed;
+}
+
+function writeRow(context: Context, grantors: readonly MemberId[]): void {
+  const {state, at} = context;
+  const {lease, keys, self, settings} = state;
+  const write: RowWrite = {
+    writeId: newWriteId(context),
+    grantors,
+    sentAt: at,
+    inFlight: true,
+  };
+  lease.pending.push(write);
+  if (lease.pending.length > REMEMBERED_WRITES) mergeOldest(lease);
+  lease.writeAfter = at.monotonic + touchGapMs(context);
+  const row: MemberRow = {
+    member: self,
+    zone: settings.zone,
+    address: settings.address,
+    grantors,
+    writeId: write.writeId,
+  };
+  const key = keys.member(self);
+  callStore(
+    context,
+    {kind: 'rowWrite', write},
+    {
+      kind: 'commit',
+      transaction: {
+        writeId: write.writeId,
+        checks: [{key, revision: lease.revision}],
+        puts: [{key, value: JSON.stringify(row)}],
+      },
+    },
+  );
+}
+
+/** Forgets the older of two writes; its grantors stay possible. */
+function mergeOldest(lease: Lease): void {
+  const [oldest, next, ...rest] = lease.pending;
+  const common = next.grantors.filter(id => oldest.grantors.includes(id));
+  lease.pending = [{...next, grantors: common}, ...rest];
+}
+
+/** Time between two touches: all members together fit the budget. */
+function touchGapMs(context: Context): number {
+  const {state} = context;
+  const budget = state.settings.tuning.membership.touchesPerSecond;
+  const shareMs = (state.map.members.size / budget) * 1000;
+  const jitter = 0.8 + 0.4 * context.random();
+  return Math.max(WRITE_GAP_MS, shareMs) * jitter;
+}
+
+function postpone(context: Context): void {
+  const {state, at} = context;
+  const {lease} = state;
+  lease.failures += 1;
+  const most = state.settings.tuning.store.maxBackoffMs / 2;
+  const waitMs = Math.min(most, 200 * 2 ** Math.min(lease.failures, 6));
+  const until = at.monotonic + waitMs * (0.5 + context.random());
+  lease.writeAfter = Math.max(lease.writeAfter, until);
+}
+
+function readOwnRow(context: Context): void {
+  const {state} = context;
+  const key = state.keys.member(state.self);
+  callStore(
+    context,
+    {kind: 'rowRead'},
+    {kind: 'read', query: {kind: 'row', key}},
+  );
+}
+
+/**
+ * Looks for the own row at a newer revision.
+ *
+ * @param context - The step.
+ * @param rows - Rows of a reply.
+ * @returns Whether it was among them.
+ */
+export function takeOwnRow(context: Context, rows: readonly Row[]): boolean {
+  const {state} = context;
+  const {lease} = state;
+  const key = state.keys.member(state.self);
+  const row = rows.find(each => each.key === key);
+  if (row === undefined || row.revision <= lease.revision) return false;
+  const value = JSON.parse(row.value) as MemberRow;
+  const own = lease.pending.find(write => write.writeId === value.writeId);
+  settleRow(context, row.revision, value.grantors, own?.sentAt ?? null);
+  return true;
+}
+
+function contactOf(lease: Lease, id: MemberId): Contact {
+  let contact = lease.contacts.get(id);
+  if (contact === undefined) {
+    contact = {unansweredSince: null, passedOverUntil: 0, closed: false};
+    lease.contacts.set(id, contact);
+  }
+  return contact;
+}
--- /dev/null
+++ b/packages/core/src/leases/types.ts
@@ -0,0 +1,80 @@
+/** @fileoverview A member's own lease and the promises it makes to others. */
+
+import type {Instant} from '../clock/types.js';
+import type {Address, MemberId, WriteId, ZoneName} from '../ids/types.js';
+
+/** Value of a member's row in the table. */
+export interface MemberRow {
+  readonly member: MemberId;
+  readonly zone: ZoneName;
+  readonly address: Address;
+  readonly grantors: readonly MemberId[];
+  readonly writeId: WriteId;
+}
+
+/** A write of the member's own row that may take effect. */
+export interface RowWrite {
+  readonly writeId: WriteId;
+  readonly grantors: readonly MemberId[];
+  readonly sentAt: Instant;
+  inFlight: boolean;
+}
+
+/** What a member knows of one possible grantor. */
+export interface Contact {
+  /** Monotonic time of the first renewal without an answer, or null. */
+  unansweredSince: number | null;
+  /** Monotonic time until which the peer is passed over. */
+  passedOverUntil: number;
+  /** The peer has closed this incarnation. */
+  closed: boolean;
+}
+
+/** The lease that a member holds. */
+export interface Lease {
+  /** Revision of the member's row; 0 before it joined. */
+  revision: number;
+  grantors: readonly MemberId[];
+  /** Writes conditional on `revision` that may still take effect. */
+  pending: RowWrite[];
+  /** When the newest confirmed row write was sent (R8). */
+  touched: Instant | null;
+  /** When the newest granted renewal was sent, by grantor. */
+  readonly promises: Map<MemberId, Instant>;
+  readonly rounds: Map<number, {to: MemberId; sentAt: Instant}>;
+  nextRound: number;
+  /** Monotonic time of the next renewal. */
+  renewAt: number;
+  /** Monotonic time before which the row is not written again. */
+  writeAfter: number;
+  failures: number;
+  readonly contacts: Map<MemberId, Contact>;
+  /** Monotonic time since which the ring names other grantors. */
+  ringDiffersSince: number | null;
+  /** For the log: whether a lease was held at the last tick. */
+  held: boolean;
+}
+
+/** Where a lease comes from. */
+export type LeaseSource = 'grantor' | 'touch' | 'none';
+
+/** The lease at one instant. */
+export interface Standing {
+  readonly source: LeaseSource;
+  /** End of the lease by both clocks; meaningless without a lease. */
+  readonly until: Instant;
+}
+
+/** A member that this daemon grants, or watches as its next in the ring. */
+export interface Ward {
+  /** Monotonic time at which the last promise has run out; 0 for none. */
+  promisedUntil: number;
+  heard: number;
+  /** Monotonic time of the next report that it is silent. */
+  suspectAt: number;
+  reports: number;
+  /** Monotonic time since which its configuration is behind, or null. */
+  behindSince: number | null;
+  version: number;
+  configuration: number;
+}
--- /dev/null
+++ b/packages/core/src/map/logic.ts
@@ -0,0 +1,220 @@
+/** @fileoverview Applying log entries to the map. */
+
+import type {MemberId, Slice, ZoneName} from '../ids/types.js';
+import type {Change, Committed} from '../log/types.js';
+import type {Workspace} from '../workspace/types.js';
+import {NO_MEMBER, addMember, createService, removeMember} from './state.js';
+import type {ClusterMap, Member, ServiceMap} from './types.js';
+
+/**
+ * Applies the entry that follows the map's version.
+ *
+ * @param map - The map, updated in place.
+ * @param committed - Entry number `map.version + 1`.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function applyEntry(
+  map: ClusterMap,
+  committed: Committed,
+  now: number,
+): void {
+  applyChange(map, committed.entry.change, now);
+  map.version = committed.entry.version;
+  map.revision = committed.revision;
+}
+
+/**
+ * Tells whether a member takes new work of a service.
+ *
+ * @param map - The map.
+ * @param member - The member.
+ * @returns Whether its backend server offers work and nothing holds it back.
+ */
+export function takesWork(map: ClusterMap, member: Member): boolean {
+  if (member.offer === null || member.offer.leaving) return false;
+  if (member.draining) return false;
+  return !map.zonesOut.has(member.zone);
+}
+
+/**
+ * Finds the member at an index.
+ *
+ * @param map - The map.
+ * @param index - Index from one of the arrays.
+ * @returns The member, or null.
+ */
+export function memberAt(map: ClusterMap, index: number): Member | null {
+  if (index === NO_MEMBER) return null;
+  return map.byIndex[index] ?? null;
+}
+
+function applyChange(map: ClusterMap, change: Change, now: number): void {
+  switch (change.kind) {
+    case 'joined':
+      addMember(map, {
+        id: change.member,
+        zone: change.zone,
+        address: change.address,
+        offer: null,
+        draining: false,
+      });
+      return;
+    case 'ended':
+      for (const member of change.members) endMember(map, member, now);
+      return;
+    case 'offered':
+      applyOffer(map, change);
+      return;
+    case 'withdrawn':
+      withMember(map, change.member, member => (member.offer = null));
+      return;
+    case 'draining':
+      withMember(map, change.member, member => (member.draining = true));
+      return;
+    case 'placed':
+      applyPlaced(map, change);
+      return;
+    case 'moving':
+      applyMoving(map, change);
+      return;
+    case 'released':
+      applyReleased(map, change);
+      return;
+    case 'configured':
+      applyConfigured(map, change);
+      return;
+    case 'zone':
+      setZone(map, change.zone, change.out);
+      return;
+  }
+}
+
+function withMember(
+  map: ClusterMap,
+  id: MemberId,
+  update: (member: Member) => void,
+): void {
+  const member = map.members.get(id);
+  if (member !== undefined) update(member);
+}
+
+function applyOffer(
+  map: ClusterMap,
+  change: Extract<Change, {kind: 'offered'}>,
+): void {
+  withMember(map, change.member, member => {
+    const restarted =
+      member.offer === null || member.offer.instance !== change.instance;
+    if (restarted) member.draining = false;
+    member.offer = {
+      service: change.service,
+      instance: change.instance,
+      slots: change.slots,
+      leaving: change.leaving,
+    };
+  });
+}
+
+/** Promotion by rule: no entry names the slices. */
+function endMember(map: ClusterMap, id: MemberId, now: number): void {
+  const member = map.members.get(id);
+  if (member !== undefined) {
+    for (const service of map.services.values()) promote(service, member.index);
+  }
+  removeMember(map, id, now);
+}
+
+function promote(service: ServiceMap, gone: number): void {
+  const {owner, standby, generation, moves} = service;
+  for (const [slice, to] of moves) {
+    if (to === gone) moves.delete(slice);
+  }
+  for (let slice = 0; slice < service.slices; slice++) {
+    if (standby[slice] === gone) standby[slice] = NO_MEMBER;
+    if (owner[slice] !== gone) continue;
+    const target = moves.get(slice as Slice);
+    owner[slice] = target ?? standby[slice];
+    generation[slice] += 1;
+    moves.delete(slice as Slice);
+    if (standby[slice] === owner[slice]) standby[slice] = NO_MEMBER;
+  }
+}
+
+function applyPlaced(
+  map: ClusterMap,
+  change: Extract<Change, {kind: 'placed'}>,
+): void {
+  const service = map.services.get(change.service);
+  if (service === undefined) return;
+  for (const run of change.runs) {
+    const owner = map.members.get(run.owner)?.index ?? NO_MEMBER;
+    const standby = indexOf(map, run.standby);
+    for (let slice = run.first; slice < run.first + run.count; slice++) {
+      if (service.owner[slice] === NO_MEMBER) {
+        service.owner[slice] = owner;
+        service.generation[slice] += 1;
+      }
+      if (service.owner[slice] === owner) service.standby[slice] = standby;
+    }
+  }
+}
+
+function applyMoving(
+  map: ClusterMap,
+  change: Extract<Change, {kind: 'moving'}>,
+): void {
+  const service = map.services.get(change.service);
+  if (service === undefined) return;
+  for (const move of change.moves) {
+    const to = indexOf(map, move.to);
+    if (to === NO_MEMBER) continue;
+    for (let slice = move.first; slice < move.first + move.count; slice++) {
+      service.moves.set(slice, to);
+    }
+  }
+}
+
+function applyReleased(
+  map: ClusterMap,
+  change: Extract<Change, {kind: 'released'}>,
+): void {
+  const service = map.services.get(change.service);
+  if (service === undefined) return;
+  for (const slice of change.slices) {
+    const to = service.moves.get(slice);
+    if (to === undefined) continue;
+    service.moves.delete(slice);
+    service.owner[slice] = to;
+    service.generation[slice] += 1;
+    if (service.standby[slice] === to) service.standby[slice] = NO_MEMBER;
+  }
+}
+
+function applyConfigured(
+  map: ClusterMap,
+  change: Extract<Change, {kind: 'configured'}>,
+): void {
+  const parsed = JSON.parse(change.document) as Workspace;
+  const workspace: Workspace = {...parsed, version: change.number};
+  map.configuration = {
+    number: change.number,
+    document: change.document,
+    workspace,
+  };
+  for (const service of workspace.services) {
+    if (service.division.kind !== 'keyed') continue;
+    if (map.services.has(service.name)) continue;
+    const placement = createService(service.name, service.division.slices);
+    map.services.set(service.name, placement);
+  }
+}
+
+function setZone(map: ClusterMap, zone: ZoneName, out: boolean): void {
+  if (out) map.zonesOut.add(zone);
+  else map.zonesOut.delete(zone);
+}
+
+function indexOf(map: ClusterMap, member: MemberId | null): number {
+  if (member === null) return NO_MEMBER;
+  return map.members.get(member)?.index ?? NO_MEMBER;
+}
--- /dev/null
+++ b/packages/core/src/map/state.ts
@@ -0,0 +1,92 @@
+/** @fileoverview The empty map and the storage of its parts. */
+
+import {NO_VERSION} from '../ids/logic.js';
+import type {MemberId, ServiceName, Slice} from '../ids/types.js';
+import type {ClusterMap, Member, ServiceMap} from './types.js';
+
+/** Stands for "no member" in the index arrays. */
+export const NO_MEMBER = 0xffff;
+
+/** Ended members that are remembered by name. */
+const REMEMBERED_ENDED = 8192;
+
+/**
+ * Creates the map before the first entry.
+ *
+ * @returns An empty map at version 0.
+ */
+export function createMap(): ClusterMap {
+  return {
+    version: NO_VERSION,
+    revision: 0,
+    members: new Map(),
+    byIndex: [],
+    services: new Map(),
+    zonesOut: new Set(),
+    configuration: null,
+    ended: new Map(),
+    membershipChanges: 0,
+  };
+}
+
+/**
+ * Creates the placement of a service, with no owners.
+ *
+ * @param name - The service.
+ * @param slices - Number of its slices.
+ * @returns The placement.
+ */
+export function createService(name: ServiceName, slices: number): ServiceMap {
+  return {
+    name,
+    slices,
+    owner: new Uint16Array(slices).fill(NO_MEMBER),
+    standby: new Uint16Array(slices).fill(NO_MEMBER),
+    generation: new Uint32Array(slices),
+    moves: new Map<Slice, number>(),
+  };
+}
+
+/**
+ * Adds a member at a free index.
+ *
+ * @param map - The map, updated in place.
+ * @param member - The member without its index.
+ */
+export function addMember(
+  map: ClusterMap,
+  member: Omit<Member, 'index'>,
+): void {
+  const free = map.byIndex.indexOf(null);
+  const index = free < 0 ? map.byIndex.length : free;
+  const added: Member = {...member, index};
+  map.byIndex[index] = added;
+  map.members.set(added.id, added);
+  map.membershipChanges += 1;
+}
+
+/**
+ * Removes a member; no slice may refer to it any more.
+ *
+ * @param map - The map, updated in place.
+ * @param member - The member.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function removeMember(
+  map: ClusterMap,
+  member: MemberId,
+  now: number,
+): void {
+  const known = map.members.get(member);
+  if (known !== undefined) {
+    map.byIndex[known.index] = null;
+    map.members.delete(member);
+    map.membershipChanges += 1;
+  }
+  if (!map.ended.has(member)) map.ended.set(member, now);
+  while (map.ended.size > REMEMBERED_ENDED) {
+    const oldest = map.ended.keys().next().value;
+    if (oldest === undefined) return;
+    map.ended.delete(oldest);
+  }
+}
--- /dev/null
+++ b/packages/core/src/membership/endings.ts
@@ -0,0 +1,235 @@
+/** @fileoverview Ending silent members by rule R2. */
+
+import type {MemberId} from '../ids/types.js';
+import {closeMember} from '../leases/grantor.js';
+import type {MemberRow} from '../leases/types.js';
+import type {ControlMessage} from '../messages/types.js';
+import {callStore, send} from '../ownership/effects.js';
+import type {Context, Ownership, Wanted} from '../ownership/state.js';
+import {inForce} from '../ownership/state.js';
+import type {StoreReply} from '../store/types.js';
+import type {Ending} from './types.js';
+
+/** Time between two requests to close, and between two reads of a row. */
+const ASK_GAP_MS = 200;
+/** Time without a new report after which an ending is given up. */
+const GIVE_UP_MS = 4000;
+/** Time after which reporters are told that the member is granted. */
+const CLEAR_MS = 3000;
+/** Most members in one entry. */
+const MOST_ENDED_AT_ONCE = 512;
+
+/**
+ * Begins or continues to end a member.
+ *
+ * @param context - The step.
+ * @param member - The silent member.
+ * @param reporter - Who reported it.
+ * @param confirmed - Whether an operator vouches that it has stopped.
+ */
+export function suspectMember(
+  context: Context,
+  member: MemberId,
+  reporter: MemberId,
+  confirmed = false,
+): void {
+  const {state, at} = context;
+  if (!state.map.members.has(member) || member === state.self) return;
+  let ending = state.endings.get(member);
+  if (ending === undefined || (confirmed && !ending.confirmed)) {
+    ending = newEnding(member, at.monotonic, confirmed);
+    state.endings.set(member, ending);
+  }
+  ending.reporters.add(reporter);
+  ending.reportedAt = at.monotonic;
+}
+
+/**
+ * Reads rows and asks grantors to close, as time passes.
+ *
+ * @param context - The step.
+ */
+export function pursueEndings(context: Context): void {
+  const {state, at} = context;
+  const now = at.monotonic;
+  for (const [member, ending] of state.endings) {
+    if (!state.map.members.has(member) || isOver(ending, now)) {
+      state.endings.delete(member);
+      continue;
+    }
+    if (now < ending.askAt) continue;
+    ending.askAt = now + ASK_GAP_MS;
+    if (ending.row === null) readRow(context, ending);
+    else askGrantors(context, ending);
+    if (now - ending.begun > CLEAR_MS) clearReporters(context, ending);
+  }
+}
+
+/**
+ * Takes the row of a member that is to be ended.
+ *
+ * @param context - The step.
+ * @param member - The member.
+ * @param answer - The platform's reply.
+ */
+export function takeEndingRow(
+  context: Context,
+  member: MemberId,
+  answer: StoreReply,
+): void {
+  const {state, at} = context;
+  const ending = state.endings.get(member);
+  if (ending === undefined) return;
+  ending.reading = false;
+  if (answer.kind !== 'rows') return;
+  const row = answer.rows.find(each => each.key === state.keys.member(member));
+  if (row === undefined || row.revision === 0) {
+    state.endings.delete(member);
+    state.sync.needed = true;
+    return;
+  }
+  const value = JSON.parse(row.value) as MemberRow;
+  ending.row = {
+    revision: row.revision,
+    grantors: value.grantors,
+    since: at.monotonic,
+  };
+  ending.askAt = at.monotonic;
+}
+
+/**
+ * Takes a grantor's answer to a request to close.
+ *
+ * @param context - The step.
+ * @param from - The grantor.
+ * @param message - Its answer.
+ */
+export function takeClosed(
+  context: Context,
+  from: MemberId,
+  message: Extract<ControlMessage, {kind: 'closed'}>,
+): void {
+  const ending = context.state.endings.get(message.member);
+  if (ending === undefined || !message.closed) return;
+  ending.closedBy.add(from);
+  context.state.dirty = true;
+}
+
+/**
+ * Collects the members that may be ended now.
+ *
+ * @param context - The step.
+ * @returns The change, or null when there are none.
+ */
+export function wantedEnd(context: Context): Wanted | null {
+  const {state, at} = context;
+  const ends: Array<{member: MemberId; revision: number}> = [];
+  for (const [member, ending] of state.endings) {
+    if (ending.row === null || ends.length >= MOST_ENDED_AT_ONCE) continue;
+    if (!mayEnd(state, ending, at.monotonic)) continue;
+    ends.push({member, revision: ending.row.revision});
+  }
+  if (ends.length === 0) return null;
+  const members = ends.map(each => each.member);
+  return {change: {kind: 'ended', members}, by: state.self, ends};
+}
+
+/**
+ * Forgets what is known of rows after a conflict, so that they are read anew.
+ *
+ * @param state - The state.
+ */
+export function forgetRows(state: Ownership): void {
+  for (const ending of state.endings.values()) {
+    ending.row = null;
+    ending.askAt = 0;
+  }
+}
+
+function mayEnd(state: Ownership, ending: Ending, now: number): boolean {
+  const {row} = ending;
+  if (row === null) return false;
+  const {leaseMs, marginMs} = state.settings.tuning.leases;
+  const waitMs = leaseMs + marginMs;
+  if (inForce(state, 'R8') && now - row.since < waitMs) return false;
+  if (ending.confirmed) return true;
+  if (!inForce(state, 'R2')) {
+    return row.grantors.some(id => ending.closedBy.has(id));
+  }
+  return row.grantors.every(id => isVoid(state, ending, id, now, waitMs));
+}
+
+/** Whether what this grantor promised is void. */
+function isVoid(
+  state: Ownership,
+  ending: Ending,
+  grantor: MemberId,
+  now: number,
+  waitMs: number,
+): boolean {
+  if (ending.closedBy.has(grantor)) return true;
+  if (state.map.members.has(grantor)) return false;
+  const seen = state.map.ended.get(grantor) ?? ending.row?.since ?? now;
+  return now - seen >= waitMs;
+}
+
+function askGrantors(context: Context, ending: Ending): void {
+  const {state, at} = context;
+  if (ending.row === null || ending.confirmed) return;
+  for (const grantor of ending.row.grantors) {
+    if (ending.closedBy.has(grantor)) continue;
+    if (grantor === state.self) {
+      if (closeMember(state, ending.member, at.monotonic)) {
+        ending.closedBy.add(grantor);
+        state.dirty = true;
+      }
+      continue;
+    }
+    const {member} = ending;
+    send(context, grantor, {kind: 'close', member, round: 0});
+  }
+}
+
+function readRow(context: Context, ending: Ending): void {
+  if (ending.reading) return;
+  ending.reading = true;
+  const {member} = ending;
+  const key = context.state.keys.member(member);
+  callStore(
+    context,
+    {kind: 'endingRead', member},
+    {kind: 'read', query: {kind: 'row', key}},
+  );
+}
+
+function clearReporters(context: Context, ending: Ending): void {
+  const {state} = context;
+  const granted = ending.row?.grantors.some(
+    id => state.map.members.has(id) && !ending.closedBy.has(id),
+  );
+  if (granted !== true) return;
+  for (const reporter of ending.reporters) {
+    if (ending.row?.grantors.includes(reporter)) continue;
+    if (reporter === state.self) state.wards.delete(ending.member);
+    send(context, reporter, {kind: 'cleared', member: ending.member});
+  }
+  ending.reporters.clear();
+}
+
+function isOver(ending: Ending, now: number): boolean {
+  return !ending.confirmed && now - ending.reportedAt > GIVE_UP_MS;
+}
+
+function newEnding(member: MemberId, now: number, confirmed: boolean): Ending {
+  return {
+    member,
+    begun: now,
+    confirmed,
+    row: null,
+    reading: false,
+    askAt: now,
+    closedBy: new Set(),
+    reporters: new Set(),
+    reportedAt: now,
+  };
+}
--- /dev/null
+++ b/packages/core/src/membership/types.ts
@@ -0,0 +1,29 @@
+/** @fileoverview Ending of members by rule R2. */
+
+import type {MemberId} from '../ids/types.js';
+
+/** A member's row as this daemon has known it. */
+export interface KnownRow {
+  readonly revision: number;
+  readonly grantors: readonly MemberId[];
+  /** Monotonic time at which this revision was first seen. */
+  readonly since: number;
+}
+
+/** An attempt to end one member. */
+export interface Ending {
+  readonly member: MemberId;
+  readonly begun: number;
+  /** An operator vouches that it stopped; grantors are not asked. */
+  readonly confirmed: boolean;
+  row: KnownRow | null;
+  reading: boolean;
+  /** Monotonic time of the next read or request to close. */
+  askAt: number;
+  /** Grantors that have closed it. */
+  readonly closedBy: Set<MemberId>;
+  /** Members that reported it silent. */
+  readonly reporters: Set<MemberId>;
+  /** Monotonic time of the newest report. */
+  reportedAt: number;
+}
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -107,6 +107,8 @@
 /** An entry of the log as carried between daemons and kept in the table. */
 export interface LoggedEntry {
   readonly version: Version;
+  /** Revision of the entry's row in the table. */
+  readonly revision: number;
   /** JSON text of the entry. */
   readonly text: string;
 }
@@ -137,8 +139,18 @@
       /** False while the promise of the sender still runs. */
       readonly closed: boolean;
     }
+  /** The sender has not heard this member; please end it (R2). */
+  | {readonly kind: 'suspect'; readonly member: MemberId}
+  /** The member is alive: another member grants its lease. */
+  | {readonly kind: 'cleared'; readonly member: MemberId}
+  /** Answered by `entries`, also when there are none. */
   | {readonly kind: 'pull'; readonly after: Version}
-  | {readonly kind: 'entries'; readonly entries: readonly LoggedEntry[]}
+  | {
+      readonly kind: 'entries';
+      readonly entries: readonly LoggedEntry[];
+      /** Log version of the sender. */
+      readonly version: Version;
+    }
   /** Load per slice, reported to the coordinator. */
   | {
       readonly kind: 'load';
--- /dev/null
+++ b/packages/core/src/ownership/definition.ts
@@ -0,0 +1,305 @@
+/** @fileoverview Ownership as a subject of the reducer. */
+
+import type {MemberId} from '../ids/types.js';
+import {memberOf} from '../ids/logic.js';
+import {
+  answerPull,
+  compareVersion,
+  keepEntry,
+  pushEntry,
+  retryRead,
+  takeEntries,
+  takeTail,
+} from '../journal/reader.js';
+import {noteApplied, takeAppended} from '../journal/writer.js';
+import {clearWard, closeMember, takeRenew} from '../leases/grantor.js';
+import {
+  settleRow,
+  takeOwnRow,
+  takeRenewed,
+  takeRowRead,
+  takeRowWritten,
+} from '../leases/holder.js';
+import {createLease} from '../leases/state.js';
+import type {Committed} from '../log/types.js';
+import type {Subject} from '../loop/subject.js';
+import type {Effect, Event, Input} from '../loop/types.js';
+import {applyEntry} from '../map/logic.js';
+import {
+  forgetRows,
+  suspectMember,
+  takeClosed,
+  takeEndingRow,
+} from '../membership/endings.js';
+import type {ControlMessage, Message} from '../messages/types.js';
+import type {CallId} from '../ids/types.js';
+import type {Row, StoreReply} from '../store/types.js';
+import {noteCommandDone, takeAudit, takeCommand} from './commands.js';
+import {doDuties, onMembershipChanged} from './duties.js';
+import {log, send, violate} from './effects.js';
+import type {Context, Ownership} from './state.js';
+import type {WorkView} from './types.js';
+import {renderOwnership} from './view.js';
+
+/** What ownership asks of the other subjects. */
+export interface OwnershipPeers {
+  readonly work: WorkView;
+}
+
+/** Members, leases, the map, its coordinator and operators' commands. */
+export const OWNERSHIP: Subject<Ownership, OwnershipPeers> = {
+  name: 'ownership',
+  reduce: reduceOwnership,
+  render: state => renderOwnership(state, null),
+};
+
+function reduceOwnership(
+  state: Ownership,
+  input: Input,
+  peers: OwnershipPeers,
+): Effect[] {
+  const context = contextOf(state, input, peers.work);
+  takeEvent(context, input.event);
+  if (input.event.kind === 'ticked' || state.dirty) {
+    state.dirty = false;
+    doDuties(context);
+  }
+  return context.effects;
+}
+
+function contextOf(state: Ownership, input: Input, work: WorkView): Context {
+  let random = input.random;
+  return {
+    state,
+    at: input.at,
+    effects: [],
+    work,
+    random: () => {
+      random = (random * 7919 + 0.618033988749895) % 1;
+      return random;
+    },
+  };
+}
+
+function takeEvent(context: Context, event: Event): void {
+  const {state} = context;
+  switch (event.kind) {
+    case 'received':
+      takeMessage(context, event.from, event.message);
+      return;
+    case 'storeReplied':
+      takeReply(context, event.call, event.reply);
+      return;
+    case 'announced':
+      state.announcement = event.announcement;
+      state.dirty = true;
+      return;
+    case 'announcementLapsed':
+      if (state.announcement?.instance === event.instance) {
+        state.announcement = null;
+        state.dirty = true;
+      }
+      return;
+    case 'commanded':
+      takeCommand(context, event.command, event.token);
+      return;
+    case 'stopRequested':
+      requestStop(context);
+      return;
+    case 'ticked':
+    case 'linkOpened':
+    case 'linkLost':
+    case 'taken':
+    case 'hungUp':
+    case 'answered':
+    case 'runWritten':
+    case 'runHead':
+    case 'runEnded':
+    case 'runFailed':
+      return;
+  }
+}
+
+function takeMessage(context: Context, from: MemberId, message: Message): void {
+  const {state, at} = context;
+  state.heard.set(from, at.monotonic);
+  switch (message.kind) {
+    case 'renew':
+      takeRenew(context, from, message);
+      compareVersion(context, from, message.version);
+      return;
+    case 'renewed':
+      takeRenewed(context, from, message);
+      compareVersion(context, from, message.version);
+      return;
+    case 'suspect':
+      if (state.phase !== 'joining') {
+        suspectMember(context, message.member, from);
+      }
+      return;
+    case 'cleared':
+      clearWard(state, message.member, at.monotonic);
+      return;
+    case 'close':
+      answerClose(context, from, message);
+      return;
+    case 'closed':
+      takeClosed(context, from, message);
+      return;
+    case 'pull':
+      answerPull(context, from, message.after);
+      return;
+    case 'entries':
+      takeEntries(context, from, message, each => apply(context, each));
+      return;
+    case 'load':
+    case 'dispatch':
+    case 'body':
+    case 'head':
+    case 'data':
+    case 'end':
+    case 'failed':
+    case 'credit':
+    case 'cancel':
+    case 'inquire':
+    case 'fate':
+      return;
+  }
+}
+
+function answerClose(
+  context: Context,
+  from: MemberId,
+  message: Extract<ControlMessage, {kind: 'close'}>,
+): void {
+  const {member, round} = message;
+  const closed = closeMember(context.state, member, context.at.monotonic);
+  send(context, from, {kind: 'closed', member, round, closed});
+}
+
+function takeReply(context: Context, call: CallId, answer: StoreReply): void {
+  const {state} = context;
+  const pending = state.calls.get(call);
+  if (pending === undefined) return;
+  state.calls.delete(call);
+  const {purpose} = pending;
+  switch (purpose.kind) {
+    case 'append':
+      takeAppended(
+        context,
+        purpose.writeId,
+        answer,
+        each => apply(context, each),
+        rows => takeConflictRows(context, rows),
+      );
+      return;
+    case 'rowWrite':
+      takeRowWritten(context, purpose.write, answer);
+      return;
+    case 'rowRead':
+      takeRowRead(context, answer);
+      return;
+    case 'tail':
+      takeTail(context, answer, each => apply(context, each));
+      return;
+    case 'loadSnapshot':
+      takeSnapshot(context, answer);
+      return;
+    case 'storeSnapshot':
+    case 'trim':
+      return;
+    case 'endingRead':
+      takeEndingRow(context, purpose.member, answer);
+      return;
+    case 'audit':
+      takeAudit(context, purpose.token, answer);
+      return;
+  }
+}
+
+function takeConflictRows(context: Context, rows: readonly Row[]): void {
+  forgetRows(context.state);
+  if (context.state.lease.revision > 0) takeOwnRow(context, rows);
+}
+
+function takeSnapshot(context: Context, answer: StoreReply): void {
+  const {state} = context;
+  if (answer.kind !== 'object') {
+    retryRead(context);
+    return;
+  }
+  state.sync.inFlight = false;
+  state.sync.wantsSnapshot = false;
+  state.sync.needed = true;
+}
+
+/** Applies the next entry of the log; others are skipped. */
+function apply(context: Context, committed: Committed): void {
+  const {state, at} = context;
+  const {entry} = committed;
+  if (entry.version !== state.map.version + 1) return;
+  const changes = state.map.membershipChanges;
+  applyEntry(state.map, committed, at.monotonic);
+  keepEntry(state, committed);
+  pushEntry(context, committed);
+  state.dirty = true;
+  noteCommandDone(context, entry.writeId, entry.version);
+  noteOwnChange(context, committed);
+  noteApplied(context, committed);
+  if (state.map.membershipChanges !== changes) onMembershipChanged(context);
+}
+
+function noteOwnChange(context: Context, committed: Committed): void {
+  const {state, at} = context;
+  const {change} = committed.entry;
+  if (change.kind === 'joined' && change.member === state.self) {
+    state.phase = 'joined';
+    const {append} = state.journal;
+    const sentAt = append?.firstSent ?? null;
+    settleRow(context, committed.revision, [], sentAt);
+    state.lease.renewAt = at.monotonic;
+    log(context, 'memberJoined', {member: state.self});
+  }
+  if (change.kind === 'configured') {
+    log(context, 'configurationInForce', {number: change.number});
+  }
+  if (change.kind !== 'ended') return;
+  log(context, 'memberEnded', {members: change.members.join(' ')});
+  if (change.members.includes(state.self)) onOwnEnd(context);
+}
+
+function onOwnEnd(context: Context): void {
+  const {state} = context;
+  if (state.leaves) {
+    state.phase = 'left';
+    log(context, 'processLeaving', {member: state.self});
+    context.effects.push({kind: 'leave'});
+    return;
+  }
+  const {host, incarnation} = state.settings;
+  state.incarnations += 1;
+  const next = `${incarnation}.${state.incarnations}`;
+  log(context, 'memberRejoins', {member: state.self});
+  state.self = memberOf(host, next);
+  state.phase = 'joining';
+  state.lease = createLease();
+  state.wards.clear();
+  state.closed.clear();
+  state.endings.clear();
+  state.drains.clear();
+  state.heldBackSince = null;
+  if (state.map.members.has(state.self)) {
+    violate(context, 'incarnations-are-unique', state.self);
+  }
+}
+
+function requestStop(context: Context): void {
+  const {state, at} = context;
+  state.leaves = true;
+  state.stopBy = at.monotonic + state.settings.tuning.membership.stopMs;
+  if (state.phase === 'joined') state.phase = 'stopping';
+  state.dirty = true;
+  if (state.phase !== 'joining') return;
+  state.phase = 'left';
+  context.effects.push({kind: 'leave'});
+}
--- /dev/null
+++ b/packages/core/src/ownership/duties.ts
@@ -0,0 +1,261 @@
+/** @fileoverview What a daemon does on its own as time passes. */
+
+import {hostOf} from '../ids/logic.js';
+import type {Generation, MemberId, ServiceName, Slice} from '../ids/types.js';
+import {readIfDue} from '../journal/reader.js';
+import {beginAppend, retryAppend} from '../journal/writer.js';
+import {closedBy, keepLease} from '../leases/holder.js';
+import {standing} from '../leases/logic.js';
+import {reportSilent, watchRing} from '../leases/grantor.js';
+import {takesWork} from '../map/logic.js';
+import {nextPlacement} from '../coordinator/logic.js';
+import {
+  pursueEndings,
+  suspectMember,
+  wantedEnd,
+} from '../membership/endings.js';
+import {ranksOf} from '../membership/ring.js';
+import {trackDrains, wantedRelease} from '../moves/logic.js';
+import {reviewCommands, wantedByOperators} from './commands.js';
+import {log, send} from './effects.js';
+import type {Context, Ownership, Wanted} from './state.js';
+import {inForce} from './state.js';
+
+/** Time between two grants to the backend server. */
+const GRANT_GAP_MS = 500;
+/** First ranks that may act as coordinator when those before are silent. */
+const DEPUTY_RANKS = 3;
+/** Silence after which a deputy acts for a higher rank. */
+const DEPUTY_WAIT_MS = 1500;
+
+/**
+ * Does what is due.
+ *
+ * @param context - The step.
+ */
+export function doDuties(context: Context): void {
+  const {state} = context;
+  if (state.phase === 'left') return;
+  readIfDue(context);
+  retryAppend(context);
+  reviewCommands(context);
+  keepLease(context);
+  if (state.phase !== 'joining') {
+    reportSilent(context, (member, reporter) =>
+      suspectMember(context, member, reporter),
+    );
+    pursueEndings(context);
+    trackDrains(context);
+    noteHeldBack(context);
+    grantServer(context);
+    watchDeputies(context);
+    reviewOwnEnd(context);
+  }
+  appendNext(context);
+}
+
+/**
+ * Reacts to a changed set of members.
+ *
+ * @param context - The step.
+ */
+export function onMembershipChanged(context: Context): void {
+  watchRing(context);
+}
+
+function appendNext(context: Context): void {
+  const {state, at} = context;
+  const {journal, sync} = state;
+  if (journal.append !== null || at.monotonic < journal.notBefore) return;
+  if (!sync.complete || sync.inFlight || sync.needed) return;
+  const wanted = nextWanted(context);
+  if (wanted === null) return;
+  const writeId = beginAppend(context, wanted);
+  if (wanted.command !== undefined) wanted.command.writeId = writeId;
+}
+
+function nextWanted(context: Context): Wanted | null {
+  const {state} = context;
+  if (state.phase === 'joining') return wantedJoin(context);
+  if (state.phase === 'ending') return ownEnd(state);
+  return (
+    wantedEnd(context) ??
+    wantedByOperators(context) ??
+    wantedRelease(context) ??
+    wantedOffer(state) ??
+    wantedDrain(state) ??
+    wantedPlacement(context)
+  );
+}
+
+function wantedJoin(context: Context): Wanted {
+  const {state} = context;
+  const {zone, address} = state.settings;
+  const predecessor = predecessorOf(state);
+  if (!inForce(state, 'R4') && predecessor !== null) {
+    return {
+      change: {kind: 'ended', members: [predecessor]},
+      by: state.self,
+    };
+  }
+  return {
+    change: {kind: 'joined', member: state.self, zone, address},
+    by: state.self,
+  };
+}
+
+function predecessorOf(state: Ownership): MemberId | null {
+  for (const id of state.map.members.keys()) {
+    if (id !== state.self && hostOf(id) === state.settings.host) return id;
+  }
+  return null;
+}
+
+function ownEnd(state: Ownership): Wanted {
+  const {self, lease} = state;
+  return {
+    change: {kind: 'ended', members: [self]},
+    by: self,
+    ends: [{member: self, revision: lease.revision}],
+  };
+}
+
+/** Brings the log's view of the backend server up to date. */
+function wantedOffer(state: Ownership): Wanted | null {
+  const {announcement, self} = state;
+  const offer = state.map.members.get(self)?.offer ?? null;
+  if (announcement === null) {
+    if (offer === null) return null;
+    return {change: {kind: 'withdrawn', member: self}, by: self};
+  }
+  const {service, instance, slots, leaving} = announcement;
+  const same =
+    offer !== null &&
+    offer.service === service &&
+    offer.instance === instance &&
+    offer.slots === slots &&
+    offer.leaving === leaving;
+  if (same) return null;
+  return {
+    change: {kind: 'offered', member: self, service, instance, slots, leaving},
+    by: self,
+  };
+}
+
+function wantedDrain(state: Ownership): Wanted | null {
+  const {self, phase} = state;
+  if (phase !== 'stopping') return null;
+  if (state.map.members.get(self)?.draining === true) return null;
+  return {change: {kind: 'draining', member: self}, by: self};
+}
+
+function wantedPlacement(context: Context): Wanted | null {
+  const {state} = context;
+  if (!state.actsAsCoordinator) return null;
+  const change = nextPlacement(state.map);
+  return change === null ? null : {change, by: state.self};
+}
+
+/** The first rank acts; the next ones when those before them are silent. */
+function watchDeputies(context: Context): void {
+  const {state, at} = context;
+  if (at.monotonic < state.watchAt) return;
+  state.watchAt = at.monotonic + state.settings.tuning.leases.renewMs;
+  const ranks = ranksOf(state.map).slice(0, DEPUTY_RANKS);
+  const rank = ranks.indexOf(state.self);
+  const before = rank < 0 ? [] : ranks.slice(0, rank);
+  const silent = (id: MemberId): boolean =>
+    at.monotonic - heardOf(context, id) > DEPUTY_WAIT_MS;
+  const acts = rank >= 0 && before.every(silent);
+  for (const id of before) {
+    send(context, id, {kind: 'pull', after: state.map.version});
+  }
+  if (acts && !state.actsAsCoordinator) {
+    log(context, 'coordinatorActs', {rank, version: state.map.version});
+  }
+  state.actsAsCoordinator = acts;
+}
+
+function heardOf(context: Context, id: MemberId): number {
+  const {state, at} = context;
+  const known = state.heard.get(id);
+  if (known !== undefined) return known;
+  state.heard.set(id, at.monotonic);
+  return at.monotonic;
+}
+
+function noteHeldBack(context: Context): void {
+  const {state, at} = context;
+  const self = state.map.members.get(state.self);
+  const free = self !== undefined && takesWork(state.map, self);
+  const offers = self !== undefined && self.offer !== null;
+  if (free || !offers) state.heldBackSince = null;
+  else state.heldBackSince ??= at.monotonic;
+}
+
+/** Renews the backend server's grant before it lapses. */
+function grantServer(context: Context): void {
+  const {state, at} = context;
+  const {announcement} = state;
+  if (announcement === null || at.monotonic < state.grantAt) return;
+  state.grantAt = at.monotonic + GRANT_GAP_MS;
+  const held = standing(state, at);
+  if (held.source === 'none') return;
+  const owned = ownedSlices(state, announcement.service);
+  if (owned === null) return;
+  context.effects.push({
+    kind: 'grant',
+    service: announcement.service,
+    slices: owned.slices,
+    generations: owned.generations,
+    ttlMs: Math.floor(held.until.monotonic - at.monotonic),
+  });
+}
+
+function ownedSlices(
+  state: Ownership,
+  name: ServiceName,
+): {slices: Slice[]; generations: Generation[]} | null {
+  const service = state.map.services.get(name);
+  const self = state.map.members.get(state.self);
+  if (service === undefined || self === undefined) return null;
+  const slices: Slice[] = [];
+  const generations: Generation[] = [];
+  for (let slice = 0; slice < service.slices; slice++) {
+    if (service.owner[slice] !== self.index) continue;
+    if (service.moves.has(slice as Slice)) continue;
+    slices.push(slice as Slice);
+    generations.push(service.generation[slice] as Generation);
+  }
+  return {slices, generations};
+}
+
+/** Ends itself when stopped and drained, or when no grantor is left (R7). */
+function reviewOwnEnd(context: Context): void {
+  const {state, at, work} = context;
+  if (state.phase === 'stopping') {
+    const drained = !ownsAny(state) && work.inFlightTotal() === 0;
+    const told = state.map.members.get(state.self)?.draining === true;
+    if ((drained && told) || at.monotonic > state.stopBy) {
+      state.phase = 'ending';
+      state.dirty = true;
+    }
+    return;
+  }
+  if (state.phase !== 'joined' || state.map.members.size < 2) return;
+  const closed = closedBy(state.lease);
+  const others = [...state.map.members.keys()].filter(
+    id => hostOf(id) !== state.settings.host,
+  );
+  if (others.length === 0 || !others.every(id => closed.has(id))) return;
+  state.phase = 'ending';
+}
+
+function ownsAny(state: Ownership): boolean {
+  const index = state.map.members.get(state.self)?.index;
+  if (index === undefined) return false;
+  for (const service of state.map.services.values()) {
+    if (service.owner.includes(index)) return true;
+  }
+  return false;
+}
--- /dev/null
+++ b/packages/core/src/ownership/effects.ts
@@ -0,0 +1,106 @@
+/** @fileoverview Shorthands for the effects of ownership. */
+
+import type {CallId, MemberId, WriteId} from '../ids/types.js';
+import type {LogName} from '../logs/catalogue.js';
+import type {CommandResult} from '../loop/types.js';
+import type {ControlMessage} from '../messages/types.js';
+import type {StoreCall} from '../store/types.js';
+import type {CallPurpose, Context} from './state.js';
+
+/**
+ * Sends a message to a live member; others are skipped.
+ *
+ * @param context - The step.
+ * @param to - The receiver.
+ * @param message - The message.
+ */
+export function send(
+  context: Context,
+  to: MemberId,
+  message: ControlMessage,
+): void {
+  const member = context.state.map.members.get(to);
+  if (member === undefined || to === context.state.self) return;
+  const address = member.address;
+  context.effects.push({kind: 'send', to, address, message});
+}
+
+/**
+ * Calls the platform.
+ *
+ * @param context - The step.
+ * @param purpose - What the reply is for.
+ * @param request - The call.
+ * @returns The call's id.
+ */
+export function callStore(
+  context: Context,
+  purpose: CallPurpose,
+  request: StoreCall,
+): CallId {
+  const {state, at, effects} = context;
+  const call = state.nextCall as CallId;
+  state.nextCall += 1;
+  state.calls.set(call, {purpose, sentAt: at});
+  const timeoutMs = state.settings.tuning.store.timeoutMs;
+  effects.push({kind: 'callStore', call, request, timeoutMs});
+  return call;
+}
+
+/**
+ * Writes a log event.
+ *
+ * @param context - The step.
+ * @param event - Name of the event.
+ * @param fields - Its fields.
+ */
+export function log(
+  context: Context,
+  event: LogName,
+  fields: Readonly<Record<string, string | number | boolean>>,
+): void {
+  context.effects.push({kind: 'log', event, fields});
+}
+
+/**
+ * Answers a command.
+ *
+ * @param context - The step.
+ * @param token - Token of the command.
+ * @param result - Its result.
+ */
+export function reply(
+  context: Context,
+  token: number,
+  result: CommandResult,
+): void {
+  context.effects.push({kind: 'reply', token, result});
+}
+
+/**
+ * Reports a broken invariant.
+ *
+ * @param context - The step.
+ * @param invariant - Its name.
+ * @param detail - What was seen.
+ */
+export function violate(
+  context: Context,
+  invariant: string,
+  detail: string,
+): void {
+  context.effects.push({kind: 'violate', invariant, detail});
+}
+
+/**
+ * Names a write.
+ *
+ * @param context - The step.
+ * @returns A write id that no other write has.
+ */
+export function newWriteId(context: Context): WriteId {
+  const {state} = context;
+  const id = `${state.self}/${state.nextWrite}` as WriteId;
+  state.nextWrite += 1;
+  return id;
+}
--- /dev/null
+++ b/packages/core/src/ownership/view.ts
@@ -0,0 +1,218 @@
+/** @fileoverview Answers to other subjects and renderings for operators. */
+
+import type {Instant} from '../clock/types.js';
+import {NO_VERSION} from '../ids/logic.js';
+import type {
+  Address,
+  Generation,
+  MemberId,
+  ServiceName,
+  Slice,
+} from '../ids/types.js';
+import {standing} from '../leases/logic.js';
+import {memberAt, takesWork} from '../map/logic.js';
+import type {ServiceMap} from '../map/types.js';
+import {ranksOf} from '../membership/ring.js';
+import {overdueSlices} from '../moves/logic.js';
+import type {Ownership} from './state.js';
+import {inForce} from './state.js';
+import type {OwnershipView, Permission, Placement, Server} from './types.js';
+
+const UNPLACED: Placement = {
+  owner: null,
+  standby: null,
+  generation: 0 as Generation,
+  moving: false,
+};
+
+/**
+ * Answers the questions of other subjects.
+ *
+ * @param state - The state.
+ * @returns The view; it follows the state.
+ */
+export function viewOf(state: Ownership): OwnershipView {
+  return {
+    get self() {
+      return state.map.members.has(state.self) ? state.self : null;
+    },
+    get version() {
+      return state.map.version ?? NO_VERSION;
+    },
+    get workspace() {
+      return state.map.configuration?.workspace ?? null;
+    },
+    placement: (service, slice) => placementOf(state, service, slice),
+    addressOf: member => addressOf(state, member),
+    isEnded: member => state.map.ended.has(member),
+    mayDispatch: (service, slice, at) => mayDispatch(state, service, slice, at),
+    mayServe: at => mayServe(state, at),
+    serversOf: service => serversOf(state, service),
+    overdue: at => overdueSlices(state, at.monotonic),
+  };
+}
+
+/**
+ * Checks rule R1 for keyed work.
+ *
+ * @param state - The state.
+ * @param service - The service.
+ * @param slice - The slice.
+ * @param at - The instant of dispatch.
+ * @returns Whether this member may dispatch.
+ */
+export function mayDispatch(
+  state: Ownership,
+  service: ServiceName,
+  slice: Slice,
+  at: Instant,
+): Permission {
+  const placement = state.map.services.get(service);
+  const self = state.map.members.get(state.self);
+  if (placement === undefined || self === undefined) return denied('not-owner');
+  if (ownerHere(state, placement, slice) !== self.index) {
+    return denied('not-owner');
+  }
+  if (inForce(state, 'R6') && placement.moves.has(slice)) {
+    return denied('moving');
+  }
+  if (isHeldBack(state, at)) return denied('moving');
+  return underLease(state, placement.generation[slice], at);
+}
+
+/**
+ * Renders ownership for operators.
+ *
+ * @param state - The state.
+ * @param at - The instant, for the lease.
+ * @returns A plain value.
+ */
+export function renderOwnership(state: Ownership, at: Instant | null): unknown {
+  const {map, lease} = state;
+  return {
+    member: state.self,
+    phase: state.phase,
+    version: map.version,
+    configuration: map.configuration?.number ?? 0,
+    document: map.configuration?.document ?? null,
+    lease: at === null ? null : standing(state, at).source,
+    grantors: lease.grantors,
+    coordinator: ranksOf(map)[0] ?? null,
+    zonesOut: [...map.zonesOut],
+    members: [...map.members.values()].map(member => ({
+      member: member.id,
+      zone: member.zone,
+      address: member.address,
+      service: member.offer?.service ?? null,
+      takesWork: takesWork(map, member),
+      draining: member.draining,
+    })),
+    /** Versions that the members granted from here have reported. */
+    reported: [...state.wards].map(([member, ward]) => ({
+      member,
+      version: ward.version,
+      configuration: ward.configuration,
+    })),
+  };
+}
+
+/**
+ * Renders the placement of one service.
+ *
+ * @param state - The state.
+ * @param name - The service.
+ * @returns A plain value.
+ */
+export function renderMap(state: Ownership, name: ServiceName): unknown {
+  const service = state.map.services.get(name);
+  if (service === undefined) return {service: name, slices: []};
+  const slices = Array.from({length: service.slices}, (_, slice) => ({
+    slice,
+    ...placementOf(state, name, slice as Slice),
+  }));
+  return {service: name, version: state.map.version, slices};
+}
+
+function placementOf(
+  state: Ownership,
+  name: ServiceName,
+  slice: Slice,
+): Placement {
+  const service = state.map.services.get(name);
+  if (service === undefined || slice >= service.slices) return UNPLACED;
+  return {
+    owner: memberAt(state.map, service.owner[slice])?.id ?? null,
+    standby: memberAt(state.map, service.standby[slice])?.id ?? null,
+    generation: service.generation[slice] as Generation,
+    moving: service.moves.has(slice),
+  };
+}
+
+function addressOf(state: Ownership, member: MemberId): Address | null {
+  return state.map.members.get(member)?.address ?? null;
+}
+
+function serversOf(state: Ownership, service: ServiceName): Server[] {
+  const servers: Server[] = [];
+  for (const member of state.map.members.values()) {
+    const {offer} = member;
+    if (offer === null || offer.service !== service) continue;
+    if (!takesWork(state.map, member)) continue;
+    const {id, address, zone} = member;
+    servers.push({member: id, address, zone, slots: offer.slots});
+  }
+  return servers;
+}
+
+function mayServe(state: Ownership, at: Instant): Permission {
+  const self = state.map.members.get(state.self);
+  if (self === undefined || !takesWork(state.map, self)) {
+    return denied('not-owner');
+  }
+  return underLease(state, 0, at);
+}
+
+/** Index of the owner; with R5 or R6 left out, a successor is early. */
+function ownerHere(
+  state: Ownership,
+  service: ServiceMap,
+  slice: Slice,
+): number {
+  const target = service.moves.get(slice);
+  if (!inForce(state, 'R6') && target !== undefined) {
+    const self = state.map.members.get(state.self);
+    if (target === self?.index) return target;
+  }
+  if (!inForce(state, 'R5')) {
+    const owner = memberAt(state.map, service.owner[slice]);
+    if (owner !== null && state.endings.has(owner.id)) {
+      return service.standby[slice];
+    }
+  }
+  return service.owner[slice];
+}
+
+function isHeldBack(state: Ownership, at: Instant): boolean {
+  if (state.heldBackSince === null) return false;
+  const {drainGraceMs} = state.settings.tuning.membership;
+  return at.monotonic - state.heldBackSince > drainGraceMs;
+}
+
+function underLease(
+  state: Ownership,
+  generation: number,
+  at: Instant,
+): Permission {
+  if (state.phase === 'ending' || state.phase === 'left') {
+    return denied('no-lease');
+  }
+  const {source, until} = standing(state, at);
+  if (source === 'none' && inForce(state, 'R1')) return denied('no-lease');
+  return {kind: 'granted', generation: generation as Generation, until};
+}
+
+function denied(
+  reason: Extract<Permission, {kind: 'denied'}>['reason'],
+): Permission {
+  return {kind: 'denied', reason};
+}
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -16,6 +16,34 @@
     leaseMs: 1500,
     /** Allowance for clocks that run at different rates. */
     marginMs: 150,
+    /** Silence of a member after which its grantor suspects it. */
+    suspectMs: 800,
+    /** Longest time a member may stay behind its grantor's configuration. */
+    behindMs: 2000,
+  },
+  membership: {
+    /** Own-row writes a second that the whole workspace may need. */
+    touchesPerSecond: 200,
+    /** Time for which a silent grantor is passed over. */
+    passOverMs: 5000,
+    /** Time a member waits before it follows a changed ring. */
+    followRingMs: 3000,
+    /** Longest time a planned stop may take. */
+    stopMs: 20000,
+    /** Time after which a member that takes no work dispatches none. */
+    drainGraceMs: 2500,
+  },
+  log: {
+    /** Newest entries kept in memory for other members. */
+    keptEntries: 512,
+    /** Entries between two snapshots. */
+    snapshotEntries: 256,
+    /** Most entries in one message or read. */
+    batchEntries: 128,
+    /** Silence of all peers after which the table is read. */
+    pollMs: 2000,
+    /** Time a command may take before its result is called unknown. */
+    commandMs: 8000,
   },
   store: {
     /** Time after which a call counts as unanswered. */
--- /dev/null
+++ b/packages/emulator/src/soak/cluster.ts
@@ -0,0 +1,451 @@
+/**
+ * @fileoverview A few of the product's reducers joined by fakes: links, clocks
+ * and a platform that fail in the ways an action asks for. Deterministic.
+ */
+
+import {createHash} from 'node:crypto';
+import type {Hash} from 'node:crypto';
+
+import type {
+  Address,
+  Command,
+  CommandResult,
+  Effect,
+  Event,
+  HostName,
+  MemberId,
+  Message,
+  Rule,
+  ServiceName,
+  Slice,
+  StoreCall,
+  StoreReply,
+  Tuning,
+  WorkspaceName,
+  ZoneName,
+} from '@jackdawfall/core';
+import {DEFAULTS, createOwnership, hostOf} from '@jackdawfall/core';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+import {Checks} from './checks.js';
+import {Node} from './node.js';
+import {Agenda} from './queue.js';
+import {Table} from './table.js';
+import type {Passage, StoreMode, Violation} from './types.js';
+
+/** The keyed service of every run. */
+export const SERVICE = 'finder' as ServiceName;
+/** Names of the availability zones. */
+export const ZONES = ['a', 'b', 'c'] as unknown as readonly ZoneName[];
+
+const LINK_MS = 1.5;
+const STORE_MS = 3;
+const ANNOUNCE_MS = 500;
+const MOST_WORK_MS = 400;
+const UINT32 = 2 ** 32;
+
+/** What a cluster is made of. */
+export interface ClusterSettings {
+  readonly seed: number;
+  readonly hosts: number;
+  readonly slices: number;
+  readonly rulesOff: ReadonlySet<Rule>;
+  readonly tuning?: Tuning;
+}
+
+/** Counts of what went over links. */
+export interface Traffic {
+  messages: number;
+  bytes: number;
+}
+
+/** Reducers, links and a platform under one global clock. */
+export class Cluster {
+  readonly table = new Table();
+  /** Every process that was ever started, oldest first. */
+  readonly nodes: Node[] = [];
+  readonly checks: Checks;
+  readonly traffic: Traffic = {messages: 0, bytes: 0};
+  readonly results = new Map<number, CommandResult>();
+  now = 0;
+  private readonly agenda = new Agenda();
+  private readonly random;
+  private readonly hash: Hash = createHash('sha256');
+  private readonly cuts = new Map<string, number>();
+  private readonly linkDelays = new Map<number, {until: number; ms: number}>();
+  private readonly linkFree = new Map<string, number>();
+  private readonly storeCuts = new Map<number, number>();
+  private store: {mode: StoreMode; until: number} = {
+    mode: {kind: 'up'},
+    until: 0,
+  };
+  private started = 0;
+  private nextToken = 1;
+
+  constructor(readonly settings: ClusterSettings) {
+    this.random = xoroshiro128plus(settings.seed);
+    this.checks = new Checks(settings.slices);
+  }
+
+  /**
+   * Finds the newest live process of a host.
+   *
+   * @param host - The host.
+   * @returns The process, or null.
+   */
+  liveOn(host: number): Node | null {
+    return this.nodes.findLast(n => n.host === host && n.alive) ?? null;
+  }
+
+  /**
+   * Lists the live processes.
+   *
+   * @returns The processes.
+   */
+  live(): Node[] {
+    return this.nodes.filter(node => node.alive);
+  }
+
+  /**
+   * Starts a process on a host.
+   *
+   * @param host - The host.
+   * @returns The process.
+   */
+  start(host: number): Node {
+    this.started += 1;
+    const state = createOwnership({
+      workspace: 'w' as WorkspaceName,
+      host: `h${host}` as HostName,
+      zone: ZONES[host % ZONES.length],
+      address: `127.0.0.1:${7000 + host}` as Address,
+      incarnation: String(this.started),
+      tuning: this.settings.tuning ?? DEFAULTS,
+      rulesOff: this.settings.rulesOff,
+    });
+    const offset = Math.floor(this.uniform() * 2000) - 1000;
+    const node = new Node(host, state, SERVICE, this.now, offset);
+    this.nodes.push(node);
+    const phase = this.uniform() * DEFAULTS.loop.tickMs;
+    this.agenda.add(this.now + phase, () => this.tick(node));
+    this.agenda.add(this.now + phase, () => this.announce(node));
+    return node;
+  }
+
+  /**
+   * Ends a process at once.
+   *
+   * @param node - The process.
+   */
+  kill(node: Node): void {
+    node.alive = false;
+  }
+
+  /**
+   * Freezes a process for a time.
+   *
+   * @param node - The process.
+   * @param ms - Duration.
+   * @param still - Whether its monotonic clock stands still, too.
+   */
+  freeze(node: Node, ms: number, still: boolean): void {
+    const until = this.now + ms;
+    node.freeze(this.now, until, still);
+    this.agenda.add(node.frozenUntil, () => {
+      for (const event of node.takeWaiting()) this.deliver(node, event);
+    });
+  }
+
+  /**
+   * Loses every message from one host to another for a time.
+   *
+   * @param from - Sending host.
+   * @param to - Receiving host.
+   * @param ms - Duration.
+   */
+  cut(from: number, to: number, ms: number): void {
+    this.cuts.set(`${from}>${to}`, this.now + ms);
+  }
+
+  /**
+   * Delays every message of a host for a time.
+   *
+   * @param host - The host.
+   * @param delayMs - Most added delay.
+   * @param ms - Duration.
+   */
+  slowLinks(host: number, delayMs: number, ms: number): void {
+    this.linkDelays.set(host, {until: this.now + ms, ms: delayMs});
+  }
+
+  /**
+   * Changes how the platform behaves, for a time.
+   *
+   * @param mode - The behaviour.
+   * @param ms - Duration.
+   */
+  setStore(mode: StoreMode, ms: number): void {
+    this.store = {mode, until: this.now + ms};
+  }
+
+  /**
+   * Cuts one host off from the platform for a time.
+   *
+   * @param host - The host.
+   * @param ms - Duration.
+   */
+  cutStore(host: number, ms: number): void {
+    this.storeCuts.set(host, this.now + ms);
+  }
+
+  /**
+   * Gives a command to a process.
+   *
+   * @param node - The process.
+   * @param command - The command.
+   * @returns The token under which `results` will have its result.
+   */
+  command(node: Node, command: Command): number {
+    const token = this.nextToken++;
+    this.deliver(node, {kind: 'commanded', command, token});
+    return token;
+  }
+
+  /**
+   * Asks a process to stop.
+   *
+   * @param node - The process.
+   */
+  stop(node: Node): void {
+    this.deliver(node, {kind: 'stopRequested'});
+  }
+
+  /** Ends every fault that lasts. */
+  heal(): void {
+    this.cuts.clear();
+    this.linkDelays.clear();
+    this.storeCuts.clear();
+    this.store = {mode: {kind: 'up'}, until: 0};
+  }
+
+  /**
+   * Lets time pass.
+   *
+   * @param ms - Duration.
+   * @returns Whether no invariant broke.
+   */
+  run(ms: number): boolean {
+    const end = this.now + ms;
+    while (this.agenda.nextAt() <= end && this.checks.violation === null) {
+      this.now = this.agenda.nextAt();
+      this.agenda.take()?.();
+    }
+    this.now = Math.max(this.now, end);
+    return this.checks.violation === null;
+  }
+
+  /**
+   * Adds a line to the trace.
+   *
+   * @param line - The line.
+   */
+  trace(line: string): void {
+    this.hash.update(`${this.now.toFixed(3)} ${line}\n`);
+  }
+
+  /**
+   * Summarises everything that happened.
+   *
+   * @returns A hash in hexadecimal digits.
+   */
+  digest(): string {
+    return this.hash.copy().digest('hex');
+  }
+
+  /**
+   * Draws a random number.
+   *
+   * @returns Uniform in [0, 1).
+   */
+  uniform(): number {
+    return (this.random.next() >>> 0) / UINT32;
+  }
+
+  private tick(node: Node): void {
+    if (!node.alive) return;
+    this.deliver(node, {kind: 'ticked'});
+    this.tryWork(node);
+    const next = this.now + DEFAULTS.loop.tickMs;
+    this.agenda.add(next, () => this.tick(node));
+  }
+
+  private announce(node: Node): void {
+    if (!node.alive) return;
+    if (node.serverUp) {
+      const announcement = node.announcement();
+      this.deliver(node, {kind: 'announced', announcement});
+    }
+    this.agenda.add(this.now + ANNOUNCE_MS, () => this.announce(node));
+  }
+
+  private tryWork(node: Node): void {
+    if (this.now < node.frozenUntil || !node.alive) return;
+    const slice = Math.floor(this.uniform() * this.settings.slices) as Slice;
+    const at = node.instant(this.now);
+    const permission = node.view.mayDispatch(SERVICE, slice, at);
+    if (permission.kind !== 'granted') return;
+    const left = permission.until.monotonic - at.monotonic;
+    const wanted = this.uniform() * MOST_WORK_MS;
+    const endsAt = this.now + Math.max(0, Math.min(wanted, left));
+    this.checks.noteWork(this.now, node, slice, this.nodes);
+    node.begin({service: SERVICE, slice, endsAt});
+  }
+
+  private deliver(node: Node, event: Event): void {
+    if (!node.alive) return;
+    const effects = node.handle(this.now, event, this.uniform());
+    for (const effect of effects) this.carryOut(node, effect);
+    if (event.kind !== 'announced') {
+      this.checks.look(this.now, this.nodes, node, effects.length > 0);
+    }
+  }
+
+  private carryOut(node: Node, effect: Effect): void {
+    switch (effect.kind) {
+      case 'send':
+        this.send(node, effect.to, effect.message);
+        return;
+      case 'callStore':
+        this.callStore(node, effect);
+        return;
+      case 'log':
+        this.trace(
+          `${node.self} ${effect.event} ${JSON.stringify(effect.fields)}`,
+        );
+        return;
+      case 'reply':
+        this.results.set(effect.token, effect.result);
+        this.checks.noteResult(effect.result);
+        return;
+      case 'violate':
+        this.checks.fail(this.now, effect.invariant, effect.detail);
+        return;
+      case 'leave':
+        node.alive = false;
+        return;
+      case 'dropLink':
+      case 'forward':
+      case 'run':
+      case 'cancelRun':
+      case 'replay':
+      case 'forget':
+      case 'relay':
+      case 'fail':
+      case 'grant':
+      case 'measure':
+        return;
+    }
+  }
+
+  private send(node: Node, to: MemberId, message: Message): void {
+    this.traffic.messages += 1;
+    this.traffic.bytes += sizeOf(message);
+    const host = Number(hostOf(to).slice(1));
+    const from = node.self;
+    const path = `${node.host}>${host}`;
+    if ((this.cuts.get(path) ?? 0) > this.now) return;
+    const delay = LINK_MS + this.extraDelay(node.host) + this.extraDelay(host);
+    const link = `${from}>${to}`;
+    const free = this.linkFree.get(link) ?? 0;
+    const at = Math.max(free, this.now + delay);
+    this.linkFree.set(link, at);
+    this.agenda.add(at, () => {
+      const target = this.nodes.find(n => n.alive && n.self === to);
+      if (target === undefined) return;
+      this.deliver(target, {kind: 'received', from, message});
+    });
+  }
+
+  private extraDelay(host: number): number {
+    const delay = this.linkDelays.get(host);
+    if (delay === undefined || delay.until < this.now) return 0;
+    return this.uniform() * delay.ms;
+  }
+
+  private callStore(
+    node: Node,
+    effect: Extract<Effect, {kind: 'callStore'}>,
+  ): void {
+    const {call, request, timeoutMs} = effect;
+    const passage = this.passageOf(node);
+    let done = false;
+    const answer = (reply: StoreReply): void => {
+      if (done) return;
+      done = true;
+      this.deliver(node, {kind: 'storeReplied', call, reply});
+    };
+    this.agenda.add(this.now + passage.requestMs, () =>
+      this.arrive(request, passage, answer),
+    );
+    this.agenda.add(this.now + timeoutMs, () =>
+      answer({kind: 'unknown', detail: 'no answer in time'}),
+    );
+  }
+
+  private arrive(
+    request: StoreCall,
+    passage: Passage,
+    answer: (reply: StoreReply) => void,
+  ): void {
+    const reply = passage.instead ?? this.table.carryOut(request);
+    if (passage.replyLost) return;
+    this.agenda.add(this.now + passage.replyMs, () => answer(reply));
+  }
+
+  private passageOf(node: Node): Passage {
+    const {mode, until} = this.store;
+    const plain = {replyLost: false, instead: null};
+    const cut = (this.storeCuts.get(node.host) ?? 0) > this.now;
+    if (cut) return this.lostPassage();
+    const kind = until > this.now ? mode.kind : 'up';
+    switch (kind) {
+      case 'up':
+        return {...plain, requestMs: STORE_MS, replyMs: STORE_MS};
+      case 'down':
+        return {
+          requestMs: STORE_MS,
+          replyMs: STORE_MS,
+          replyLost: false,
+          instead: {kind: 'refused', detail: 'outage'},
+        };
+      case 'silent':
+        return this.lostPassage();
+      case 'slow': {
+        const most = mode.kind === 'slow' ? mode.delayMs : 0;
+        const requestMs = STORE_MS + this.uniform() * most;
+        const replyMs = STORE_MS + this.uniform() * most;
+        return {...plain, requestMs, replyMs, replyLost: this.uniform() < 0.1};
+      }
+    }
+  }
+
+  /** A call that takes effect late, perhaps, and is never answered. */
+  private lostPassage(): Passage {
+    const effective = this.uniform() < 0.5;
+    return {
+      requestMs: this.uniform() * 4000,
+      replyMs: 0,
+      replyLost: true,
+      instead: effective ? null : {kind: 'unknown', detail: 'lost'},
+    };
+  }
+
+  /** The violation, if there is one. */
+  get violation(): Violation | null {
+    return this.checks.violation;
+  }
+}
+
+function sizeOf(message: Message): number {
+  return JSON.stringify(message).length;
+}
--- /dev/null
+++ b/packages/emulator/src/soak/table.ts
@@ -0,0 +1,73 @@
+/** @fileoverview The fake platform: a transactional table and objects. */
+
+import type {
+  Query,
+  Row,
+  StoreCall,
+  StoreReply,
+  Transaction,
+} from '@jackdawfall/core';
+
+/** Rows and objects in memory. */
+export class Table {
+  private readonly rows = new Map<string, Row>();
+  private readonly objects = new Map<string, string>();
+  private revision = 0;
+  reads = 0;
+  writes = 0;
+  bytes = 0;
+
+  /**
+   * Carries out a call.
+   *
+   * @param call - The call.
+   * @returns The reply.
+   */
+  carryOut(call: StoreCall): StoreReply {
+    switch (call.kind) {
+      case 'commit':
+        this.writes += 1;
+        return this.commit(call.transaction);
+      case 'read':
+        this.reads += 1;
+        return {kind: 'rows', rows: this.read(call.query)};
+      case 'getObject':
+        this.reads += 1;
+        return {kind: 'object', body: this.objects.get(call.name) ?? null};
+      case 'putObject':
+        this.writes += 1;
+        this.objects.set(call.name, call.body);
+        return {kind: 'stored'};
+    }
+  }
+
+  private commit(transaction: Transaction): StoreReply {
+    const failed = transaction.checks.filter(
+      check => (this.rows.get(check.key)?.revision ?? 0) !== check.revision,
+    );
+    if (failed.length > 0) {
+      const rows = failed.map(check => this.rows.get(check.key));
+      return {kind: 'conflict', rows: rows.filter(row => row !== undefined)};
+    }
+    this.revision += 1;
+    for (const {key, value} of transaction.puts) {
+      this.bytes += value?.length ?? 0;
+      if (value === null) this.rows.delete(key);
+      else this.rows.set(key, {key, revision: this.revision, value});
+    }
+    return {kind: 'committed', revision: this.revision};
+  }
+
+  private read(query: Query): Row[] {
+    if (query.kind === 'row') {
+      const row = this.rows.get(query.key);
+      return row === undefined ? [] : [row];
+    }
+    const found: Row[] = [];
+    for (const row of this.rows.values()) {
+      if (row.key >= query.from && row.key < query.to) found.push(row);
+    }
+    found.sort((a, b) => (a.key < b.key ? -1 : 1));
+    return found.slice(0, query.limit);
+  }
+}
