Codec of all messages and links over gRPC streams

Cause: daemons have no way to speak to each other yet. Change: Avro schemas for every message kind, checked against the message types at compile time; frames of one loop turn; one bidirectional stream per peer with a hello, heartbeats, a bounded queue and one report of loss for all links with a peer. New defaults links.connectTimeoutMs and links.queueBytes. Ruled out: an Avro array of messages (a corrupt count makes the library fill memory), wrapped unions (slower, no gain), gRPC keepalive (needs seconds). Found: the library writes integers of 2^52 and more inexactly; such counts are refused.

--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -34,6 +34,10 @@
     silenceMs: 1000,
     /** Bytes in flight for one body before the sender waits. */
     windowBytes: 262144,
+    /** Time a new link may take to open. */
+    connectTimeoutMs: 1000,
+    /** Bytes waiting for one peer at which its link is dropped. */
+    queueBytes: 16777216,
   },
   logs: {
     level: 'info' as 'trace' | 'debug' | 'info' | 'warn' | 'error',
--- /dev/null
+++ b/packages/wire/src/codec/logic.spec.ts
@@ -0,0 +1,162 @@
+/** @fileoverview Round trips of every message and refusal of broken frames. */
+
+import test from 'ava';
+import fc from 'fast-check';
+import type {Message} from '@jackdawfall/core';
+import {decodeFrame, encodeFrame, weigh} from './logic.js';
+import {
+  ERROR_CODES,
+  FATE_CODES,
+  LOGICAL,
+  MESSAGE_SCHEMAS,
+  PRIORITY_CODES,
+  RUN_CODES,
+} from './schemas.js';
+import type {FieldSchema} from './schemas.js';
+import {MalformedFrame, UnsendableMessage} from './types.js';
+
+const TEXT = fc.string({unit: 'grapheme'});
+const COUNT = fc.maxSafeInteger().map(n => Math.floor(Math.abs(n) / 2));
+const INT32 = fc.integer();
+const ARBITRARIES = new Map<FieldSchema, fc.Arbitrary<unknown>>([
+  ['string', TEXT],
+  ['int', INT32],
+  [LOGICAL.count, COUNT],
+  ['double', fc.double({noNaN: true})],
+  ['boolean', fc.boolean()],
+  [LOGICAL.octets, fc.uint8Array().map(bytes => Buffer.from(bytes))],
+  [LOGICAL.headers, fc.array(fc.record({name: TEXT, value: TEXT}))],
+  [LOGICAL.entries, fc.array(fc.record({version: COUNT, text: TEXT}))],
+  [LOGICAL.integers, fc.array(INT32)],
+  [LOGICAL.doubles, fc.array(fc.double({noNaN: true}))],
+  [LOGICAL.error, fc.constantFrom(...Object.keys(ERROR_CODES))],
+  [LOGICAL.run, fc.constantFrom(...Object.keys(RUN_CODES))],
+  [LOGICAL.priority, fc.constantFrom(...Object.keys(PRIORITY_CODES))],
+  [LOGICAL.fate, fc.constantFrom(...Object.keys(FATE_CODES))],
+]);
+
+function arbitraryOf(schema: FieldSchema): fc.Arbitrary<unknown> {
+  if (Array.isArray(schema)) {
+    return fc.option(arbitraryOf(schema[1] as FieldSchema));
+  }
+  const arbitrary = ARBITRARIES.get(schema);
+  if (!arbitrary) throw new Error(`no arbitrary for ${JSON.stringify(schema)}`);
+  return arbitrary;
+}
+
+function messagesOf(kind: Message['kind']): fc.Arbitrary<Message> {
+  const fields: Record<string, fc.Arbitrary<unknown>> = {};
+  for (const [name, schema] of Object.entries(MESSAGE_SCHEMAS[kind].fields)) {
+    fields[name] = arbitraryOf(schema);
+  }
+  const record = fc.record({kind: fc.constant(kind), ...fields});
+  return record as unknown as fc.Arbitrary<Message>;
+}
+
+const KINDS = Object.keys(MESSAGE_SCHEMAS) as Message['kind'][];
+const ANY_MESSAGE = fc.oneof(...KINDS.map(messagesOf));
+
+for (const kind of KINDS) {
+  test(`${kind} comes back as it was sent, within its estimate`, t => {
+    fc.assert(
+      fc.property(messagesOf(kind), message => {
+        const bytes = encodeFrame({kind: 'batch', messages: [message]});
+        t.deepEqual(decodeFrame(bytes), {kind: 'batch', messages: [message]});
+        t.true(bytes.length <= weigh(message) + 1);
+      }),
+      {seed: 7, numRuns: 60},
+    );
+  });
+}
+
+test('codes are unique', t => {
+  const codes = KINDS.map(kind => MESSAGE_SCHEMAS[kind].code);
+  t.is(new Set(codes).size, KINDS.length);
+});
+
+test('a batch keeps its order', t => {
+  fc.assert(
+    fc.property(fc.array(ANY_MESSAGE), messages => {
+      const bytes = encodeFrame({kind: 'batch', messages});
+      t.deepEqual(decodeFrame(bytes), {kind: 'batch', messages});
+    }),
+    {seed: 7, numRuns: 50},
+  );
+});
+
+test('a frame cut anywhere gives whole messages or an error', t => {
+  fc.assert(
+    fc.property(fc.array(ANY_MESSAGE, {maxLength: 4}), messages => {
+      const bytes = encodeFrame({kind: 'batch', messages});
+      for (let end = 1; end < bytes.length; end += 1) {
+        const read = readOrNull(bytes.subarray(0, end));
+        if (read) t.deepEqual(read, messages.slice(0, read.length));
+      }
+    }),
+    {seed: 7, numRuns: 40},
+  );
+});
+
+test('garbage is refused with MalformedFrame, quickly', t => {
+  fc.assert(
+    fc.property(fc.uint8Array({maxLength: 400}), garbage => {
+      const bytes = Buffer.concat([Buffer.from([3]), garbage]);
+      readOrNull(bytes);
+      t.pass();
+    }),
+    {seed: 7, numRuns: 3000},
+  );
+});
+
+const BROKEN: readonly [string, Buffer][] = [
+  ['no bytes', Buffer.alloc(0)],
+  ['unknown frame', Buffer.from([9, 1])],
+  ['unknown message', Buffer.from([3, 99])],
+  ['hello cut short', Buffer.from([1, 2])],
+  ['hello with bytes left over', withMore({kind: 'refusal', reason: 'no'})],
+  ['text longer than the frame', Buffer.from([3, 8, 0xfe, 0xff, 0x7f, 65])],
+  // A `head` whose list of headers claims two thousand million items.
+  [
+    'endless list',
+    Buffer.from([3, 3, 2, 65, 0, 0xfe, 0xff, 0xff, 0xff, 0x0f, 2, 65, 2, 65]),
+  ],
+  ['unknown word', Buffer.from([3, 10, 2, 65, 60])],
+  ['larger than any frame', Buffer.alloc(5 * 1024 * 1024, 3)],
+];
+
+for (const [name, bytes] of BROKEN) {
+  test(`refused: ${name}`, t => {
+    t.throws(() => decodeFrame(bytes), {instanceOf: MalformedFrame});
+  });
+}
+
+const WRONG: readonly [string, object][] = [
+  ['a number for a text', {kind: 'cancel', attempt: 7}],
+  ['a negative count', {kind: 'pull', after: -1}],
+  ['a count too large to be exact', {kind: 'pull', after: 2 ** 52}],
+  ['an unknown kind', {kind: 'shout'}],
+  ['a missing field', {kind: 'close', round: 1}],
+];
+
+for (const [name, message] of WRONG) {
+  test(`not sent: ${name}`, t => {
+    const messages = [message as Message];
+    t.throws(() => encodeFrame({kind: 'batch', messages}), {
+      instanceOf: UnsendableMessage,
+    });
+  });
+}
+
+function withMore(frame: {kind: 'refusal'; reason: string}): Buffer {
+  return Buffer.concat([encodeFrame(frame), Buffer.from([0])]);
+}
+
+function readOrNull(bytes: Buffer): readonly Message[] | null {
+  try {
+    const frame = decodeFrame(bytes);
+    return frame.kind === 'batch' ? frame.messages : null;
+  } catch (error) {
+    if (error instanceof MalformedFrame) return null;
+    throw error;
+  }
+}
--- /dev/null
+++ b/packages/wire/src/codec/logical.ts
@@ -0,0 +1,144 @@
+/**
+ * @fileoverview Avro logical types: how fields of messages look in memory.
+ * Each refuses what it can't read, so that a truncated or corrupt frame ends
+ * at the first such field instead of growing a list without end.
+ */
+
+import avsc from 'avsc';
+import {ERROR_CODES, FATE_CODES, PRIORITY_CODES, RUN_CODES} from './schemas.js';
+import {MalformedFrame, UnsendableMessage} from './types.js';
+
+type LogicalClass = new (
+  schema: avsc.Schema,
+  options?: unknown,
+) => avsc.types.LogicalType;
+
+const INT32_BYTES = 4;
+const DOUBLE_BYTES = 8;
+/** The library writes larger integers inexactly. */
+const MAX_COUNT = 2 ** 52 - 1;
+
+/** Versions, rounds and sizes. */
+class Count extends avsc.types.LogicalType {
+  protected override _fromValue(value: number): number {
+    if (!isCount(value)) throw new MalformedFrame(`no count: ${value}`);
+    return value;
+  }
+  protected override _toValue(value: number): number {
+    if (!isCount(value)) throw new UnsendableMessage(`no count: ${value}`);
+    return value;
+  }
+}
+
+/** Byte strings as `Uint8Array`. */
+class Octets extends avsc.types.LogicalType {
+  protected override _fromValue(value: Buffer | undefined): Uint8Array {
+    if (value === undefined) throw new MalformedFrame('bytes cut short');
+    return value;
+  }
+  protected override _toValue(value: Uint8Array): Buffer {
+    if (Buffer.isBuffer(value)) return value;
+    return Buffer.from(value.buffer, value.byteOffset, value.byteLength);
+  }
+}
+
+/** Lists of 32-bit integers, packed little-endian. */
+class Integers extends avsc.types.LogicalType {
+  protected override _fromValue(value: Buffer | undefined): number[] {
+    const bytes = packed(value, INT32_BYTES);
+    return Array.from({length: bytes.length / INT32_BYTES}, (_, i) =>
+      bytes.readInt32LE(i * INT32_BYTES),
+    );
+  }
+  protected override _toValue(value: readonly number[]): Buffer {
+    const bytes = Buffer.allocUnsafe(value.length * INT32_BYTES);
+    value.forEach((item, i) => bytes.writeInt32LE(item, i * INT32_BYTES));
+    return bytes;
+  }
+}
+
+/** Lists of 64-bit floating point numbers, packed little-endian. */
+class Doubles extends avsc.types.LogicalType {
+  protected override _fromValue(value: Buffer | undefined): number[] {
+    const bytes = packed(value, DOUBLE_BYTES);
+    return Array.from({length: bytes.length / DOUBLE_BYTES}, (_, i) =>
+      bytes.readDoubleLE(i * DOUBLE_BYTES),
+    );
+  }
+  protected override _toValue(value: readonly number[]): Buffer {
+    const bytes = Buffer.allocUnsafe(value.length * DOUBLE_BYTES);
+    value.forEach((item, i) => bytes.writeDoubleLE(item, i * DOUBLE_BYTES));
+    return bytes;
+  }
+}
+
+/** A list whose items check themselves. */
+class List extends avsc.types.LogicalType {
+  protected override _fromValue(value: unknown[]): unknown[] {
+    return value;
+  }
+  protected override _toValue(value: readonly unknown[]): unknown[] {
+    return value as unknown[];
+  }
+}
+
+/** An item of a list; a missing text means that the frame has ended. */
+function itemClass(text: 'value' | 'text'): LogicalClass {
+  return class extends avsc.types.LogicalType {
+    protected override _fromValue(value: Record<string, unknown>): unknown {
+      if (typeof value[text] !== 'string') {
+        throw new MalformedFrame('list cut short');
+      }
+      return {...value};
+    }
+    protected override _toValue(value: unknown): unknown {
+      return value;
+    }
+  };
+}
+
+/** A word of a closed list, written as its code. */
+function wordClass(codes: Readonly<Record<string, number>>): LogicalClass {
+  const words = new Map<number, string>();
+  for (const [word, code] of Object.entries(codes)) words.set(code, word);
+  return class extends avsc.types.LogicalType {
+    protected override _fromValue(value: number): string {
+      const word = words.get(value);
+      if (word === undefined) throw new MalformedFrame(`no word ${value}`);
+      return word;
+    }
+    protected override _toValue(value: string): number {
+      const code = codes[value];
+      if (code === undefined) throw new UnsendableMessage(`no code: ${value}`);
+      return code;
+    }
+  };
+}
+
+/** The logical types by the names that the schemas use. */
+export const LOGICAL_CLASSES: Readonly<Record<string, LogicalClass>> = {
+  count: Count,
+  octets: Octets,
+  integers: Integers,
+  doubles: Doubles,
+  headers: List,
+  entries: List,
+  header: itemClass('value'),
+  entry: itemClass('text'),
+  error: wordClass(ERROR_CODES),
+  run: wordClass(RUN_CODES),
+  priority: wordClass(PRIORITY_CODES),
+  fate: wordClass(FATE_CODES),
+};
+
+function isCount(value: number): boolean {
+  return Number.isInteger(value) && value >= 0 && value <= MAX_COUNT;
+}
+
+function packed(value: Buffer | undefined, itemBytes: number): Buffer {
+  if (value === undefined) throw new MalformedFrame('list cut short');
+  if (value.length % itemBytes !== 0) {
+    throw new MalformedFrame('list with half an item');
+  }
+  return value;
+}
--- /dev/null
+++ b/packages/wire/src/codec/schemas.ts
@@ -0,0 +1,210 @@
+/**
+ * @fileoverview The Avro schema of every message and of the frames around
+ * them. A message kind without a schema, or a field left out, does not
+ * compile. Numbers and the order of fields are part of the protocol: a change
+ * here raises `PROTOCOL`.
+ */
+
+import type {ErrorKind, Message, Priority, RunState} from '@jackdawfall/core';
+import type {Hello} from './types.js';
+
+/** Number of the protocol; daemons that speak another one are refused. */
+export const PROTOCOL = 1;
+
+/** An Avro schema of one field. */
+export type FieldSchema = string | readonly string[] | {readonly type: string};
+
+/** Schemas of all fields of a record, in the order they are written. */
+export type RecordSchema<R> = {
+  readonly [Field in keyof Omit<R, 'kind'>]: FieldSchema;
+};
+
+type MessageOf<Kind> = Extract<Message, {readonly kind: Kind}>;
+
+type FateState = MessageOf<'fate'>['state'];
+
+/** The code on the wire and the fields of one kind of message. */
+export interface MessageSchema<Kind extends Message['kind']> {
+  /** Unique byte, never used for another kind. */
+  readonly code: number;
+  readonly fields: RecordSchema<MessageOf<Kind>>;
+}
+
+/** Codes of the error kinds. */
+export const ERROR_CODES: Readonly<Record<ErrorKind, number>> = {
+  'bad-request': 1,
+  'unknown-service': 2,
+  'key-missing': 3,
+  'key-too-long': 4,
+  'body-too-large': 5,
+  'header-too-large': 6,
+  'no-owner': 7,
+  'no-server': 8,
+  overloaded: 9,
+  'deadline-exceeded': 10,
+  'server-refused': 11,
+  'server-lost': 12,
+  'link-lost': 13,
+  'lease-lost': 14,
+  cancelled: 15,
+  'idempotency-mismatch': 16,
+  stopping: 17,
+  internal: 18,
+};
+
+/** Codes of the run states. */
+export const RUN_CODES: Readonly<Record<RunState, number>> = {
+  'not-run': 1,
+  unknown: 2,
+};
+
+/** Codes of the priorities. */
+export const PRIORITY_CODES: Readonly<Record<Priority, number>> = {
+  interactive: 1,
+  deferrable: 2,
+};
+
+/** Codes of what became of an attempt. */
+export const FATE_CODES: Readonly<Record<FateState, number>> = {
+  never: 1,
+  running: 2,
+  kept: 3,
+  forgotten: 4,
+};
+
+const COUNT = {type: 'long', logicalType: 'count'} as const;
+
+/** Names of the logical types, each read and written in `logic.ts`. */
+export const LOGICAL = {
+  count: COUNT,
+  octets: {type: 'bytes', logicalType: 'octets'},
+  headers: {type: 'array', logicalType: 'headers', items: header()},
+  entries: {type: 'array', logicalType: 'entries', items: entry()},
+  integers: {type: 'bytes', logicalType: 'integers'},
+  doubles: {type: 'bytes', logicalType: 'doubles'},
+  error: {type: 'int', logicalType: 'error'},
+  run: {type: 'int', logicalType: 'run'},
+  priority: {type: 'int', logicalType: 'priority'},
+  fate: {type: 'int', logicalType: 'fate'},
+} as const;
+
+const ATTEMPT = {attempt: 'string'} as const;
+
+/** The schema of every message. */
+export const MESSAGE_SCHEMAS: {
+  readonly [Kind in Message['kind']]: MessageSchema<Kind>;
+} = {
+  dispatch: {
+    code: 1,
+    fields: {
+      ...ATTEMPT,
+      request: 'string',
+      service: 'string',
+      slice: ['null', 'int'],
+      method: 'string',
+      path: 'string',
+      headers: LOGICAL.headers,
+      idempotent: 'boolean',
+      priority: LOGICAL.priority,
+      idempotencyKey: ['null', 'string'],
+      budgetMs: 'double',
+      version: LOGICAL.count,
+      body: LOGICAL.octets,
+      bodyEnds: 'boolean',
+    },
+  },
+  body: {
+    code: 2,
+    fields: {...ATTEMPT, bytes: LOGICAL.octets, ends: 'boolean'},
+  },
+  head: {
+    code: 3,
+    fields: {...ATTEMPT, status: 'int', headers: LOGICAL.headers},
+  },
+  data: {code: 4, fields: {...ATTEMPT, bytes: LOGICAL.octets}},
+  end: {code: 5, fields: {...ATTEMPT, outstanding: 'int'}},
+  failed: {
+    code: 6,
+    fields: {
+      ...ATTEMPT,
+      error: LOGICAL.error,
+      run: LOGICAL.run,
+      detail: 'string',
+      owner: ['null', 'string'],
+      version: LOGICAL.count,
+      outstanding: 'int',
+    },
+  },
+  credit: {code: 7, fields: {...ATTEMPT, bytes: LOGICAL.count}},
+  cancel: {code: 8, fields: ATTEMPT},
+  inquire: {code: 9, fields: ATTEMPT},
+  fate: {code: 10, fields: {...ATTEMPT, state: LOGICAL.fate}},
+  renew: {
+    code: 11,
+    fields: {
+      member: 'string',
+      round: LOGICAL.count,
+      version: LOGICAL.count,
+      configuration: LOGICAL.count,
+    },
+  },
+  renewed: {
+    code: 12,
+    fields: {
+      round: LOGICAL.count,
+      granted: 'boolean',
+      reason: 'string',
+      version: LOGICAL.count,
+      configuration: LOGICAL.count,
+    },
+  },
+  close: {code: 13, fields: {member: 'string', round: LOGICAL.count}},
+  closed: {
+    code: 14,
+    fields: {member: 'string', round: LOGICAL.count, closed: 'boolean'},
+  },
+  pull: {code: 15, fields: {after: LOGICAL.count}},
+  entries: {code: 16, fields: {entries: LOGICAL.entries}},
+  load: {
+    code: 17,
+    fields: {
+      service: 'string',
+      slices: LOGICAL.integers,
+      rates: LOGICAL.doubles,
+    },
+  },
+};
+
+/** The schema of the first frame. */
+export const HELLO_SCHEMA: RecordSchema<Hello> = {
+  protocol: 'int',
+  workspace: 'string',
+  member: 'string',
+  address: 'string',
+  wanted: 'string',
+  losses: LOGICAL.count,
+};
+
+function header(): object {
+  return {
+    type: 'record',
+    name: 'Header',
+    logicalType: 'header',
+    fields: [
+      {name: 'name', type: 'string'},
+      {name: 'value', type: 'string'},
+    ],
+  };
+}
+
+function entry(): object {
+  return {
+    type: 'record',
+    name: 'LoggedEntry',
+    logicalType: 'entry',
+    fields: [
+      {name: 'version', type: COUNT},
+      {name: 'text', type: 'string'},
+    ],
+  };
+}
--- a/packages/wire/src/index.ts
+++ b/packages/wire/src/index.ts
@@ -1,3 +1,13 @@
 /** @fileoverview Public items of the wire package. */
 
-export {};
+export {
+  MAX_MESSAGE_BYTES,
+  decodeFrame,
+  encodeFrame,
+  weigh,
+} from './codec/logic.js';
+export {PROTOCOL} from './codec/schemas.js';
+export {MalformedFrame, UnsendableMessage} from './codec/types.js';
+export type {Frame, Hello} from './codec/types.js';
+export {Links} from './links/links.js';
+export type * from './links/types.js';
--- /dev/null
+++ b/packages/wire/src/links/links.spec.ts
@@ -0,0 +1,308 @@
+/** @fileoverview Links over loopback: order, refusal, silence, restart. */
+
+import {connect, createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import test from 'ava';
+import type {ExecutionContext} from 'ava';
+import {DEFAULTS} from '@jackdawfall/core';
+import type {
+  Address,
+  AttemptId,
+  MemberId,
+  Message,
+  WorkspaceName,
+} from '@jackdawfall/core';
+import {UnsendableMessage} from '../codec/types.js';
+import {Links} from './links.js';
+
+/** Longest time to notice a silent peer. */
+const NOTICE_MS = 1500;
+
+interface Node {
+  readonly member: MemberId;
+  readonly links: Links;
+  readonly port: number;
+  readonly address: Address;
+  readonly events: string[];
+  readonly received: Message[];
+  stop(): void;
+}
+
+interface NodeOptions {
+  readonly port?: number;
+  readonly workspace?: string;
+  readonly tuning?: Partial<typeof DEFAULTS.links>;
+}
+
+async function start(
+  t: ExecutionContext,
+  name: string,
+  options: NodeOptions = {},
+): Promise<Node> {
+  const member = name as MemberId;
+  const events: string[] = [];
+  const received: Message[] = [];
+  const abort = new AbortController();
+  const links = new Links({
+    self: {
+      member,
+      address: '127.0.0.1:1' as Address,
+      workspace: (options.workspace ?? 'taipei') as WorkspaceName,
+    },
+    listen: {ip: '127.0.0.1', port: options.port ?? 0},
+    tuning: {...DEFAULTS.links, ...options.tuning},
+    signal: abort.signal,
+    on: {
+      message: (from, message) => {
+        events.push(`message ${from}`);
+        received.push(message);
+      },
+      opened: peer => events.push(`opened ${peer}`),
+      lost: (peer, reason) => events.push(`lost ${peer}: ${reason}`),
+    },
+  });
+  const port = await links.listen();
+  const stop = () => abort.abort();
+  t.teardown(stop);
+  const address = `127.0.0.1:${port}` as Address;
+  return {member, links, port, address, events, received, stop};
+}
+
+async function until(done: () => boolean, limitMs = 3000): Promise<number> {
+  const from = performance.now();
+  while (!done()) {
+    const spent = performance.now() - from;
+    if (spent > limitMs) throw new Error(`not within ${limitMs} ms`);
+    await sleep(5);
+  }
+  return performance.now() - from;
+}
+
+function cancel(n: number): Message {
+  return {kind: 'cancel', attempt: String(n) as AttemptId};
+}
+
+/** A TCP relay that can stop forwarding without closing anything. */
+async function relay(t: ExecutionContext, to: number) {
+  const sockets: Socket[] = [];
+  const state = {silent: false, connections: 0};
+  const server = createServer(inbound => {
+    state.connections += 1;
+    const silentFrom = () => state.silent;
+    const outbound = connect(to, '127.0.0.1');
+    sockets.push(inbound, outbound);
+    const own = {cut: false};
+    const forward = (target: Socket) => (bytes: Buffer) => {
+      own.cut ||= silentFrom();
+      if (!own.cut) target.write(bytes);
+    };
+    inbound.on('data', forward(outbound));
+    outbound.on('data', forward(inbound));
+    inbound.on('error', () => outbound.destroy());
+    outbound.on('error', () => inbound.destroy());
+    inbound.on('close', () => own.cut || outbound.destroy());
+    outbound.on('close', () => own.cut || inbound.destroy());
+  });
+  await new Promise<void>(done => server.listen(0, '127.0.0.1', done));
+  t.teardown(() => {
+    for (const socket of sockets) socket.destroy();
+    server.close();
+  });
+  const {port} = server.address() as AddressInfo;
+  return {state, address: `127.0.0.1:${port}` as Address};
+}
+
+test('messages arrive in order and answers use the same link', async t => {
+  const a = await start(t, 'a#1');
+  const b = await start(t, 'b#1');
+  for (let n = 0; n < 500; n += 1) {
+    a.links.send(b.member, b.address, cancel(n));
+    if (n % 100 === 0) await sleep(1);
+  }
+  await until(() => b.received.length === 500);
+  t.deepEqual(
+    b.received,
+    Array.from({length: 500}, (_, n) => cancel(n)),
+  );
+  b.links.send(a.member, a.address, cancel(7));
+  await until(() => a.received.length === 1);
+  t.is(a.links.size, 1);
+  t.is(b.links.size, 1);
+  t.deepEqual(a.events, ['opened b#1', 'message b#1']);
+});
+
+test('both sides may dial at once, and nothing is lost', async t => {
+  const a = await start(t, 'a#1');
+  const b = await start(t, 'b#1');
+  for (let n = 0; n < 50; n += 1) {
+    a.links.send(b.member, b.address, cancel(n));
+    b.links.send(a.member, a.address, cancel(n));
+    await sleep(1);
+  }
+  await until(() => a.received.length === 50 && b.received.length === 50);
+  const sent = Array.from({length: 50}, (_, n) => cancel(n));
+  t.deepEqual(a.received, sent);
+  t.deepEqual(b.received, sent);
+  t.false(a.events.some(event => event.startsWith('lost')));
+});
+
+const REFUSALS: readonly {
+  name: string;
+  peer: NodeOptions;
+  asked: string;
+  reason: RegExp;
+}[] = [
+  {name: 'another member', peer: {}, asked: 'b#1', reason: /here is b#2/},
+  {
+    name: 'another workspace',
+    peer: {workspace: 'windhoek'},
+    asked: 'b#2',
+    reason: /workspace taipei/,
+  },
+];
+
+for (const {name, peer, asked, reason} of REFUSALS) {
+  test(`refused: ${name} at the address`, async t => {
+    const a = await start(t, 'a#1');
+    const b = await start(t, 'b#2', peer);
+    a.links.send(asked as MemberId, b.address, cancel(1));
+    await until(() => a.events.length > 0);
+    t.regex(a.events[0] ?? '', reason);
+    t.true(a.events[0]?.startsWith(`lost ${asked}`));
+    t.deepEqual(b.received, []);
+    t.deepEqual(b.events, []);
+  });
+}
+
+test('nobody at the address', async t => {
+  const a = await start(t, 'a#1');
+  const b = await start(t, 'b#1');
+  b.stop();
+  await sleep(300);
+  a.links.send(b.member, b.address, cancel(1));
+  await until(() => a.events.length > 0);
+  t.regex(a.events[0] ?? '', /^lost b#1/);
+});
+
+test('a connection that never answers is given up', async t => {
+  const a = await start(t, 'a#1');
+  const b = await start(t, 'b#1');
+  const between = await relay(t, b.port);
+  between.state.silent = true;
+  a.links.send(b.member, between.address, cancel(1));
+  const ms = await until(() => a.events.length > 0);
+  t.regex(a.events[0] ?? '', /^lost b#1/);
+  t.true(ms <= NOTICE_MS, `${ms} ms`);
+});
+
+test('a silent link is noticed and replaced by a new connection', async t => {
+  const a = await start(t, 'a#1');
+  const b = await start(t, 'b#1');
+  const between = await relay(t, b.port);
+  a.links.send(b.member, between.address, cancel(1));
+  await until(() => b.received.length === 1);
+  await sleep(NOTICE_MS);
+  t.deepEqual(a.events, ['opened b#1'], 'heartbeats keep an idle link');
+  between.state.silent = true;
+  const ms = await until(() => a.events.length > 1);
+  t.true(ms <= NOTICE_MS, `${ms} ms`);
+  t.regex(a.events[1] ?? '', /^lost b#1: silent/);
+  between.state.silent = false;
+  a.links.send(b.member, between.address, cancel(2));
+  await until(() => b.received.length === 2);
+  t.is(between.state.connections, 2);
+});
+
+test('a link lost by one side is lost by the other at its return', async t => {
+  const a = await start(t, 'a#1');
+  const b = await start(t, 'b#1', {tuning: {silenceMs: 60_000}});
+  const between = await relay(t, b.port);
+  a.links.send(b.member, between.address, cancel(1));
+  await until(() => b.received.length === 1);
+  between.state.silent = true;
+  await until(() => a.events.length > 1);
+  t.deepEqual(b.events, ['opened a#1', 'message a#1']);
+  a.links.send(b.member, b.address, cancel(2));
+  await until(() => b.received.length === 2);
+  t.deepEqual(b.events.slice(2), [
+    'lost a#1: lost by the peer',
+    'opened a#1',
+    'message a#1',
+  ]);
+  t.is(b.links.size, 1);
+});
+
+test('a restarted peer is lost and found under its new id', async t => {
+  const a = await start(t, 'a#1');
+  const b = await start(t, 'b#1');
+  a.links.send(b.member, b.address, cancel(1));
+  await until(() => b.received.length === 1);
+  b.stop();
+  await until(() => a.events.length > 1, NOTICE_MS);
+  t.regex(a.events[1] ?? '', /^lost b#1/);
+  await sleep(300);
+  const again = await start(t, 'b#2', {port: b.port});
+  a.links.send(again.member, again.address, cancel(2));
+  await until(() => again.received.length === 1);
+  t.deepEqual(a.events.slice(2), ['opened b#2']);
+});
+
+test('a new member id loses the links of the old one', async t => {
+  const a = await start(t, 'a#1');
+  const b = await start(t, 'b#1');
+  a.links.send(b.member, b.address, cancel(1));
+  await until(() => b.received.length === 1);
+  a.links.setSelf('a#2' as MemberId);
+  a.links.send(b.member, b.address, cancel(2));
+  await until(() => b.events.includes('opened a#2') || a.events.length > 1);
+  t.true(a.events.includes('lost b#1: new member id'));
+  a.links.send(b.member, b.address, cancel(3));
+  await until(() => b.events.includes('message a#2'));
+  t.true(b.events.some(event => event.startsWith('lost a#1')));
+});
+
+test('a peer that takes too little is dropped at the bound', async t => {
+  const queueBytes = 1024 * 1024;
+  const a = await start(t, 'a#1', {tuning: {queueBytes, silenceMs: 60_000}});
+  const b = await start(t, 'b#1');
+  const between = await relay(t, b.port);
+  a.links.send(b.member, between.address, cancel(1));
+  await until(() => b.received.length === 1);
+  between.state.silent = true;
+  const bytes = new Uint8Array(64 * 1024);
+  const attempt = '1' as AttemptId;
+  let sent = 0;
+  for (; a.events.length < 2 && sent < 400; sent += 1) {
+    a.links.send(b.member, b.address, {kind: 'data', attempt, bytes});
+    t.true(a.links.bufferedBytes(b.member) <= queueBytes + 2 * bytes.length);
+    await sleep(1);
+  }
+  t.regex(a.events[1] ?? '', /^lost b#1: the peer takes too little/);
+  t.is(a.links.bufferedBytes(b.member), 0);
+});
+
+test('a message larger than any frame is refused at once', async t => {
+  const a = await start(t, 'a#1');
+  const bytes = new Uint8Array(2 * 1024 * 1024);
+  const attempt = '1' as AttemptId;
+  t.throws(
+    () =>
+      a.links.send('b#1' as MemberId, a.address, {
+        kind: 'data',
+        attempt,
+        bytes,
+      }),
+    {instanceOf: UnsendableMessage},
+  );
+});
+
+test('a message of the wrong shape loses the link, not the process', async t => {
+  const a = await start(t, 'a#1');
+  const b = await start(t, 'b#1');
+  const wrong = {kind: 'cancel', attempt: 7} as unknown as Message;
+  a.links.send(b.member, b.address, wrong);
+  await until(() => a.events.length > 1);
+  t.regex(a.events[1] ?? '', /^lost b#1: can't write/);
+  t.deepEqual(b.received, []);
+});
--- /dev/null
+++ b/packages/wire/src/links/stream.ts
@@ -0,0 +1,148 @@
+/**
+ * @fileoverview The gRPC service that carries links: one bidirectional stream
+ * of opaque frames. A client of its own for each link, so that a new link is
+ * a new connection and never shares one that went silent.
+ */
+
+import * as grpc from '@grpc/grpc-js';
+import type {Address} from '@jackdawfall/core';
+import {MAX_FRAME_BYTES} from '../codec/logic.js';
+import type {ListenAddress} from './types.js';
+
+const PATH = '/jackdawfall.Links/Open';
+
+const CONNECTION_OPTIONS = {
+  'grpc.max_receive_message_length': MAX_FRAME_BYTES,
+  'grpc.max_send_message_length': MAX_FRAME_BYTES,
+} as const;
+
+const CLIENT_OPTIONS: grpc.ChannelOptions = {
+  ...CONNECTION_OPTIONS,
+  'grpc.use_local_subchannel_pool': 1,
+  'grpc.enable_retries': 0,
+  'grpc.service_config_disable_resolution': 1,
+  'grpc.enable_http_proxy': 0,
+};
+
+/** Removes connections of peers that vanished; streams end much earlier. */
+const SERVER_OPTIONS: grpc.ServerOptions = {
+  ...CONNECTION_OPTIONS,
+  'grpc.max_connection_idle_ms': 5000,
+  'grpc.keepalive_time_ms': 10000,
+  'grpc.keepalive_timeout_ms': 5000,
+};
+
+const METHOD = {
+  path: PATH,
+  requestStream: true,
+  responseStream: true,
+  requestSerialize: pass,
+  requestDeserialize: pass,
+  responseSerialize: pass,
+  responseDeserialize: pass,
+} as const;
+
+/** One end of a stream of frames, whoever opened it. */
+export interface Stream {
+  /** Queues a frame; `flushed` is called once the connection has taken it. */
+  write(bytes: Buffer, flushed: () => void): void;
+  onData(handler: (bytes: Buffer) => void): void;
+  /** Called once, when the stream can carry nothing more. */
+  onEnd(handler: (reason: string) => void): void;
+  /** Ends the stream after what was written. */
+  end(): void;
+  /** Ends the stream and its connection at once. */
+  destroy(): void;
+}
+
+/**
+ * Opens a stream over a new connection.
+ *
+ * @param address - `ip:port` of the peer.
+ * @returns The stream; failures to connect are told to its `onEnd`.
+ */
+export function dial(address: Address): Stream {
+  const credentials = grpc.credentials.createInsecure();
+  const client = new grpc.Client(address, credentials, CLIENT_OPTIONS);
+  const call = client.makeBidiStreamRequest<Buffer, Buffer>(PATH, pass, pass);
+  return {
+    write: (bytes, flushed) => void call.write(bytes, flushed),
+    onData: handler => void call.on('data', handler),
+    onEnd: handler => {
+      const tell = once(handler);
+      call.on('error', error => tell(error.message));
+      call.on('end', () => tell('ended by the peer'));
+    },
+    end: () => {
+      call.end();
+      client.close();
+    },
+    destroy: () => {
+      call.cancel();
+      client.close();
+    },
+  };
+}
+
+/**
+ * Accepts streams.
+ *
+ * @param listen - Where to listen.
+ * @param accept - Called for each stream that a peer opens.
+ * @returns The server and the port it listens on.
+ * @throws Error when the port can't be had.
+ */
+export async function accept(
+  listen: ListenAddress,
+  accept: (stream: Stream) => void,
+): Promise<{server: grpc.Server; port: number}> {
+  const server = new grpc.Server(SERVER_OPTIONS);
+  server.addService(
+    {open: METHOD},
+    {
+      open: (call: grpc.ServerDuplexStream<Buffer, Buffer>) =>
+        accept(acceptedStream(call)),
+    },
+  );
+  const port = await new Promise<number>((resolve, reject) => {
+    server.bindAsync(
+      `${listen.ip}:${listen.port}`,
+      grpc.ServerCredentials.createInsecure(),
+      (error, bound) => (error ? reject(error) : resolve(bound)),
+    );
+  });
+  return {server, port};
+}
+
+function acceptedStream(call: grpc.ServerDuplexStream<Buffer, Buffer>): Stream {
+  return {
+    write: (bytes, flushed) => void call.write(bytes, flushed),
+    onData: handler => void call.on('data', handler),
+    onEnd: handler => {
+      const tell = once(handler);
+      call.on('error', error => tell(error.message));
+      call.on('end', () => tell('ended by the peer'));
+      call.on('cancelled', () => tell('cancelled by the peer'));
+      call.on('close', () => tell('closed'));
+    },
+    end: () => void call.end(),
+    destroy: () =>
+      void call.emit('error', {
+        code: grpc.status.UNAVAILABLE,
+        details: 'link dropped',
+      }),
+  };
+}
+
+function pass(bytes: Buffer): Buffer {
+  return bytes;
+}
+
+function once(handler: (reason: string) => void): (reason: string) => void {
+  let told = false;
+  return reason => {
+    if (told) return;
+    told = true;
+    handler(reason);
+  };
+}
