Say what the runner does for each effect of a request

Doc comments on events and effects; new event unsent (nothing reached a link) and woken, effect wake; dispatch and inquire name the member asked, so that another incarnation refuses; send without an address uses an open link only. Attempt ids carry their origin and its ascending number.

--- a/packages/core/src/ids/logic.ts
+++ b/packages/core/src/ids/logic.ts
@@ -1,6 +1,6 @@
 /** @fileoverview Making and taking apart identifiers. */
 
-import type {HostName, MemberId, Version} from './types.js';
+import type {AttemptId, HostName, MemberId, Version} from './types.js';
 
 /** The version of a log without entries. */
 export const NO_VERSION = 0 as Version;
@@ -38,3 +38,34 @@
   if (a === b) return 0;
   return a < b ? -1 : 1;
 }
+
+/**
+ * Names an attempt. Each member numbers its attempts in ascending order.
+ *
+ * @param origin - The member that sends the attempt.
+ * @param sequence - Its number, from 1.
+ * @returns The attempt's id.
+ */
+export function attemptOf(origin: MemberId, sequence: number): AttemptId {
+  return `${origin}/${sequence}` as AttemptId;
+}
+
+/**
+ * Finds the member that sent an attempt.
+ *
+ * @param attempt - The attempt's id.
+ * @returns The origin.
+ */
+export function originOf(attempt: AttemptId): MemberId {
+  return attempt.slice(0, attempt.lastIndexOf('/')) as MemberId;
+}
+
+/**
+ * Finds the number its origin gave an attempt.
+ *
+ * @param attempt - The attempt's id.
+ * @returns The sequence number; NaN for an id of another form.
+ */
+export function sequenceOf(attempt: AttemptId): number {
+  return Number(attempt.slice(attempt.lastIndexOf('/') + 1));
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -4,7 +4,15 @@
 export type * from './errors/types.js';
 export {ANSWERS, failure} from './errors/logic.js';
 export type * from './ids/types.js';
-export {NO_VERSION, compareIds, hostOf, memberOf} from './ids/logic.js';
+export {
+  NO_VERSION,
+  attemptOf,
+  compareIds,
+  hostOf,
+  memberOf,
+  originOf,
+  sequenceOf,
+} from './ids/logic.js';
 export {hashKey, sliceOf} from './keys/logic.js';
 export type * from './logs/catalogue.js';
 export {LOGS} from './logs/catalogue.js';
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -89,14 +89,25 @@
 export type Event =
   /** Time has passed; comes every `TICK_MS`. */
   | {readonly kind: 'ticked'}
+  /** The time asked for by a `wake` effect has passed. */
+  | {readonly kind: 'woken'}
   | {
       readonly kind: 'received';
       readonly from: MemberId;
       readonly message: Message;
     }
   | {readonly kind: 'linkOpened'; readonly peer: MemberId}
-  /** The link is gone or went silent; the runner opens another on demand. */
+  /**
+   * The link is gone, went silent, or could not be opened; the runner opens
+   * another on demand. Reported once for each link and for each failed try.
+   * The runner reads nothing more from a link that it has reported as lost.
+   */
   | {readonly kind: 'linkLost'; readonly peer: MemberId}
+  /**
+   * No byte of the attempt's dispatch was handed to a link, and none ever will
+   * be: the link could not be opened in time or the peer is another member.
+   */
+  | {readonly kind: 'unsent'; readonly attempt: AttemptId}
   | {
       readonly kind: 'storeReplied';
       readonly call: CallId;
@@ -108,23 +119,37 @@
   | {readonly kind: 'announcementLapsed'; readonly instance: InstanceId}
   /** A caller's request; its body is held by the runner. */
   | {readonly kind: 'taken'; readonly taken: TakenRequest}
-  /** The caller hung up. */
+  /** The caller hung up before its answer was whole; not after `fail`. */
   | {readonly kind: 'hungUp'; readonly request: RequestId}
-  /** The caller has received its whole answer. */
+  /** The whole answer was handed to the caller's connection. */
   | {readonly kind: 'answered'; readonly request: RequestId}
-  /** A run's first byte was written to the backend server. */
+  /**
+   * The runner is about to write the attempt's first byte to a connection of
+   * the backend server; reported before the write.
+   */
   | {readonly kind: 'runWritten'; readonly attempt: AttemptId}
+  /** The backend server's status and headers arrived. */
   | {
       readonly kind: 'runHead';
       readonly attempt: AttemptId;
       readonly status: number;
-      /** The server sheds load: it refused before running. */
+      /**
+       * The server refused before running (503 with `x-not-run: 1`). The
+       * runner sends nothing of such an answer to the origin, and reports
+       * neither `runEnded` nor `runFailed` after it.
+       */
       readonly shed: boolean;
     }
+  /** The answer's last byte arrived; `end` was sent to the origin. */
   | {readonly kind: 'runEnded'; readonly attempt: AttemptId}
+  /**
+   * The run ended without a whole answer; nothing was sent to the origin for
+   * it. Not reported after `cancelRun`.
+   */
   | {
       readonly kind: 'runFailed';
       readonly attempt: AttemptId;
+      /** `not-run` only if no byte was written to any connection. */
       readonly run: RunState;
       readonly detail: string;
     }
@@ -146,12 +171,20 @@
 
 /** Everything the reducer may ask of the runner. */
 export type Effect =
+  /**
+   * Send one message. To this daemon itself it arrives as a `received` event
+   * after the current event. `address` null: use a link that is open in either
+   * direction, else drop the message. A message that can't be sent is dropped
+   * and `linkLost` reported; the runner never sends a message twice.
+   */
   | {
       readonly kind: 'send';
       readonly to: MemberId;
-      readonly address: Address;
+      readonly address: Address | null;
       readonly message: Message;
     }
+  /** Emit `woken` after this time; several may be outstanding. */
+  | {readonly kind: 'wake'; readonly afterMs: number}
   /** Drop the link; the next send opens a new one. */
   | {readonly kind: 'dropLink'; readonly to: MemberId}
   | {
@@ -161,8 +194,20 @@
       readonly timeoutMs: number;
     }
   /**
-   * Send the request as an attempt; the runner adds head and body. When `to`
-   * is this daemon, the attempt arrives as a `received` event at once.
+   * Send the request as a `dispatch` message; the runner adds method, path,
+   * headers and the body it holds under `request`, from its beginning, each
+   * time. It keeps the whole body until the request is over (bodies are at
+   * most `maxBodyBytes`), so that a later attempt can send it again.
+   *
+   * - `to` is this daemon: a `received` event after the current event.
+   * - The dispatch is written to one link, once; it is never repeated on
+   *   another link. If no byte was handed to a link when the link fails or
+   *   does not open within `links.silenceMs`, the runner drops it for good and
+   *   reports `unsent`. Once handed over, a loss is a `linkLost`.
+   * - The link must lead to exactly the member `to`; another incarnation at
+   *   the same address is `unsent`.
+   * - Answer bytes for the attempt are buffered (at most `links.windowBytes`,
+   *   by credit) until `relay` or `forget`.
    */
   | {
       readonly kind: 'forward';
@@ -170,36 +215,79 @@
       readonly request: RequestId;
       readonly to: MemberId;
       readonly address: Address;
+      /** Time left for the attempt, in milliseconds. */
       readonly budgetMs: number;
       readonly version: Version;
     }
-  /** Write the attempt to the backend server. */
+  /**
+   * Write the attempt to the backend server, on one connection, once, never
+   * repeated on another by the runner or its HTTP agent. Report `runWritten`
+   * before the first byte, then `runHead` and one of `runEnded` and
+   * `runFailed`. Meanwhile send `head`, `data` and `end` to `origin` over any
+   * open link; while there is none, hold the bytes (at most
+   * `links.windowBytes`, then stop reading). Abort when `budgetMs` has passed
+   * (`runFailed`); the header `x-jackdawfall-deadline-ms` carries it. A
+   * connection attempt that takes longer than `links.silenceMs` fails as
+   * `not-run`. A connection that failed or was aborted is never reused.
+   */
   | {
       readonly kind: 'run';
       readonly attempt: AttemptId;
       readonly origin: MemberId;
+      readonly service: ServiceName;
+      readonly slice: Slice | null;
       readonly generation: Generation;
+      /** Time left for the run, in milliseconds. */
       readonly budgetMs: number;
-      /** Keep the whole answer for a replay, if it is small enough. */
+      /**
+       * Keep the answer from its first byte until `forget`, so that `replay`
+       * can send it again; dropped if larger than `execution.keptAnswerBytes`
+       * or when all kept answers exceed `execution.keptTotalBytes`.
+       */
       readonly keep: boolean;
     }
+  /**
+   * Abort the run by closing its connection, or drop it if no byte was
+   * written yet. The runner reports nothing more for the attempt and sends
+   * nothing more to its origin.
+   */
   | {readonly kind: 'cancelRun'; readonly attempt: AttemptId}
-  /** Send the answer of `of` again, from its beginning, as `attempt`. */
+  /**
+   * Send the answer of `of` from its first byte to `to`, under the id
+   * `attempt`; while `of` still runs, later bytes follow as they arrive. With
+   * `attempt` equal to `of` it takes the place of the earlier stream, which
+   * stops. If the kept bytes were dropped, send `failed` with `link-lost`,
+   * `unknown` instead.
+   */
   | {
       readonly kind: 'replay';
       readonly attempt: AttemptId;
       readonly of: AttemptId;
       readonly to: MemberId;
     }
-  /** Drop what the runner keeps of an attempt. */
+  /**
+   * Drop everything held for an attempt: at the owner a request head and body
+   * that waits and a kept answer; at the origin buffered answer bytes. Later
+   * messages for it are discarded. Unknown attempts are ignored.
+   */
   | {readonly kind: 'forget'; readonly attempt: AttemptId}
-  /** Stream this attempt's answer to the caller. */
+  /**
+   * Stream this attempt's answer to the caller. The runner may hold the head
+   * back until the answer is whole or exceeds 64 KiB, so that a short answer
+   * that is cut becomes an error answer. After the last byte report
+   * `answered`. Bytes already written to the caller are skipped when the
+   * answer comes again from its beginning after a `fate`.
+   */
   | {
       readonly kind: 'relay';
       readonly request: RequestId;
       readonly attempt: AttemptId;
     }
-  /** Answer the caller with an error, or cut its answer if begun. */
+  /**
+   * The request is over: answer the caller with the error, or cut the
+   * connection if a byte of an answer was written to it. Free the body.
+   * Neither `answered` nor `hungUp` follows.
+   */
   | {
       readonly kind: 'fail';
       readonly request: RequestId;
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -21,6 +21,8 @@
 export interface Dispatch {
   readonly kind: 'dispatch';
   readonly attempt: AttemptId;
+  /** The member asked; any other incarnation refuses. */
+  readonly to: MemberId;
   readonly request: RequestId;
   readonly service: ServiceName;
   /** Slice of the key, or null for a shared service. */
@@ -93,7 +95,12 @@
   /** The caller no longer wants the attempt. */
   | {readonly kind: 'cancel'; readonly attempt: AttemptId}
   /** Was the attempt started? If not, never start it. */
-  | {readonly kind: 'inquire'; readonly attempt: AttemptId}
+  | {
+      readonly kind: 'inquire';
+      readonly attempt: AttemptId;
+      /** The member that was sent the dispatch. */
+      readonly to: MemberId;
+    }
   /**
    * Answer to `inquire`. After `running` and `kept` the answer follows from
    * its beginning on the link that carried the inquiry.
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -35,6 +35,64 @@
     /** Bytes in flight for one body before the sender waits. */
     windowBytes: 262144,
   },
+  routing: {
+    /** Requests a daemon holds for callers at the same time. */
+    maxRequests: 8192,
+    /** First wait before a retry; doubles with each. */
+    backoffMs: 10,
+    /** Longest wait before a retry. */
+    maxBackoffMs: 250,
+    /** Attempts of one request, hedges and redirects included. */
+    maxAttempts: 12,
+    /** Time an attempt has after the deadline to say whether it ran. */
+    graceMs: 250,
+    /** Time between two inquiries about one attempt. */
+    inquireMs: 250,
+    /** Retries that may be saved up while none are needed. */
+    retryBurst: 20,
+    /** Shortest wait before a hedge. */
+    minHedgeMs: 2,
+    /** Time after which a latency counts half in the choice of a server. */
+    latencyHalfLifeMs: 1000,
+    /** Factor on the score of a server in another availability zone. */
+    otherZoneFactor: 1.2,
+  },
+  execution: {
+    /** Attempts that wait or run at a daemon at the same time. */
+    maxAttempts: 1024,
+    /** Time an outcome or tombstone is remembered. */
+    outcomeMs: 10000,
+    /** Time an outcome with an idempotency key is remembered. */
+    keyedOutcomeMs: 60000,
+    /** Outcomes and tombstones remembered at the same time. */
+    maxOutcomes: 50000,
+    /** Time an origin's last forgotten attempt number is remembered. */
+    floorMs: 600000,
+    /** Largest answer kept for a replay, in bytes. */
+    keptAnswerBytes: 65536,
+    /** All answers kept for replays, in bytes. */
+    keptTotalBytes: 16777216,
+  },
+  admission: {
+    /** Completions for each unit of the limit before it grows by one. */
+    growthCompletions: 10,
+    /** Ratio of latency to its baseline that lowers the limit. */
+    slowRatio: 2,
+    /** Ratio of latency to its baseline that sets the limit to 1. */
+    jumpRatio: 4,
+    /** Factor on the limit when latency is above `slowRatio`. */
+    decrease: 0.8,
+    /** Longest wait in the queue of interactive work. */
+    queueMs: 10,
+    /** The same while the limit still grows after a start. */
+    rampQueueMs: 250,
+    /** Longest wait in the queue of deferrable work. */
+    deferrableQueueMs: 1000,
+    /** Queue places for each class, as a multiple of the slots. */
+    queueFactor: 4,
+    /** Largest share of the limit that deferrable work uses. */
+    deferrableShare: 0.25,
+  },
   logs: {
     level: 'info' as 'trace' | 'debug' | 'info' | 'warn' | 'error',
   },
