--- /dev/null
+++ b/packages/core/src/settings/logic.ts
@@ -0,0 +1,67 @@
+/** @fileoverview Checking partial tuning and laying it over the defaults. */
+
+import {z} from 'zod';
+
+import {DEFAULTS} from './defaults.js';
+import type {Tuning} from './defaults.js';
+
+/** Tuning with any part left out. */
+export type PartialTuning = {
+  readonly [S in keyof Tuning]?:
+    {readonly [K in keyof Tuning[S]]?: Tuning[S][K] | undefined} | undefined;
+};
+
+/** Names of log levels, the most talkative first. */
+export const LOG_LEVELS = ['trace', 'debug', 'info', 'warn', 'error'] as const;
+
+/** Schema of partial tuning: the keys of the defaults and no others. */
+export const tuningSchema: z.ZodType<PartialTuning> = z
+  .strictObject(mapValues(DEFAULTS, sectionSchema))
+  .superRefine((value, context) => {
+    const {loop, leases} = mergeTuning(value);
+    const refuse = (path: string[], message: string): void => {
+      context.addIssue({code: 'custom', path, message});
+    };
+    if (loop.tickMs < 1) refuse(['loop', 'tickMs'], 'must be at least 1');
+    if (leases.renewMs * 2 > leases.leaseMs) {
+      refuse(['leases', 'renewMs'], 'must be at most half of leaseMs');
+    }
+    if (leases.marginMs >= leases.leaseMs) {
+      refuse(['leases', 'marginMs'], 'must be less than leaseMs');
+    }
+  });
+
+/**
+ * Lays partial tuning over the defaults.
+ *
+ * @param partial - Checked partial tuning.
+ * @returns Whole tuning; the defaults are left as they are.
+ */
+export function mergeTuning(partial: PartialTuning): Tuning {
+  const given: Readonly<Record<string, object | undefined>> = partial;
+  const merged = mapValues(DEFAULTS, (section, name) => ({
+    ...section,
+    ...given[name],
+  }));
+  return merged as Tuning;
+}
+
+function sectionSchema(section: object): z.ZodType {
+  return z.strictObject(mapValues(section, valueSchema)).optional();
+}
+
+function valueSchema(value: unknown): z.ZodType {
+  if (typeof value === 'number') return z.number().min(0).optional();
+  if (typeof value === 'boolean') return z.boolean().optional();
+  return z.enum(LOG_LEVELS).optional();
+}
+
+function mapValues<T extends object, V>(
+  values: T,
+  change: (value: T[keyof T], name: string) => V,
+): Record<string, V> {
+  const entries = Object.entries(values) as Array<[string, T[keyof T]]>;
+  return Object.fromEntries(
+    entries.map(([name, value]) => [name, change(value, name)]),
+  );
+}
--- /dev/null
+++ b/packages/core/src/workspace/schema.ts
@@ -0,0 +1,194 @@
+/** @fileoverview The schema of the configuration document and its checks. */
+
+import {z} from 'zod';
+
+import type {ServiceName, WorkspaceName, ZoneName} from '../ids/types.js';
+import type {Workspace} from './types.js';
+
+/** Most slices a service may have. */
+export const MAX_SLICES = 131072;
+
+const MAX_TIMEOUT_MS = 600_000;
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
+const MAX_KEY_BYTES = 4096;
+const MAX_DRAIN_MS = 60_000;
+
+/** A fault of a document. */
+export interface Fault {
+  /** Place in the document, for example `routes.2.service`. */
+  readonly path: string;
+  /** What is wrong there, in one sentence. */
+  readonly message: string;
+}
+
+/** The result of reading a configuration document. */
+export type ParsedWorkspace =
+  | {readonly kind: 'ok'; readonly workspace: Workspace}
+  | {readonly kind: 'invalid'; readonly faults: readonly Fault[]};
+
+const nameText = z
+  .string()
+  .regex(
+    /^[a-z][a-z0-9-]{0,62}$/,
+    'must be 1 to 63 lower-case letters, digits or hyphens, a letter first',
+  );
+
+const workspaceName = nameText.transform(text => text as WorkspaceName);
+const serviceName = nameText.transform(text => text as ServiceName);
+const zoneName = nameText.transform(text => text as ZoneName);
+
+const keySource = z.discriminatedUnion('from', [
+  z.strictObject({
+    from: z.literal('path'),
+    name: z.string().regex(/^[A-Za-z][A-Za-z0-9]*$/),
+  }),
+  z.strictObject({
+    from: z.literal('header'),
+    name: z.string().regex(/^[a-z0-9-]+$/, 'must be a header in lower case'),
+  }),
+]);
+
+const division = z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('keyed'),
+    slices: z.int().min(1).max(MAX_SLICES),
+    key: keySource,
+  }),
+  z.strictObject({kind: z.literal('shared')}),
+]);
+
+const service = z.strictObject({
+  name: serviceName,
+  division,
+  upstreams: z.int().min(1),
+});
+
+const route = z.strictObject({
+  method: z.string().regex(/^[A-Z]+$/, 'must be an HTTP method in capitals'),
+  path: z
+    .string()
+    .regex(
+      /^(\/([A-Za-z0-9._~-]+|\{[A-Za-z][A-Za-z0-9]*\}))+$/,
+      'must be segments such as /finder/{key}',
+    ),
+  service: serviceName,
+  idempotent: z.boolean(),
+  priority: z.enum(['interactive', 'deferrable']),
+  timeoutMs: z.int().min(1).max(MAX_TIMEOUT_MS),
+});
+
+const limits = z.strictObject({
+  maxBodyBytes: z.int().min(0).max(MAX_BODY_BYTES),
+  maxKeyBytes: z.int().min(1).max(MAX_KEY_BYTES),
+  retryShare: z.number().min(0).max(1),
+  maxMovingSlices: z.int().min(1).max(MAX_SLICES),
+  drainMs: z.int().min(0).max(MAX_DRAIN_MS),
+});
+
+const shape = z.strictObject({
+  name: workspaceName,
+  version: z.int().min(0),
+  zones: z.array(zoneName).min(1).max(64),
+  services: z.array(service).min(1).max(256),
+  routes: z.array(route).min(1).max(1024),
+  limits,
+});
+
+type Document = z.output<typeof shape>;
+type DeepReadonly<T> = T extends string | number | boolean
+  ? T
+  : {readonly [K in keyof T]: DeepReadonly<T[K]>};
+
+/** Checks a document whole; the annotation keeps it in step with the type. */
+const workspaceSchema: z.ZodType<
+  Workspace extends DeepReadonly<Document> ? Workspace : never
+> = shape.superRefine((document, context) => {
+  for (const {path, message} of findFaults(document)) {
+    context.addIssue({code: 'custom', path: [...path], message});
+  }
+});
+
+/**
+ * Reads a configuration document.
+ *
+ * @param text - The JSON text of the document.
+ * @returns The workspace, or every fault with its place in the document.
+ */
+export function parseWorkspace(text: string): ParsedWorkspace {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (error) {
+    const message = `is no JSON: ${(error as Error).message}`;
+    return {kind: 'invalid', faults: [{path: '', message}]};
+  }
+  const parsed = workspaceSchema.safeParse(value);
+  if (parsed.success) return {kind: 'ok', workspace: parsed.data};
+  return {kind: 'invalid', faults: faultsOf(parsed.error)};
+}
+
+/**
+ * Turns the issues of the schema library into faults.
+ *
+ * @param error - What the schema library found.
+ * @returns One fault for each issue, in the order found.
+ */
+export function faultsOf(error: z.ZodError): readonly Fault[] {
+  return error.issues.map(issue => ({
+    path: issue.path.join('.'),
+    message: issue.message,
+  }));
+}
+
+interface PlacedFault {
+  readonly path: ReadonlyArray<string | number>;
+  readonly message: string;
+}
+
+function findFaults(document: Document): readonly PlacedFault[] {
+  return [
+    ...findRepeats(document.zones, 'zones'),
+    ...findRepeats(
+      document.services.map(({name}) => name),
+      'services',
+    ),
+    ...findRepeats(document.routes.map(routeShape), 'routes'),
+    ...document.routes.flatMap((_, index) => findRouteFaults(document, index)),
+  ];
+}
+
+function findRepeats(
+  values: readonly string[],
+  list: string,
+): readonly PlacedFault[] {
+  const faults: PlacedFault[] = [];
+  values.forEach((value, index) => {
+    if (values.indexOf(value) === index) return;
+    faults.push({path: [list, index], message: `repeats "${value}"`});
+  });
+  return faults;
+}
+
+function routeShape(item: {method: string; path: string}): string {
+  return `${item.method} ${item.path.replace(/\{[^}]*\}/g, '{}')}`;
+}
+
+function findRouteFaults(
+  document: Document,
+  index: number,
+): readonly PlacedFault[] {
+  const {path, service: name} = document.routes[index];
+  const place = ['routes', index];
+  const owner = document.services.find(item => item.name === name);
+  if (!owner) {
+    const message = `names the unknown service "${name}"`;
+    return [{path: [...place, 'service'], message}];
+  }
+  if (owner.division.kind === 'shared') return [];
+  const {key} = owner.division;
+  if (key.from === 'header') return [];
+  const count = path.split(`{${key.name}}`).length - 1;
+  if (count === 1) return [];
+  const message = `must hold {${key.name}} once, the key of "${name}"`;
+  return [{path: [...place, 'path'], message}];
+}
--- /dev/null
+++ b/packages/daemon/src/settings/logic.spec.ts
@@ -0,0 +1,73 @@
+/** @fileoverview Tests of the settings file. */
+
+import {DEFAULTS} from '@jackdawfall/core';
+import test from 'ava';
+
+import {SettingsError, parseSettings, readSettings} from './logic.js';
+
+/** A part of the text and what takes its place. */
+type Edit = readonly [from: string, to: string];
+
+const TEXT = JSON.stringify({
+  workspace: 'taipei',
+  host: 'h1',
+  zone: 'a',
+  callers: {ip: '127.0.0.1', port: 1},
+  links: {ip: '127.0.0.1', port: 2},
+  operators: {ip: '127.0.0.1', port: 3},
+  platform: {addresses: ['127.0.0.1:7900']},
+});
+
+function textWith([from, to]: Edit): string {
+  if (!TEXT.includes(from)) throw new Error(`no ${from}`);
+  return TEXT.replace(from, to);
+}
+
+function tuningOf(tuning: object): Edit {
+  return ['{', `{"tuning":${JSON.stringify(tuning)},`];
+}
+
+const FAULTS: ReadonlyArray<{path: string; edit: Edit}> = [
+  {path: 'workspace', edit: ['"workspace":"taipei",', '']},
+  {path: 'host', edit: ['h1', 'h#1']},
+  {path: 'callers.ip', edit: ['127.0.0.1', 'localhost']},
+  {path: 'links.port', edit: [':2', ':65536']},
+  {path: 'linkAddress', edit: ['{', '{"linkAddress":"127.0.0.1",']},
+  {path: 'linkAddress', edit: ['{', '{"linkAddress":"127.0.0.1:",']},
+  {path: 'platform.addresses', edit: ['["127.0.0.1:7900"]', '[]']},
+  {path: 'platform.addresses.0', edit: ['127.0.0.1:7900', 'table:80']},
+  {path: '', edit: ['{', '{"colour":"red",']},
+  {path: 'tuning', edit: tuningOf({colour: {}})},
+  {path: 'tuning.loop', edit: tuningOf({loop: {tickSeconds: 1}})},
+  {path: 'tuning.loop.tickMs', edit: tuningOf({loop: {tickMs: '5'}})},
+  {path: 'tuning.loop.tickMs', edit: tuningOf({loop: {tickMs: 0}})},
+  {path: 'tuning.logs.level', edit: tuningOf({logs: {level: 'loud'}})},
+  {path: 'tuning.leases.renewMs', edit: tuningOf({leases: {leaseMs: 900}})},
+];
+
+for (const {path, edit} of FAULTS) {
+  const text = textWith(edit);
+  test(`settings with ${edit[1]} for ${edit[0]} are refused`, t => {
+    const error = t.throws(() => parseSettings(text, 'file'), {
+      instanceOf: SettingsError,
+    });
+    t.deepEqual(
+      error.faults.map(fault => fault.path),
+      [path],
+    );
+  });
+}
+
+test('tuning is laid over the defaults', t => {
+  const text = textWith(tuningOf({loop: {tickMs: 10}}));
+  const {tuning, linkAddress} = parseSettings(text, 'file');
+  t.is(linkAddress, null);
+  t.deepEqual(tuning, {...DEFAULTS, loop: {...DEFAULTS.loop, tickMs: 10}});
+});
+
+test('a missing file and a text that is no JSON are named', async t => {
+  const missing = await t.throwsAsync(readSettings('/nowhere/settings.json'));
+  t.regex(missing.message, /can't be read/);
+  const broken = t.throws(() => parseSettings('{', 'file'));
+  t.regex(broken.message, /is no JSON/);
+});
--- /dev/null
+++ b/packages/daemon/src/settings/logic.ts
@@ -0,0 +1,110 @@
+/** @fileoverview Reading and checking the settings file of a daemon. */
+
+import {readFile} from 'node:fs/promises';
+
+import {faultsOf, mergeTuning, tuningSchema} from '@jackdawfall/core';
+import type {
+  Address,
+  Fault,
+  HostName,
+  WorkspaceName,
+  ZoneName,
+} from '@jackdawfall/core';
+import {z} from 'zod';
+
+import type {Settings} from './types.js';
+
+/** The settings can't be used; the message names each fault by its path. */
+export class SettingsError extends Error {
+  override readonly name = 'SettingsError';
+
+  /**
+   * @param file - Name of the file, for people.
+   * @param faults - Every fault with its place in the file.
+   */
+  constructor(
+    readonly file: string,
+    readonly faults: readonly Fault[],
+  ) {
+    const lines = faults.map(({path, message}) =>
+      path === '' ? `  ${message}` : `  ${path}: ${message}`,
+    );
+    super(`settings ${file} can't be used:\n${lines.join('\n')}`);
+  }
+}
+
+const nameText = z
+  .string()
+  .regex(
+    /^[a-z0-9][a-z0-9.-]{0,62}$/,
+    'must be 1 to 63 lower-case letters, digits, dots or hyphens',
+  );
+
+const endpoint = z.strictObject({
+  ip: z.union([z.ipv4(), z.ipv6()], 'must be an IP number'),
+  port: z.int().min(0).max(65535),
+});
+
+const address = z
+  .string()
+  .refine(isAddress, 'must be an IP number and a port, as 127.0.0.1:7900')
+  .transform(text => text as Address);
+
+const settingsSchema: z.ZodType<Settings> = z.strictObject({
+  workspace: nameText.transform(text => text as WorkspaceName),
+  host: nameText.transform(text => text as HostName),
+  zone: nameText.transform(text => text as ZoneName),
+  callers: endpoint,
+  links: endpoint,
+  operators: endpoint,
+  linkAddress: address.nullable().default(null),
+  platform: z.strictObject({addresses: z.array(address).min(1)}),
+  tuning: tuningSchema.default({}).transform(mergeTuning),
+});
+
+/**
+ * Checks the text of a settings file.
+ *
+ * @param text - The JSON text.
+ * @param file - Name of the file, for the error.
+ * @returns The settings with whole tuning.
+ * @throws SettingsError naming every fault.
+ */
+export function parseSettings(text: string, file: string): Settings {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (error) {
+    const message = `is no JSON: ${(error as Error).message}`;
+    throw new SettingsError(file, [{path: '', message}]);
+  }
+  const parsed = settingsSchema.safeParse(value);
+  if (parsed.success) return parsed.data;
+  throw new SettingsError(file, faultsOf(parsed.error));
+}
+
+/**
+ * Reads and checks a settings file.
+ *
+ * @param file - Path of the file.
+ * @returns The settings with whole tuning.
+ * @throws SettingsError if the file can't be read or used.
+ */
+export async function readSettings(file: string): Promise<Settings> {
+  let text: string;
+  try {
+    text = await readFile(file, 'utf8');
+  } catch (error) {
+    const message = `can't be read: ${(error as Error).message}`;
+    throw new SettingsError(file, [{path: '', message}]);
+  }
+  return parseSettings(text, file);
+}
+
+function isAddress(text: string): boolean {
+  const at = text.lastIndexOf(':');
+  const ip = text.slice(0, at).replace(/^\[(.*)\]$/, '$1');
+  const port = text.slice(at + 1);
+  if (!/^\d{1,5}$/.test(port) || Number(port) > 65535) return false;
+  return z.union([z.ipv4(), z.ipv6()]).safeParse(ip).success;
+}
