Silent peers are asked before they are trusted again; closed-out members rejoin

Change: a silent peer counts again once heard, and is asked every 2 s; unknown senders ahead lead to a read of the table; a member that only unreachable or closing members remain for ends itself.

--- a/packages/core/src/journal/reader.ts
+++ b/packages/core/src/journal/reader.ts
@@ -129,7 +129,10 @@
     apply(entryOfLink(logged));
   }
   const progressed = state.map.version > before;
-  if (message.version <= state.map.version) return;
+  if (message.version <= state.map.version) {
+    state.sync.freshAt = context.at.monotonic;
+    return;
+  }
   const useless = message.entries.length > 0 && !progressed;
   const trimmed = message.entries.length === 0;
   if (trimmed) state.sync.needed = true;
@@ -149,8 +152,12 @@
   version: Version,
 ): void {
   const {state, at} = context;
-  state.sync.freshAt = at.monotonic;
-  if (version > state.map.version) pullFrom(context, from);
+  if (version <= state.map.version) {
+    state.sync.freshAt = at.monotonic;
+    return;
+  }
+  if (state.map.members.has(from)) pullFrom(context, from);
+  else state.sync.needed = true;
 }
 
 /**
--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -1,6 +1,7 @@
 /** @fileoverview Renewing the own lease and writing the own row (R3, R7, R8). */
 
 import type {Instant} from '../clock/types.js';
+import {hostOf} from '../ids/logic.js';
 import type {MemberId} from '../ids/types.js';
 import type {ControlMessage} from '../messages/types.js';
 import {chooseGrantors} from '../membership/ring.js';
@@ -33,7 +34,7 @@
   noteStanding(context);
   if (state.phase === 'left' || state.phase === 'ending') return;
   if (at.monotonic >= state.lease.renewAt) renew(context);
-  markSilent(state, at);
+  markSilent(context);
   writeRowIfDue(context);
 }
 
@@ -128,6 +129,7 @@
 ): void {
   const {lease} = context.state;
   if (revision <= lease.revision) return;
+  if (lease.revision === 0) lease.grantedAt = context.at.monotonic;
   const changed = grantors.join() !== lease.grantors.join();
   lease.revision = revision;
   lease.grantors = grantors;
@@ -146,6 +148,7 @@
 function noteStanding(context: Context): void {
   const {state, at} = context;
   const {source} = standing(state, at);
+  if (source === 'grantor') state.lease.grantedAt = at.monotonic;
   const held = source !== 'none';
   if (held === state.lease.held) return;
   state.lease.held = held;
@@ -176,15 +179,56 @@
   }
 }
 
-function markSilent(state: Ownership, at: Instant): void {
-  const {lease} = state;
-  const passOverMs = state.settings.tuning.membership.passOverMs;
+function markSilent(context: Context): void {
+  const {state, at} = context;
+  const {lease, map} = state;
   for (const contact of lease.contacts.values()) {
     const since = contact.unansweredSince;
     if (since === null || at.monotonic - since < SILENT_MS) continue;
     contact.unansweredSince = null;
-    contact.passedOverUntil = at.monotonic + passOverMs;
+    contact.silentSince ??= at.monotonic;
   }
+  if (at.monotonic < lease.probeAt) return;
+  lease.probeAt = at.monotonic + state.settings.tuning.membership.probeMs;
+  for (const [id, contact] of lease.contacts) {
+    if (contact.silentSince === null) continue;
+    send(context, id, {kind: 'pull', after: map.version});
+  }
+}
+
+/**
+ * Notes that a peer was heard.
+ *
+ * @param lease - The lease.
+ * @param id - The peer.
+ */
+export function noteHeard(lease: Lease, id: MemberId): void {
+  const contact = lease.contacts.get(id);
+  if (contact !== undefined) contact.silentSince = null;
+}
+
+/**
+ * Tells whether no member is left that may grant this incarnation, because
+ * those that can be heard have closed it (R7).
+ *
+ * @param state - The state.
+ * @param now - Monotonic time, in milliseconds.
+ * @returns Whether this incarnation has to end itself.
+ */
+export function isClosedOut(state: Ownership, now: number): boolean {
+  const {lease, map, settings} = state;
+  if (now - lease.grantedAt < settings.tuning.membership.closedOutMs) {
+    return false;
+  }
+  let closed = false;
+  for (const id of map.members.keys()) {
+    if (hostOf(id) === settings.host) continue;
+    const contact = lease.contacts.get(id);
+    if (contact?.closed === true) closed = true;
+    else if (contact === undefined || contact.silentSince === null)
+      {return false;}
+  }
+  return closed;
 }
 
 function writeRowIfDue(context: Context): void {
@@ -193,8 +237,8 @@
   const now = at.monotonic;
   if (now < lease.writeAfter) return;
   if (lease.pending.some(write => write.inFlight)) return;
-  const wanted = wantedGrantors(state, now);
-  const lost = lease.grantors.some(id => !usable(state, id, now));
+  const wanted = wantedGrantors(state);
+  const lost = lease.grantors.some(id => !usable(state, id));
   const differs = wanted.join() !== lease.grantors.join();
   const urgent = lost && differs;
   const unsettled = lease.pending.length > 0;
@@ -224,10 +268,10 @@
   return at.monotonic - lease.ringDiffersSince > waitMs;
 }
 
-function wantedGrantors(state: Ownership, now: number): MemberId[] {
+function wantedGrantors(state: Ownership): MemberId[] {
   const passedOver = new Set<MemberId>();
   for (const id of state.lease.contacts.keys()) {
-    if (!usable(state, id, now)) passedOver.add(id);
+    if (!usable(state, id)) passedOver.add(id);
   }
   const ring = currentRing(state);
   const chosen = chooseGrantors(state.map, ring, state.self, passedOver);
@@ -235,20 +279,14 @@
   return chooseGrantors(state.map, ring, state.self, closedBy(state.lease));
 }
 
-function usable(state: Ownership, id: MemberId, now: number): boolean {
+function usable(state: Ownership, id: MemberId): boolean {
   if (!state.map.members.has(id)) return false;
   const contact = state.lease.contacts.get(id);
   if (contact === undefined) return true;
-  return !contact.closed && contact.passedOverUntil <= now;
+  return !contact.closed && contact.silentSince === null;
 }
 
-/**
- * Lists the members that have closed this incarnation.
- *
- * @param lease - The lease.
- * @returns The members.
- */
-export function closedBy(lease: Lease): Set<MemberId> {
+function closedBy(lease: Lease): Set<MemberId> {
   const closed = new Set<MemberId>();
   for (const [id, contact] of lease.contacts) {
     if (contact.closed) closed.add(id);
@@ -348,7 +386,7 @@
 function contactOf(lease: Lease, id: MemberId): Contact {
   let contact = lease.contacts.get(id);
   if (contact === undefined) {
-    contact = {unansweredSince: null, passedOverUntil: 0, closed: false};
+    contact = {unansweredSince: null, silentSince: null, closed: false};
     lease.contacts.set(id, contact);
   }
   return contact;
--- a/packages/core/src/leases/state.ts
+++ b/packages/core/src/leases/state.ts
@@ -21,6 +21,8 @@
     failures: 0,
     contacts: new Map(),
     ringDiffersSince: null,
+    probeAt: 0,
+    grantedAt: 0,
     held: false,
   };
 }
--- a/packages/core/src/leases/types.ts
+++ b/packages/core/src/leases/types.ts
@@ -24,8 +24,8 @@
 export interface Contact {
   /** Monotonic time of the first renewal without an answer, or null. */
   unansweredSince: number | null;
-  /** Monotonic time until which the peer is passed over. */
-  passedOverUntil: number;
+  /** Monotonic time at which it was found silent, or null once heard. */
+  silentSince: number | null;
   /** The peer has closed this incarnation. */
   closed: boolean;
 }
@@ -51,6 +51,10 @@
   readonly contacts: Map<MemberId, Contact>;
   /** Monotonic time since which the ring names other grantors. */
   ringDiffersSince: number | null;
+  /** Monotonic time of the next question to silent peers. */
+  probeAt: number;
+  /** Monotonic time at which a grantor's promise last held. */
+  grantedAt: number;
   /** For the log: whether a lease was held at the last tick. */
   held: boolean;
 }
--- a/packages/core/src/membership/endings.ts
+++ b/packages/core/src/membership/endings.ts
@@ -89,7 +89,7 @@
     return;
   }
   if (row.revision !== ending.row?.revision)
-    learnRow(ending, row, at.monotonic);
+    {learnRow(ending, row, at.monotonic);}
 }
 
 /**
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -19,6 +19,7 @@
   takeRenew,
 } from '../leases/grantor.js';
 import {
+  noteHeard,
   settleRow,
   takeOwnRow,
   takeRenewed,
@@ -130,6 +131,7 @@
 function takeMessage(context: Context, from: MemberId, message: Message): void {
   const {state, at} = context;
   state.heard.set(from, at.monotonic);
+  noteHeard(state.lease, from);
   switch (message.kind) {
     case 'renew':
       takeRenew(context, from, message);
@@ -155,6 +157,7 @@
       return;
     case 'pull':
       answerPull(context, from, message.after);
+      compareVersion(context, from, message.after);
       return;
     case 'entries':
       takeEntries(context, from, message, each => apply(context, each));
--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -4,7 +4,7 @@
 import type {Generation, MemberId, ServiceName, Slice} from '../ids/types.js';
 import {readIfDue} from '../journal/reader.js';
 import {beginAppend, retryAppend} from '../journal/writer.js';
-import {closedBy, keepLease} from '../leases/holder.js';
+import {isClosedOut, keepLease} from '../leases/holder.js';
 import {standing} from '../leases/logic.js';
 import {reportSilent, watchRing} from '../leases/grantor.js';
 import {takesWork} from '../map/logic.js';
@@ -246,12 +246,7 @@
     }
     return;
   }
-  if (state.phase !== 'joined' || state.map.members.size < 2) return;
-  const closed = closedBy(state.lease);
-  const others = [...state.map.members.keys()].filter(
-    id => hostOf(id) !== state.settings.host,
-  );
-  if (others.length === 0 || !others.every(id => closed.has(id))) return;
+  if (state.phase !== 'joined' || !isClosedOut(state, at.monotonic)) return;
   state.phase = 'ending';
 }
 
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -24,8 +24,10 @@
   membership: {
     /** Own-row writes a second that the whole workspace may need. */
     touchesPerSecond: 200,
-    /** Time for which a silent grantor is passed over. */
-    passOverMs: 5000,
+    /** Time between two questions to a silent member. */
+    probeMs: 2000,
+    /** Time without a promise after which a closed member ends itself. */
+    closedOutMs: 3000,
     /** Time a member waits before it follows a changed ring. */
     followRingMs: 3000,
     /** Longest time a planned stop may take. */
