A ward is dropped only once its promise has run out

Change: wards go only through clearWard, which keeps running promises; grantors are asked to close only once the row was nearly quiet for long enough, so that members living on touches lose fewer grantors.

--- a/packages/core/src/membership/endings.ts
+++ b/packages/core/src/membership/endings.ts
@@ -1,17 +1,19 @@
 /** @fileoverview Ending silent members by rule R2. */
 
 import type {MemberId} from '../ids/types.js';
-import {closeMember} from '../leases/grantor.js';
+import {clearWard, closeMember} from '../leases/grantor.js';
 import type {MemberRow} from '../leases/types.js';
 import type {ControlMessage} from '../messages/types.js';
 import {callStore, send} from '../ownership/effects.js';
 import type {Context, Ownership, Wanted} from '../ownership/state.js';
 import {inForce} from '../ownership/state.js';
 import type {Row, StoreReply} from '../store/types.js';
-import type {Ending} from './types.js';
+import type {Ending, KnownRow} from './types.js';
 
 /** Time between two requests to close, and between two reads of a row. */
-const ASK_GAP_MS = 200;
+const ASK_GAP_MS = 100;
+/** Time before a row has been quiet for long at which closing begins. */
+const CLOSE_AHEAD_MS = 300;
 /** Time without a new report after which an ending is given up. */
 const GIVE_UP_MS = 4000;
 /** Time after which reporters are told that the member is granted. */
@@ -88,8 +90,9 @@
     state.sync.needed = true;
     return;
   }
-  if (row.revision !== ending.row?.revision)
-    {learnRow(ending, row, at.monotonic);}
+  if (row.revision !== ending.row?.revision) {
+    learnRow(ending, row, at.monotonic);
+  }
 }
 
 /**
@@ -178,9 +181,19 @@
   ending.askAt = now;
 }
 
+/**
+ * Grantors are asked to close only when the row has been quiet for long: a
+ * member that touches its row lives, and each closing costs it a grantor.
+ */
+function isNearlyQuiet(state: Ownership, row: KnownRow, now: number): boolean {
+  const {leaseMs, marginMs} = state.settings.tuning.leases;
+  return now - row.since >= leaseMs + marginMs - CLOSE_AHEAD_MS;
+}
+
 function askGrantors(context: Context, ending: Ending): void {
   const {state, at} = context;
   if (ending.row === null || ending.confirmed) return;
+  if (!isNearlyQuiet(state, ending.row, at.monotonic)) return;
   for (const grantor of ending.row.grantors) {
     if (ending.closedBy.has(grantor)) continue;
     if (grantor === state.self) {
@@ -209,13 +222,14 @@
 
 function clearReporters(context: Context, ending: Ending): void {
   const {state} = context;
+  const now = context.at.monotonic;
   const granted = ending.row?.grantors.some(
     id => state.map.members.has(id) && !ending.closedBy.has(id),
   );
   if (granted !== true) return;
   for (const reporter of ending.reporters) {
     if (ending.row?.grantors.includes(reporter)) continue;
-    if (reporter === state.self) state.wards.delete(ending.member);
+    if (reporter === state.self) clearWard(state, ending.member, now);
     send(context, reporter, {kind: 'cleared', member: ending.member});
   }
   ending.reporters.clear();
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -117,6 +117,8 @@
       return;
     case 'ticked':
     case 'linkOpened':
+    case 'unsent':
+    case 'woken':
     case 'taken':
     case 'hungUp':
     case 'answered':
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -27,7 +27,7 @@
     /** Time between two questions to a silent member. */
     probeMs: 2000,
     /** Time without a promise after which a closed member ends itself. */
-    closedOutMs: 3000,
+    closedOutMs: 1500,
     /** Time a member waits before it follows a changed ring. */
     followRingMs: 3000,
     /** Longest time a planned stop may take. */
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -371,6 +371,7 @@
       case 'fail':
       case 'grant':
       case 'measure':
+      case 'wake':
         return;
     }
   }
