--- /dev/null
+++ b/packages/core/src/daemon/types.ts
@@ -0,0 +1,12 @@
+/** @fileoverview The state of a whole daemon. */
+
+import type {Execution} from '../execution/types.js';
+import type {Ownership} from '../ownership/state.js';
+import type {Routing} from '../routing/types.js';
+
+/** State of every subject of a daemon. */
+export interface Daemon {
+  readonly ownership: Ownership;
+  readonly routing: Routing;
+  readonly execution: Execution;
+}
--- /dev/null
+++ b/packages/core/src/daemon/view.ts
@@ -0,0 +1,20 @@
+/** @fileoverview The state of a daemon as operators see it. */
+
+import {EXECUTION} from '../execution/definition.js';
+import {OWNERSHIP} from '../ownership/definition.js';
+import {ROUTING} from '../routing/definition.js';
+import type {Daemon} from './types.js';
+
+/**
+ * Renders every subject.
+ *
+ * @param daemon - The daemon's state.
+ * @returns A plain value that can be printed as JSON.
+ */
+export function renderDaemon(daemon: Daemon): unknown {
+  return {
+    ownership: OWNERSHIP.render(daemon.ownership),
+    execution: EXECUTION.render(daemon.execution),
+    routing: ROUTING.render(daemon.routing),
+  };
+}
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,6 +1,10 @@
 /** @fileoverview Public items of the core package. */
 
 export type * from './clock/types.js';
+export type * from './daemon/types.js';
+export {reduceDaemon, viewOfDaemon} from './daemon/logic.js';
+export {createDaemon} from './daemon/state.js';
+export {renderDaemon} from './daemon/view.js';
 export type * from './errors/types.js';
 export {ANSWERS, failure} from './errors/logic.js';
 export type * from './ids/types.js';
--- a/packages/core/src/logs/catalogue.ts
+++ b/packages/core/src/logs/catalogue.ts
@@ -19,6 +19,8 @@
   processStarted: event(501, 'info', 'The process accepts callers and links.'),
   processLeaving: event(502, 'info', 'The process has handed over and leaves.'),
   invariantBroken: event(503, 'error', 'An invariant broke; the process ends.'),
+  linkLost: event(510, 'warn', 'A link to another daemon was lost.'),
+  platformFailed: event(511, 'warn', 'A call to the platform got no reply.'),
 } as const;
 
 /** Name of a log event. */
--- /dev/null
+++ b/packages/daemon/src/bodies/headers.spec.ts
@@ -0,0 +1,55 @@
+/** @fileoverview Tests of the headers that go on. */
+
+import test from 'ava';
+
+import {endToEndHeaders, toRecord} from './headers.js';
+
+const CASES: ReadonlyArray<{
+  name: string;
+  headers: Record<string, string | string[]>;
+  kept: ReadonlyArray<[string, string]>;
+}> = [
+  {name: 'ordinary', headers: {accept: '*/*'}, kept: [['accept', '*/*']]},
+  {
+    name: 'hop by hop',
+    headers: {'transfer-encoding': 'chunked', host: 'a', te: 'x', a: '1'},
+    kept: [['a', '1']],
+  },
+  {
+    name: 'named by connection',
+    headers: {connection: 'close, X-Hop', 'x-hop': '1', b: '2'},
+    kept: [['b', '2']],
+  },
+  {
+    name: 'in the name of the system',
+    headers: {'x-jackdawfall-generation': '99', c: '3'},
+    kept: [['c', '3']],
+  },
+  {
+    name: 'repeated',
+    headers: {'set-cookie': ['a=1', 'b=2']},
+    kept: [
+      ['set-cookie', 'a=1'],
+      ['set-cookie', 'b=2'],
+    ],
+  },
+];
+
+for (const {name, headers, kept} of CASES) {
+  test(`headers: ${name}`, t => {
+    const found = endToEndHeaders(headers);
+    t.deepEqual(
+      found.map(header => [header.name, header.value]),
+      kept.map(pair => [...pair]),
+    );
+  });
+}
+
+test('repeated headers become a list', t => {
+  const record = toRecord([
+    {name: 'a', value: '1'},
+    {name: 'b', value: '2'},
+    {name: 'a', value: '3'},
+  ]);
+  t.deepEqual(record, {a: ['1', '3'], b: '2'});
+});
--- /dev/null
+++ b/packages/daemon/src/callers/logic.ts
@@ -0,0 +1,364 @@
+/**
+ * @fileoverview The callers' side: takes requests over HTTP, holds their
+ * bodies, sends them as attempts and hands answers back.
+ */
+
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+
+import {failure, sliceOf} from '@jackdawfall/core';
+import type {
+  AttemptId,
+  Event,
+  Failure,
+  HistogramName,
+  MemberId,
+  Message,
+  RequestId,
+  Router,
+  Service,
+  Slice,
+  Version,
+  Workspace,
+} from '@jackdawfall/core';
+
+import {endToEndHeaders} from '../bodies/headers.js';
+import {Answers, writeFailure} from './answers.js';
+import {BodyBudget, readBody} from './intake.js';
+import {createIncoming} from './state.js';
+import type {Incoming, Pending} from './types.js';
+
+/** Bytes of a body that travel with the head of an attempt. */
+const FIRST_PART_BYTES = 64 * 1024;
+const PART_BYTES = 64 * 1024;
+const MAX_HEADER_BYTES = 16 * 1024;
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 30_000;
+const MAX_HELD_BYTES = 32 * 1024 * 1024;
+const MAX_PENDING = 8192;
+const MAX_CONNECTIONS = 16_384;
+const TIMEOUT_HEADER = 'x-timeout-ms';
+const KEY_HEADER = 'idempotency-key';
+
+/** A configuration with its compiled routes. */
+export interface Configuration {
+  readonly workspace: Workspace;
+  readonly router: Router;
+}
+
+/** What the callers' side needs of the process around it. */
+export interface CallerContext {
+  emit(event: Event): void;
+  /** Sends to a member; a message to this daemon itself is handled here. */
+  transmit(to: MemberId, message: Message): void;
+  /** The configuration in force, or null before the first. */
+  configuration(): Configuration | null;
+  measure(histogram: HistogramName, valueMs: number): void;
+  readonly windowBytes: number;
+  /** Distinguishes this process's request ids from all others. */
+  readonly idPrefix: string;
+}
+
+/** An attempt to be sent. */
+export interface Forward {
+  readonly attempt: AttemptId;
+  readonly request: RequestId;
+  readonly to: MemberId;
+  readonly budgetMs: number;
+  readonly version: Version;
+}
+
+/** Requests taken from callers and not yet answered. */
+export class Callers {
+  /** The HTTP server; the owner of this object lets it listen. */
+  readonly server: Server;
+  private readonly pending = new Map<RequestId, Pending>();
+  private readonly incoming = new Map<AttemptId, Incoming>();
+  private readonly budget = new BodyBudget(MAX_HELD_BYTES);
+  private readonly answers: Answers;
+  private count = 0;
+
+  /** @param context - The process around this object. */
+  constructor(private readonly context: CallerContext) {
+    this.answers = new Answers(
+      {
+        credit: (to, attempt, bytes) =>
+          context.transmit(to, {kind: 'credit', attempt, bytes}),
+        answered: request => this.answered(request),
+      },
+      context.windowBytes / 2,
+    );
+    this.server = createServer(
+      {
+        maxHeaderSize: MAX_HEADER_BYTES,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        requestTimeout: REQUEST_TIMEOUT_MS,
+      },
+      (incoming, outgoing) => void this.take(incoming, outgoing),
+    );
+    this.server.maxConnections = MAX_CONNECTIONS;
+  }
+
+  /** @returns Requests not yet answered. */
+  get open(): number {
+    return this.pending.size;
+  }
+
+  /**
+   * Sends a request as an attempt: its head with the first part of the body,
+   * then further parts as credit allows.
+   *
+   * @param forward - The attempt and where it goes.
+   */
+  forward(forward: Forward): void {
+    const pending = this.pending.get(forward.request);
+    if (pending === undefined) return;
+    const {attempt, request, to, budgetMs, version} = forward;
+    const incoming = createIncoming(
+      attempt,
+      request,
+      to,
+      this.context.windowBytes,
+    );
+    this.incoming.set(attempt, incoming);
+    pending.attempts.add(attempt);
+    const body = pending.body.subarray(0, FIRST_PART_BYTES);
+    incoming.bodySent = body.length;
+    incoming.bodyCredit -= body.length;
+    this.context.transmit(to, {
+      kind: 'dispatch',
+      attempt,
+      to,
+      request,
+      service: pending.route.service,
+      slice: pending.slice,
+      method: pending.method,
+      path: pending.path,
+      headers: pending.headers,
+      idempotent: pending.route.idempotent,
+      priority: pending.route.priority,
+      idempotencyKey: pending.idempotencyKey,
+      budgetMs,
+      version,
+      body,
+      bodyEnds: body.length === pending.body.length,
+    });
+    this.sendBody(incoming, pending);
+  }
+
+  /**
+   * Takes a message about an answer.
+   *
+   * @param from - The member that sent it.
+   * @param message - Any message; other kinds are passed over.
+   * @returns False when the message belongs to no answer and must be dropped.
+   */
+  receive(from: MemberId, message: Message): boolean {
+    switch (message.kind) {
+      case 'head':
+      case 'data':
+      case 'end':
+      case 'credit':
+      case 'failed':
+      case 'fate':
+        break;
+      default:
+        return true;
+    }
+    const incoming = this.incoming.get(message.attempt);
+    if (incoming === undefined || incoming.from !== from) return false;
+    const chosen = this.chosen(incoming);
+    switch (message.kind) {
+      case 'head':
+        this.answers.head(incoming, message.status, message.headers);
+        return true;
+      case 'data':
+        this.answers.data(incoming, message.bytes, chosen);
+        return true;
+      case 'end':
+        this.answers.end(incoming, chosen);
+        return true;
+      case 'credit':
+        this.credit(incoming, message.bytes);
+        return true;
+      case 'failed':
+      case 'fate':
+        return true;
+    }
+  }
+
+  /**
+   * Hands an attempt's answer to the caller.
+   *
+   * @param request - The request.
+   * @param attempt - The chosen attempt.
+   */
+  relay(request: RequestId, attempt: AttemptId): void {
+    const pending = this.pending.get(request);
+    const incoming = this.incoming.get(attempt);
+    if (pending === undefined || incoming === undefined) return;
+    pending.relayed = attempt;
+    this.answers.relay(incoming, pending);
+  }
+
+  /**
+   * Answers a request with an error.
+   *
+   * @param request - The request.
+   * @param failed - What went wrong and whether the request ran.
+   */
+  fail(request: RequestId, failed: Failure): void {
+    const pending = this.pending.get(request);
+    if (pending === undefined) return;
+    this.answers.fail(pending, failed);
+    this.close(pending);
+  }
+
+  /**
+   * Drops what is kept of an attempt's answer.
+   *
+   * @param attempt - The attempt.
+   */
+  forget(attempt: AttemptId): void {
+    const incoming = this.incoming.get(attempt);
+    if (incoming === undefined) return;
+    const pending = this.pending.get(incoming.request);
+    if (pending?.relayed === attempt) return;
+    pending?.attempts.delete(attempt);
+    this.incoming.delete(attempt);
+  }
+
+  private async take(
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<void> {
+    const request = `${this.context.idPrefix}-${++this.count}` as RequestId;
+    const startedMs = performance.now();
+    const pending = await this.admit(request, startedMs, incoming, outgoing);
+    if (pending === null) return;
+    this.pending.set(request, pending);
+    outgoing.once('close', () => this.hungUp(pending));
+    this.context.emit({
+      kind: 'taken',
+      taken: {
+        request,
+        service: pending.route.service,
+        slice: pending.slice,
+        idempotent: pending.route.idempotent,
+        priority: pending.route.priority,
+        timeoutMs: timeoutOf(incoming, pending.route.timeoutMs),
+        idempotencyKey: pending.idempotencyKey,
+      },
+    });
+  }
+
+  private async admit(
+    request: RequestId,
+    startedMs: number,
+    incoming: IncomingMessage,
+    outgoing: ServerResponse,
+  ): Promise<Pending | null> {
+    const refuse = (failed: Failure) => {
+      incoming.resume();
+      writeFailure(outgoing, request, failed);
+      return null;
+    };
+    const configuration = this.context.configuration();
+    if (configuration === null) {
+      return refuse(failure('no-server', 'not-run', 'no configuration yet'));
+    }
+    if (this.pending.size >= MAX_PENDING) {
+      return refuse(failure('overloaded', 'not-run', 'too many requests'));
+    }
+    const method = incoming.method ?? '';
+    const path = incoming.url ?? '';
+    const match = configuration.router.match(method, path, incoming.headers);
+    if (match.kind !== 'matched') {
+      return refuse(failure(match.kind, 'not-run', match.detail));
+    }
+    const {maxBodyBytes} = configuration.workspace.limits;
+    const body = await readBody(incoming, maxBodyBytes, this.budget);
+    if (body.kind === 'gone') return null;
+    if (body.kind === 'refused') return refuse(body.failure);
+    return {
+      request,
+      route: match.route,
+      slice: sliceIn(match.service, match.key),
+      method,
+      path,
+      headers: endToEndHeaders(incoming.headers),
+      idempotencyKey: headerOf(incoming, KEY_HEADER),
+      body: body.bytes,
+      outgoing,
+      startedMs,
+      relayed: null,
+      attempts: new Set(),
+    };
+  }
+
+  private credit(incoming: Incoming, bytes: number): void {
+    incoming.bodyCredit += bytes;
+    const pending = this.pending.get(incoming.request);
+    if (pending !== undefined) this.sendBody(incoming, pending);
+  }
+
+  private sendBody(incoming: Incoming, pending: Pending): void {
+    const {body} = pending;
+    while (incoming.bodySent < body.length && incoming.bodyCredit > 0) {
+      const size = Math.min(PART_BYTES, incoming.bodyCredit);
+      const start = incoming.bodySent;
+      const bytes = body.subarray(start, start + size);
+      incoming.bodySent += bytes.length;
+      incoming.bodyCredit -= bytes.length;
+      this.context.transmit(incoming.from, {
+        kind: 'body',
+        attempt: incoming.attempt,
+        bytes,
+        ends: incoming.bodySent === body.length,
+      });
+    }
+  }
+
+  private chosen(incoming: Incoming): Pending | null {
+    const pending = this.pending.get(incoming.request);
+    if (pending?.relayed !== incoming.attempt) return null;
+    return pending;
+  }
+
+  private answered(request: RequestId): void {
+    const pending = this.pending.get(request);
+    if (pending === undefined) return;
+    this.context.measure('request', performance.now() - pending.startedMs);
+    this.close(pending);
+    this.context.emit({kind: 'answered', request});
+  }
+
+  private hungUp(pending: Pending): void {
+    if (!this.pending.has(pending.request)) return;
+    this.close(pending);
+    this.context.emit({kind: 'hungUp', request: pending.request});
+  }
+
+  private close(pending: Pending): void {
+    this.pending.delete(pending.request);
+    this.budget.release(pending.body.length);
+    for (const attempt of pending.attempts) this.incoming.delete(attempt);
+  }
+}
+
+function sliceIn(service: Service, key: string | null): Slice | null {
+  const {division} = service;
+  if (division.kind === 'shared' || key === null) return null;
+  return sliceOf(key, division.slices);
+}
+
+function headerOf(incoming: IncomingMessage, name: string): string | null {
+  const value = incoming.headers[name];
+  return typeof value === 'string' ? value : null;
+}
+
+function timeoutOf(incoming: IncomingMessage, routeMs: number): number {
+  const asked = Number(headerOf(incoming, TIMEOUT_HEADER) ?? NaN);
+  if (!Number.isFinite(asked) || asked <= 0) return routeMs;
+  return Math.min(asked, routeMs);
+}
--- /dev/null
+++ b/packages/daemon/src/callers/types.ts
@@ -0,0 +1,52 @@
+/** @fileoverview What the callers' side keeps of requests and answers. */
+
+import type {ServerResponse} from 'node:http';
+
+import type {
+  AttemptId,
+  Header,
+  MemberId,
+  RequestId,
+  Route,
+  Slice,
+} from '@jackdawfall/core';
+
+/** A caller's request with its whole body. */
+export interface Pending {
+  readonly request: RequestId;
+  readonly route: Route;
+  readonly slice: Slice | null;
+  readonly method: string;
+  readonly path: string;
+  readonly headers: readonly Header[];
+  readonly idempotencyKey: string | null;
+  readonly body: Buffer;
+  readonly outgoing: ServerResponse;
+  /** When it was accepted, by the monotonic clock in milliseconds. */
+  readonly startedMs: number;
+  /** The attempt whose answer the caller receives, once chosen. */
+  relayed: AttemptId | null;
+  readonly attempts: Set<AttemptId>;
+}
+
+/** An answer on its way from a member to a caller. */
+export interface Incoming {
+  readonly attempt: AttemptId;
+  readonly request: RequestId;
+  /** The member that runs the attempt; others are not listened to. */
+  readonly from: MemberId;
+  head: {readonly status: number; readonly headers: readonly Header[]} | null;
+  /** Parts that wait for the caller or for the choice of an answer. */
+  readonly parts: Uint8Array[];
+  ended: boolean;
+  /** Bytes of the body received since the last head. */
+  received: number;
+  /** Bytes of the body handed to the caller. */
+  handed: number;
+  /** Bytes for which credit is still to be given back. */
+  owed: number;
+  /** Body bytes of the request that may still be sent. */
+  bodyCredit: number;
+  /** Body bytes of the request already sent. */
+  bodySent: number;
+}
--- /dev/null
+++ b/packages/daemon/src/platform/logic.spec.ts
@@ -0,0 +1,108 @@
+/** @fileoverview Tests of the platform client against a small fake. */
+
+import {createServer} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import test from 'ava';
+
+import type {StoreCall, StoreReply, WriteId} from '@jackdawfall/core';
+
+import {Platform} from './logic.js';
+
+const TIMEOUT_MS = 200;
+
+const COMMIT: StoreCall = {
+  kind: 'commit',
+  transaction: {writeId: 'w' as WriteId, checks: [], puts: []},
+};
+const READ: StoreCall = {kind: 'read', query: {kind: 'row', key: 'a'}};
+const GET: StoreCall = {kind: 'getObject', name: 'a/b'};
+const PUT: StoreCall = {kind: 'putObject', name: 'a/b', body: 'x'};
+
+interface Case {
+  readonly name: string;
+  readonly call: StoreCall;
+  /** What the fake answers, or null for silence. */
+  readonly answer: {readonly status: number; readonly body: unknown} | null;
+  readonly reply: StoreReply['kind'];
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: 'a commit',
+    call: COMMIT,
+    answer: {status: 200, body: {kind: 'committed', revision: 4}},
+    reply: 'committed',
+  },
+  {
+    name: 'a conflict',
+    call: COMMIT,
+    answer: {status: 409, body: {kind: 'conflict', rows: []}},
+    reply: 'conflict',
+  },
+  {
+    name: 'a commit over the rate limit',
+    call: COMMIT,
+    answer: {status: 429, body: {}},
+    reply: 'refused',
+  },
+  {
+    name: 'a commit with a broken reply',
+    call: COMMIT,
+    answer: {status: 200, body: {kind: 'com'}},
+    reply: 'unknown',
+  },
+  {name: 'a commit in silence', call: COMMIT, answer: null, reply: 'unknown'},
+  {
+    name: 'a read',
+    call: READ,
+    answer: {status: 200, body: {kind: 'rows', rows: []}},
+    reply: 'rows',
+  },
+  {
+    name: 'an absent object',
+    call: GET,
+    answer: {status: 404, body: {}},
+    reply: 'object',
+  },
+  {
+    name: 'a stored object',
+    call: PUT,
+    answer: {status: 204, body: ''},
+    reply: 'stored',
+  },
+  {
+    name: 'an object in an outage',
+    call: PUT,
+    answer: {status: 503, body: {}},
+    reply: 'refused',
+  },
+];
+
+for (const {name, call, answer, reply} of CASES) {
+  test(`${name} is ${reply}`, async t => {
+    const server = createServer((incoming, outgoing) => {
+      incoming.resume();
+      if (answer === null) return;
+      outgoing.writeHead(answer.status);
+      outgoing.end(answer.status === 204 ? '' : JSON.stringify(answer.body));
+    });
+    await new Promise<void>(resolve =>
+      server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = server.address() as AddressInfo;
+    const ending = new AbortController();
+    const platform = new Platform([`127.0.0.1:${port}`], ending.signal);
+    t.is((await platform.call(call, TIMEOUT_MS)).kind, reply);
+    ending.abort();
+    server.closeAllConnections();
+    server.close();
+  });
+}
+
+test('a platform that refuses connections did nothing', async t => {
+  const ending = new AbortController();
+  const platform = new Platform(['127.0.0.1:1'], ending.signal);
+  t.is((await platform.call(COMMIT, TIMEOUT_MS)).kind, 'refused');
+  ending.abort();
+});
--- /dev/null
+++ b/packages/daemon/src/process/logic.ts
@@ -0,0 +1,159 @@
+/**
+ * @fileoverview One daemon process: listens, runs, stops. Everything it opens
+ * ends with one abort signal.
+ */
+
+import {randomBytes} from 'node:crypto';
+import {once} from 'node:events';
+import type {Server} from 'node:http';
+
+import {createDaemon, memberOf, renderDaemon} from '@jackdawfall/core';
+import type {Daemon} from '@jackdawfall/core';
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+import {createLogger} from '../logs/logic.js';
+import type {Logger} from '../logs/types.js';
+import {createMetrics} from '../metrics/logic.js';
+import {createOperatorServer} from '../operators/logic.js';
+import {Runner, addressOf} from '../runner/logic.js';
+import type {Endpoint, Settings} from '../settings/types.js';
+
+const INCARNATION_BYTES = 6;
+const LEAVE_WAIT_MS = 5000;
+const LEAVE_CHECK_MS = 20;
+const EXIT_FAILURE = 1;
+
+/** A port that could not be had. */
+export class ListenError extends Error {
+  override readonly name = 'ListenError';
+
+  /**
+   * @param purpose - What the port is for.
+   * @param endpoint - Where it should be.
+   * @param cause - What the system said.
+   */
+  constructor(purpose: string, endpoint: Endpoint, cause: unknown) {
+    const detail = cause instanceof Error ? cause.message : String(cause);
+    super(`can't listen for ${purpose} at ${place(endpoint)}: ${detail}`);
+  }
+}
+
+/**
+ * Runs a daemon until it has left.
+ *
+ * @param settings - Checked settings.
+ * @param stop - Aborted to ask for a planned stop.
+ * @throws ListenError when a port can't be had.
+ */
+export async function runProcess(
+  settings: Settings,
+  stop: AbortSignal,
+): Promise<void> {
+  const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
+  const member = memberOf(settings.host, incarnation);
+  const logger = createLogger(settings.tuning.logs.level, {
+    host: settings.host,
+    member,
+  });
+  const ending = new AbortController();
+  const daemon = createDaemon({
+    workspace: settings.workspace,
+    host: settings.host,
+    zone: settings.zone,
+    address: addressOf(settings),
+    incarnation,
+    tuning: settings.tuning,
+  });
+  const left = new AbortController();
+  const metrics = createMetrics();
+  const runner = new Runner({
+    settings,
+    daemon,
+    member,
+    logger,
+    metrics,
+    random: randomSource(),
+    leave: () => left.abort(),
+    violated: (invariant, detail) => end(logger, invariant, detail),
+    signal: ending.signal,
+  });
+  const servers = [runner.callers.server, operatorServer(runner, daemon)];
+  try {
+    await listen('callers', runner.callers.server, settings.callers);
+    await listen('operators', servers[1], settings.operators);
+    await listenForLinks(runner, settings.links);
+    runner.start();
+    const watch = setInterval(
+      () => runner.watch(),
+      settings.tuning.loop.tickMs,
+    );
+    ending.signal.addEventListener('abort', () => clearInterval(watch));
+    logger.log('processStarted', {
+      callers: place(settings.callers),
+      links: place(settings.links),
+      operators: place(settings.operators),
+    });
+    stop.addEventListener('abort', () => runner.stop());
+    await once(left.signal, 'abort');
+    await lastAnswers(runner);
+    logger.log('processLeaving', {});
+  } finally {
+    ending.abort();
+    for (const server of servers) closeServer(server);
+  }
+}
+
+function operatorServer(runner: Runner, daemon: Daemon): Server {
+  return createOperatorServer({
+    announce: announcement => runner.announce(announcement),
+    command: command => runner.command(command),
+    status: () => renderDaemon(daemon),
+    metrics: () => runner.renderMetrics(),
+    ready: () => runner.ready(),
+  });
+}
+
+async function listenForLinks(runner: Runner, at: Endpoint): Promise<void> {
+  try {
+    await runner.links.listen();
+  } catch (error) {
+    throw new ListenError('links', at, error);
+  }
+}
+
+function listen(purpose: string, server: Server, at: Endpoint): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', error => reject(new ListenError(purpose, at, error)));
+    server.listen(at.port, at.ip, resolve);
+  });
+}
+
+/** Callers that still wait get their answers before the process ends. */
+async function lastAnswers(runner: Runner): Promise<void> {
+  const until = performance.now() + LEAVE_WAIT_MS;
+  runner.callers.server.close();
+  while (runner.callers.open > 0 && performance.now() < until) {
+    await new Promise(resolve => setTimeout(resolve, LEAVE_CHECK_MS));
+  }
+}
+
+function closeServer(server: Server): void {
+  server.close();
+  server.closeAllConnections();
+}
+
+function randomSource(): () => number {
+  const generator = xoroshiro128plus(randomBytes(4).readInt32LE());
+  return () => uniformFloat64(generator);
+}
+
+/** A broken invariant ends the process at once, without any clean-up. */
+function end(logger: Logger, invariant: string, detail: string): never {
+  logger.log('invariantBroken', {invariant, detail});
+  process.exit(EXIT_FAILURE);
+}
+
+function place(endpoint: Endpoint): string {
+  return `${endpoint.ip}:${endpoint.port}`;
+}
--- /dev/null
+++ b/packages/daemon/src/runner/logic.ts
@@ -0,0 +1,329 @@
+/**
+ * @fileoverview Carries out the reducer's effects and brings what happens at
+ * sockets and timers to the loop as events.
+ */
+
+import {compileRoutes, reduceDaemon, viewOfDaemon} from '@jackdawfall/core';
+import type {
+  Announcement,
+  Command,
+  CommandResult,
+  Daemon,
+  Effect,
+  Event,
+  MemberId,
+  Message,
+  StoreCall,
+  CallId,
+} from '@jackdawfall/core';
+import {Links} from '@jackdawfall/wire';
+
+import {Callers} from '../callers/logic.js';
+import type {Configuration} from '../callers/logic.js';
+import type {Logger} from '../logs/types.js';
+import {Loop, readClocks} from '../loop/logic.js';
+import type {Metrics} from '../metrics/types.js';
+import {Outbox} from '../outbox/logic.js';
+import {Platform} from '../platform/logic.js';
+import {Runs} from '../runs/logic.js';
+import type {Settings} from '../settings/types.js';
+
+/** What the runner is made of. */
+export interface RunnerParts {
+  readonly settings: Settings;
+  readonly daemon: Daemon;
+  /** This process's member id until it joins anew. */
+  readonly member: MemberId;
+  readonly logger: Logger;
+  readonly metrics: Metrics;
+  readonly random: () => number;
+  /** Called once everything is handed over. */
+  readonly leave: () => void;
+  /** Called when an invariant is broken. */
+  readonly violated: (invariant: string, detail: string) => void;
+  readonly signal: AbortSignal;
+}
+
+/** Joins the reducer with callers, links, backend server and platform. */
+export class Runner {
+  readonly callers: Callers;
+  readonly links: Links;
+  private readonly loop: Loop;
+  private readonly runs: Runs;
+  private readonly outbox: Outbox;
+  private readonly platform: Platform;
+  private readonly replies = new Map<number, (result: CommandResult) => void>();
+  private self: MemberId;
+  private configuration: Configuration | null = null;
+  private announcement: Announcement | null = null;
+  private announcedMs = 0;
+  private tokens = 0;
+
+  /** @param parts - Settings, state and the process around the runner. */
+  constructor(private readonly parts: RunnerParts) {
+    const {settings, signal} = parts;
+    const {tuning} = settings;
+    this.self = parts.member;
+    this.loop = new Loop(
+      input => reduceDaemon(parts.daemon, input),
+      effect => this.perform(effect),
+      {now: readClocks, random: parts.random},
+      signal,
+    );
+    this.platform = new Platform(settings.platform.addresses, signal);
+    this.links = new Links({
+      self: {
+        member: this.self,
+        address: addressOf(settings),
+        workspace: settings.workspace,
+      },
+      listen: settings.links,
+      tuning: tuning.links,
+      signal,
+      on: {
+        message: (from, message) => this.receive(from, message),
+        opened: peer => this.linkOpened(peer),
+        lost: (peer, reason) => this.linkLost(peer, reason),
+      },
+    });
+    this.outbox = new Outbox(
+      this.links,
+      {unsent: attempt => this.loop.emit({kind: 'unsent', attempt})},
+      tuning.links.silenceMs,
+    );
+    const shared = {
+      emit: (event: Event) => this.loop.emit(event),
+      transmit: (to: MemberId, message: Message) => this.transmit(to, message),
+      measure: parts.metrics.record.bind(parts.metrics),
+      windowBytes: tuning.links.windowBytes,
+    };
+    this.callers = new Callers({
+      ...shared,
+      configuration: () => this.currentConfiguration(),
+      idPrefix: this.self,
+    });
+    this.runs = new Runs({
+      ...shared,
+      silenceMs: tuning.links.silenceMs,
+      kept: {
+        answerBytes: tuning.execution.keptAnswerBytes,
+        totalBytes: tuning.execution.keptTotalBytes,
+      },
+    });
+  }
+
+  /** Starts the loop; links and callers must listen already. */
+  start(): void {
+    this.loop.start(this.parts.settings.tuning.loop.tickMs);
+    this.loop.emit({kind: 'ticked'});
+  }
+
+  /** Begins a planned stop. */
+  stop(): void {
+    this.loop.emit({kind: 'stopRequested'});
+  }
+
+  /** @returns True once this daemon has joined and has a configuration. */
+  ready(): boolean {
+    const view = viewOfDaemon(this.parts.daemon);
+    return view.self !== null && view.workspace !== null;
+  }
+
+  /**
+   * Takes an announcement of the backend server beside this daemon.
+   *
+   * @param announcement - What it says of itself.
+   */
+  announce(announcement: Announcement): void {
+    this.announcement = announcement;
+    this.announcedMs = performance.now();
+    this.runs.setServer(announcement);
+    this.loop.emit({kind: 'announced', announcement});
+  }
+
+  /**
+   * Gives an operator's command to the reducer.
+   *
+   * @param command - The command.
+   * @returns Its result.
+   */
+  command(command: Command): Promise<CommandResult> {
+    const token = ++this.tokens;
+    return new Promise(resolve => {
+      this.replies.set(token, resolve);
+      this.loop.emit({kind: 'commanded', command, token});
+    });
+  }
+
+  private perform(effect: Effect): void {
+    switch (effect.kind) {
+      case 'send':
+        this.send(effect);
+        return;
+      case 'wake':
+        setTimeout(() => this.loop.emit({kind: 'woken'}), effect.afterMs);
+        return;
+      case 'dropLink':
+        this.links.drop(effect.to);
+        return;
+      case 'callStore':
+        void this.callStore(effect.call, effect.request, effect.timeoutMs);
+        return;
+      case 'forward':
+        this.callers.forward(effect);
+        return;
+      case 'run':
+        this.runs.run(effect);
+        return;
+      case 'cancelRun':
+        this.runs.cancel(effect.attempt);
+        return;
+      case 'replay':
+        this.runs.replay(effect);
+        return;
+      case 'forget':
+        this.runs.forget(effect.attempt);
+        this.callers.forget(effect.attempt);
+        return;
+      case 'relay':
+        this.callers.relay(effect.request, effect.attempt);
+        return;
+      case 'fail':
+        this.parts.metrics.count('failures', effect.failure.kind);
+        this.callers.fail(effect.request, effect.failure);
+        return;
+      case 'grant':
+        this.runs.grant(effect);
+        return;
+      case 'log':
+        this.parts.logger.log(effect.event, effect.fields);
+        return;
+      case 'measure':
+        this.parts.metrics.record(effect.histogram, effect.valueMs);
+        return;
+      case 'reply':
+        this.replies.get(effect.token)?.(effect.result);
+        this.replies.delete(effect.token);
+        return;
+      case 'violate':
+        this.parts.violated(effect.invariant, effect.detail);
+        return;
+      case 'leave':
+        this.parts.leave();
+        return;
+    }
+  }
+
+  private send(effect: Extract<Effect, {kind: 'send'}>): void {
+    const {to, address, message} = effect;
+    if (to === this.self) this.receive(to, message);
+    else if (address !== null) this.links.send(to, address, message);
+    else if (this.links.isOpen(to)) this.outbox.send(to, null, message);
+  }
+
+  private transmit(to: MemberId, message: Message): void {
+    if (to === this.self) {
+      this.receive(to, message);
+      return;
+    }
+    const view = viewOfDaemon(this.parts.daemon);
+    this.outbox.send(to, view.addressOf(to), message);
+  }
+
+  private receive(from: MemberId, message: Message): void {
+    this.runs.receive(from, message);
+    this.callers.receive(from, message);
+    if (!isForReducer(message)) return;
+    this.loop.emit({kind: 'received', from, message});
+  }
+
+  private linkOpened(peer: MemberId): void {
+    this.parts.metrics.count('linksOpened');
+    this.outbox.opened(peer);
+    this.loop.emit({kind: 'linkOpened', peer});
+  }
+
+  private linkLost(peer: MemberId, reason: string): void {
+    this.parts.metrics.count('linksLost');
+    this.parts.logger.log('linkLost', {peer, reason});
+    this.outbox.lost(peer);
+    this.loop.emit({kind: 'linkLost', peer});
+  }
+
+  private async callStore(
+    call: CallId,
+    request: StoreCall,
+    timeoutMs: number,
+  ): Promise<void> {
+    const started = performance.now();
+    const reply = await this.platform.call(request, timeoutMs);
+    this.parts.metrics.record('store', performance.now() - started);
+    this.parts.metrics.count('storeCalls', `${request.kind}-${reply.kind}`);
+    if (reply.kind === 'refused' || reply.kind === 'unknown') {
+      this.parts.logger.log('platformFailed', {
+        call: request.kind,
+        reply: reply.kind,
+        detail: reply.detail,
+      });
+    }
+    this.loop.emit({kind: 'storeReplied', call, reply});
+  }
+
+  /** @returns Counters, gauges and latencies as text. */
+  renderMetrics(): string {
+    return this.parts.metrics.render([]);
+  }
+
+  /** Housekeeping between events; called by the process every tick. */
+  watch(): void {
+    this.runs.watch();
+    this.watchAnnouncement();
+    const {self} = viewOfDaemon(this.parts.daemon);
+    if (self === null || self === this.self) return;
+    this.self = self;
+    this.links.setSelf(self);
+    this.parts.logger.setContext({member: self});
+  }
+
+  private watchAnnouncement(): void {
+    const {announcement} = this;
+    if (announcement === null) return;
+    const {ttlMs} = this.parts.settings.tuning.announcements;
+    if (performance.now() - this.announcedMs < ttlMs) return;
+    this.announcement = null;
+    this.runs.setServer(null);
+    const {instance} = announcement;
+    this.loop.emit({kind: 'announcementLapsed', instance});
+  }
+
+  private currentConfiguration(): Configuration | null {
+    const {workspace} = viewOfDaemon(this.parts.daemon);
+    if (workspace === null) return null;
+    if (this.configuration?.workspace !== workspace) {
+      this.configuration = {workspace, router: compileRoutes(workspace)};
+    }
+    return this.configuration;
+  }
+}
+
+/**
+ * Finds the address that peers dial.
+ *
+ * @param settings - The daemon's settings.
+ * @returns `ip:port`.
+ */
+export function addressOf(settings: Settings): Announcement['address'] {
+  const {ip, port} = settings.links;
+  return settings.linkAddress ?? (`${ip}:${port}` as Announcement['address']);
+}
+
+function isForReducer(message: Message): boolean {
+  switch (message.kind) {
+    case 'data':
+    case 'body':
+    case 'credit':
+      return false;
+    default:
+      return true;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/runs/logic.spec.ts
@@ -0,0 +1,235 @@
+/** @fileoverview Tests of runs against a small fake backend server. */
+
+import {createServer} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import test from 'ava';
+import type {ExecutionContext} from 'ava';
+
+import type {
+  Address,
+  AttemptId,
+  Dispatch,
+  Event,
+  Generation,
+  InstanceId,
+  MemberId,
+  Message,
+  ServiceName,
+  Slice,
+} from '@jackdawfall/core';
+
+import {Runs} from './logic.js';
+
+const ORIGIN = 'h1#1' as MemberId;
+const ATTEMPT = 'h1#1/1' as AttemptId;
+const SERVICE = 'finder' as ServiceName;
+const SILENCE_MS = 200;
+const BUDGET_MS = 400;
+const PATIENCE_MS = 3000;
+
+type Handler = (incoming: IncomingMessage, outgoing: ServerResponse) => void;
+
+interface Case {
+  readonly name: string;
+  readonly handler: Handler | null;
+  /** Kinds of events, in order. */
+  readonly events: readonly string[];
+  /** Kinds of messages to the origin, in order, repeats folded. */
+  readonly messages: readonly string[];
+  /** State of the `runFailed` event, if there is one. */
+  readonly run?: 'not-run' | 'unknown';
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: 'a whole answer',
+    handler: (_, outgoing) => outgoing.end('done'),
+    events: ['runWritten', 'runHead', 'runEnded'],
+    messages: ['head', 'data', 'end'],
+  },
+  {
+    name: 'an answer without a body',
+    handler: (_, outgoing) => outgoing.writeHead(204).end(),
+    events: ['runWritten', 'runHead', 'runEnded'],
+    messages: ['head', 'end'],
+  },
+  {
+    name: 'a refusal before running',
+    handler: (_, outgoing) => outgoing.writeHead(503, {'x-not-run': '1'}).end(),
+    events: ['runWritten', 'runHead'],
+    messages: [],
+  },
+  {
+    name: 'a 503 that may have run',
+    handler: (_, outgoing) => outgoing.writeHead(503).end(),
+    events: ['runWritten', 'runHead', 'runEnded'],
+    messages: ['head', 'end'],
+  },
+  {
+    name: 'a connection that dies before the head',
+    handler: incoming => incoming.socket.destroy(),
+    events: ['runWritten', 'runFailed'],
+    messages: [],
+    run: 'unknown',
+  },
+  {
+    name: 'an answer cut short',
+    handler: (incoming, outgoing) => {
+      outgoing.writeHead(200, {'content-length': 10});
+      outgoing.write('short', () => incoming.socket.destroy());
+    },
+    events: ['runWritten', 'runHead', 'runFailed'],
+    messages: ['head', 'data'],
+    run: 'unknown',
+  },
+  {
+    name: 'a server that never answers',
+    handler: () => undefined,
+    events: ['runWritten', 'runFailed'],
+    messages: [],
+    run: 'unknown',
+  },
+  {
+    name: 'a port that refuses connections',
+    handler: null,
+    events: ['runFailed'],
+    messages: [],
+    run: 'not-run',
+  },
+];
+
+for (const {name, handler, events, messages, run} of CASES) {
+  test(`${name}: ${events.join(', ')}`, async t => {
+    const bench = await setUp(t, handler);
+    bench.start(true);
+    await bench.settled(events.length);
+    t.deepEqual(
+      bench.events.map(event => event.kind),
+      [...events],
+    );
+    t.deepEqual(bench.kinds(), [...messages]);
+    const failed = bench.events.find(event => event.kind === 'runFailed');
+    t.is(failed?.kind === 'runFailed' ? failed.run : undefined, run);
+  });
+}
+
+test('a kept answer is sent again, whole', async t => {
+  const bench = await setUp(t, (_, outgoing) => outgoing.end('done'));
+  bench.start(true);
+  await bench.settled(3);
+  const again = 'h1#1/2' as AttemptId;
+  bench.runs.replay({kind: 'replay', attempt: again, of: ATTEMPT, to: ORIGIN});
+  t.deepEqual(bench.kinds(again), ['head', 'data', 'end']);
+});
+
+test('an answer that was not kept is said to be unknown', async t => {
+  const bench = await setUp(t, (_, outgoing) => outgoing.end('done'));
+  bench.start(false);
+  await bench.settled(3);
+  const again = 'h1#1/2' as AttemptId;
+  bench.runs.replay({kind: 'replay', attempt: again, of: ATTEMPT, to: ORIGIN});
+  t.deepEqual(bench.kinds(again), ['failed']);
+});
+
+test('a cancelled run reports nothing more and closes', async t => {
+  let closed = false;
+  const bench = await setUp(t, incoming => {
+    incoming.socket.on('close', () => (closed = true));
+  });
+  bench.start(true);
+  await bench.settled(1);
+  await new Promise(resolve => setTimeout(resolve, 50));
+  bench.runs.cancel(ATTEMPT);
+  await new Promise(resolve => setTimeout(resolve, 50));
+  t.true(closed);
+  t.deepEqual(
+    bench.events.map(event => event.kind),
+    ['runWritten'],
+  );
+  t.is(bench.runs.open, 0);
+});
+
+async function setUp(t: ExecutionContext, handler: Handler | null) {
+  const server = createServer(handler ?? undefined);
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const {port} = server.address() as AddressInfo;
+  if (handler === null) server.close();
+  t.teardown(() => {
+    server.closeAllConnections();
+    server.close();
+  });
+  const events: Event[] = [];
+  const messages: Message[] = [];
+  const runs = new Runs({
+    emit: event => void events.push(event),
+    transmit: (_, message) => void messages.push(message),
+    measure: () => undefined,
+    windowBytes: 1024,
+    silenceMs: SILENCE_MS,
+    kept: {answerBytes: 100, totalBytes: 1000},
+  });
+  runs.setServer({
+    instance: 'i' as InstanceId,
+    service: SERVICE,
+    address: `127.0.0.1:${port}` as Address,
+    slots: 4,
+    connections: 4,
+    checksGrants: false,
+    leaving: false,
+  });
+  runs.receive(ORIGIN, dispatch());
+  return {
+    runs,
+    events,
+    start: (keep: boolean) => startRun(runs, keep),
+    kinds: (attempt: AttemptId = ATTEMPT) => folded(messages, attempt),
+    settled: (count: number) => until(() => events.length >= count),
+  };
+}
+
+function startRun(runs: Runs, keep: boolean): void {
+  runs.run({
+    kind: 'run',
+    attempt: ATTEMPT,
+    origin: ORIGIN,
+    service: SERVICE,
+    slice: 0 as Slice,
+    generation: 1 as Generation,
+    budgetMs: BUDGET_MS,
+    keep,
+  });
+}
+
+function dispatch(): Dispatch {
+  return {
+    kind: 'dispatch',
+    attempt: ATTEMPT,
+    method: 'GET',
+    path: '/finder/a',
+    headers: [],
+    service: SERVICE,
+    slice: 0 as Slice,
+    body: new Uint8Array(),
+    bodyEnds: true,
+  } as unknown as Dispatch;
+}
+
+function folded(messages: readonly Message[], attempt: AttemptId): string[] {
+  const kinds: string[] = [];
+  for (const message of messages) {
+    if (!('attempt' in message) || message.attempt !== attempt) continue;
+    if (kinds.at(-1) !== message.kind) kinds.push(message.kind);
+  }
+  return kinds;
+}
+
+async function until(done: () => boolean): Promise<void> {
+  const end = performance.now() + PATIENCE_MS;
+  while (!done() && performance.now() < end) {
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/runs/logic.ts
@@ -0,0 +1,402 @@
+/**
+ * @fileoverview Runs attempts at the backend server beside this daemon and
+ * sends their answers to the daemons that asked.
+ */
+
+import type {IncomingMessage} from 'node:http';
+
+import {NO_VERSION, originOf} from '@jackdawfall/core';
+import type {
+  Announcement,
+  AttemptId,
+  Dispatch,
+  Effect,
+  Event,
+  HistogramName,
+  MemberId,
+  Message,
+  RunState,
+} from '@jackdawfall/core';
+
+import {endToEndHeaders, toRecord} from '../bodies/headers.js';
+import {KeptAnswers} from './answers.js';
+import type {KeptBounds} from './answers.js';
+import {Connections} from './connections.js';
+import type {Arrival, Run, Stream} from './types.js';
+
+const STATUS_UNAVAILABLE = 503;
+const GRANT_TIMEOUT_MS = 1000;
+
+/** What runs need of the process around them. */
+export interface RunContext {
+  emit(event: Event): void;
+  transmit(to: MemberId, message: Message): void;
+  measure(histogram: HistogramName, valueMs: number): void;
+  /** Bytes of one answer that may be under way at once. */
+  readonly windowBytes: number;
+  /** Silence after which a connection is no longer trusted. */
+  readonly silenceMs: number;
+  readonly kept: KeptBounds;
+}
+
+/** Attempts sent to this daemon. */
+export class Runs {
+  private readonly arrivals = new Map<AttemptId, Arrival>();
+  /** Arrivals whose run is under way. */
+  private readonly active = new Set<Arrival>();
+  private connections: Connections | null = null;
+  private announcement: Announcement | null = null;
+  private readonly kept: KeptAnswers;
+
+  /** @param context - The process around this object. */
+  constructor(private readonly context: RunContext) {
+    this.kept = new KeptAnswers(context.kept);
+  }
+
+  /**
+   * Notes what the backend server says of itself.
+   *
+   * @param announcement - Its announcement, or null when it is gone.
+   */
+  setServer(announcement: Announcement | null): void {
+    const before = this.announcement;
+    this.announcement = announcement;
+    if (announcement === null) {
+      this.connections?.destroy();
+      this.connections = null;
+      return;
+    }
+    const same =
+      before?.address === announcement.address &&
+      before.instance === announcement.instance &&
+      before.connections === announcement.connections;
+    if (same && this.connections !== null) return;
+    this.connections?.replace();
+    this.connections = new Connections(announcement);
+  }
+
+  /**
+   * Takes a message about an attempt that this daemon runs.
+   *
+   * @param from - The daemon that sent it.
+   * @param message - Any message; other kinds are passed over.
+   */
+  receive(from: MemberId, message: Message): void {
+    switch (message.kind) {
+      case 'dispatch':
+        this.arrive(from, message);
+        return;
+      case 'body':
+        this.takeBody(from, message.attempt, message.bytes, message.ends);
+        return;
+      case 'credit':
+        this.takeCredit(from, message.attempt, message.bytes);
+        return;
+      default:
+        return;
+    }
+  }
+
+  /**
+   * Writes an attempt to the backend server.
+   *
+   * @param effect - The attempt, its fence token and its time.
+   */
+  run(effect: Extract<Effect, {kind: 'run'}>): void {
+    const arrival = this.arrivals.get(effect.attempt);
+    if (arrival === undefined || this.connections === null) {
+      this.reportLost(effect.attempt, 'not-run', 'no backend server');
+      return;
+    }
+    if (arrival.run !== null) return;
+    if (effect.keep) this.kept.start(arrival);
+    const {attempt, origin, budgetMs} = effect;
+    const credit = this.context.windowBytes;
+    arrival.streams = [{attempt, to: origin, credit}];
+    const outgoing = this.connections.open({
+      method: arrival.dispatch.method,
+      path: arrival.dispatch.path,
+      headers: headersOf(arrival.dispatch, effect),
+      signal: AbortSignal.timeout(Math.max(1, Math.ceil(budgetMs))),
+    });
+    const run: Run = {
+      outgoing,
+      incoming: null,
+      written: false,
+      settled: false,
+      heardMs: performance.now(),
+    };
+    arrival.run = run;
+    this.active.add(arrival);
+    this.follow(arrival, run);
+    this.writeBody(arrival);
+  }
+
+  /**
+   * Stops an attempt; the backend server sees its connection close.
+   *
+   * @param attempt - The attempt.
+   */
+  cancel(attempt: AttemptId): void {
+    const arrival = this.arrivals.get(attempt);
+    if (!arrival?.run || arrival.run.settled) return;
+    this.settle(arrival, arrival.run);
+    arrival.run.outgoing.destroy();
+    this.kept.drop(arrival);
+  }
+
+  /**
+   * Sends an answer again from its first byte; when it is not whole yet, the
+   * rest follows as it arrives.
+   *
+   * @param effect - Which answer, as which attempt, and to whom.
+   */
+  replay(effect: Extract<Effect, {kind: 'replay'}>): void {
+    const {attempt, of, to} = effect;
+    const arrival = this.arrivals.get(of);
+    const kept = arrival?.kept ?? null;
+    if (arrival === undefined || kept === null) {
+      this.sendNotKept(attempt, to);
+      return;
+    }
+    const credit = this.context.windowBytes - kept.bytes;
+    const stream: Stream = {attempt, to, credit};
+    const others = arrival.streams.filter(each => each.attempt !== attempt);
+    arrival.streams = [...others, stream];
+    if (kept.head === null) return;
+    this.context.transmit(to, {kind: 'head', attempt, ...kept.head});
+    for (const bytes of kept.parts) {
+      this.context.transmit(to, {kind: 'data', attempt, bytes});
+    }
+    if (kept.whole) this.sendEnd(stream);
+  }
+
+  /**
+   * Drops what is kept of an attempt.
+   *
+   * @param attempt - The attempt.
+   */
+  forget(attempt: AttemptId): void {
+    const arrival = this.arrivals.get(attempt);
+    if (arrival === undefined) return;
+    this.kept.drop(arrival);
+    this.arrivals.delete(attempt);
+  }
+
+  /** Looks for connections that have gone silent, and replaces them. */
+  watch(): void {
+    const now = performance.now();
+    for (const {run} of this.active) {
+      if (run === null) continue;
+      if (now - run.heardMs < this.context.silenceMs) continue;
+      run.heardMs = now;
+      this.connections?.replace();
+      return;
+    }
+  }
+
+  /**
+   * Tells the backend server which slices it holds.
+   *
+   * @param effect - Slices, fence tokens and time to live.
+   */
+  grant(effect: Extract<Effect, {kind: 'grant'}>): void {
+    if (this.connections === null) return;
+    const {service, slices, generations, ttlMs} = effect;
+    const outgoing = this.connections.open({
+      method: 'POST',
+      path: '/grants',
+      headers: {'content-type': 'application/json'},
+      signal: AbortSignal.timeout(GRANT_TIMEOUT_MS),
+    });
+    outgoing.on('response', incoming => incoming.resume());
+    outgoing.on('error', () => undefined);
+    outgoing.end(JSON.stringify({service, slices, generations, ttlMs}));
+  }
+
+  /** @returns Attempts that are running at the backend server. */
+  get open(): number {
+    return this.active.size;
+  }
+
+  private arrive(from: MemberId, dispatch: Dispatch): void {
+    if (this.arrivals.has(dispatch.attempt)) return;
+    this.arrivals.set(dispatch.attempt, {
+      attempt: dispatch.attempt,
+      dispatch,
+      parts: dispatch.body.length > 0 ? [dispatch.body] : [],
+      bodyEnded: dispatch.bodyEnds,
+      run: null,
+      streams: [],
+      kept: null,
+    });
+  }
+
+  private takeBody(
+    from: MemberId,
+    attempt: AttemptId,
+    bytes: Uint8Array,
+    ends: boolean,
+  ): void {
+    const arrival = this.arrivals.get(attempt);
+    if (arrival === undefined || originOf(attempt) !== from) return;
+    arrival.parts.push(bytes);
+    arrival.bodyEnded = ends;
+    this.writeBody(arrival);
+  }
+
+  private takeCredit(from: MemberId, attempt: AttemptId, bytes: number): void {
+    for (const arrival of this.active) {
+      const stream = arrival.streams.find(each => each.attempt === attempt);
+      if (stream?.to !== from) continue;
+      stream.credit += bytes;
+      if (mayRead(arrival)) arrival.run?.incoming?.resume();
+      return;
+    }
+  }
+
+  private writeBody(arrival: Arrival): void {
+    const {run, parts, attempt} = arrival;
+    if (run === null || run.settled || run.outgoing.writableEnded) return;
+    let bytes = 0;
+    for (const part of parts) {
+      bytes += part.length;
+      run.outgoing.write(part);
+    }
+    parts.length = 0;
+    if (arrival.bodyEnded) {
+      run.outgoing.end();
+    } else if (bytes > 0) {
+      const to = originOf(attempt);
+      this.context.transmit(to, {kind: 'credit', attempt, bytes});
+    }
+  }
+
+  private follow(arrival: Arrival, run: Run): void {
+    const {outgoing} = run;
+    outgoing.on('socket', socket => {
+      if (!socket.connecting) {
+        this.written(arrival, run);
+        return;
+      }
+      const late = setTimeout(
+        () => outgoing.destroy(new Error('connection timed out')),
+        this.context.silenceMs,
+      );
+      socket.once('close', () => clearTimeout(late));
+      socket.once('connect', () => {
+        clearTimeout(late);
+        this.written(arrival, run);
+      });
+    });
+    outgoing.on('response', incoming => this.answer(arrival, run, incoming));
+    outgoing.on('error', error => this.lose(arrival, run, error.message));
+  }
+
+  private written(arrival: Arrival, run: Run): void {
+    if (run.written || run.settled) return;
+    run.written = true;
+    this.context.emit({kind: 'runWritten', attempt: arrival.attempt});
+  }
+
+  private answer(arrival: Arrival, run: Run, incoming: IncomingMessage): void {
+    if (run.settled) return;
+    run.incoming = incoming;
+    run.heardMs = performance.now();
+    const {attempt} = arrival;
+    const status = incoming.statusCode ?? 0;
+    const shed =
+      status === STATUS_UNAVAILABLE && incoming.headers['x-not-run'] === '1';
+    incoming.on('error', error => this.lose(arrival, run, error.message));
+    incoming.on('close', () => this.lose(arrival, run, 'answer cut short'));
+    if (shed) {
+      incoming.resume();
+      this.settle(arrival, run);
+      this.context.emit({kind: 'runHead', attempt, status, shed});
+      return;
+    }
+    const head = {status, headers: endToEndHeaders(incoming.headers)};
+    this.kept.head(arrival, head);
+    this.context.emit({kind: 'runHead', attempt, status, shed});
+    for (const stream of arrival.streams) {
+      const message = {kind: 'head' as const, attempt: stream.attempt, ...head};
+      this.context.transmit(stream.to, message);
+    }
+    incoming.on('data', (bytes: Buffer) => this.data(arrival, run, bytes));
+    incoming.on('end', () => this.end(arrival, run));
+  }
+
+  private data(arrival: Arrival, run: Run, bytes: Buffer): void {
+    if (run.settled) return;
+    run.heardMs = performance.now();
+    for (const stream of arrival.streams) {
+      const {attempt, to} = stream;
+      stream.credit -= bytes.length;
+      this.context.transmit(to, {kind: 'data', attempt, bytes});
+    }
+    this.kept.data(arrival, bytes);
+    if (!mayRead(arrival)) run.incoming?.pause();
+  }
+
+  private end(arrival: Arrival, run: Run): void {
+    if (run.settled || run.incoming?.complete !== true) return;
+    this.settle(arrival, run);
+    this.kept.end(arrival);
+    this.context.emit({kind: 'runEnded', attempt: arrival.attempt});
+    for (const stream of arrival.streams) this.sendEnd(stream);
+  }
+
+  private sendEnd(stream: Stream): void {
+    const {attempt, to} = stream;
+    this.context.transmit(to, {kind: 'end', attempt, outstanding: this.open});
+  }
+
+  private sendNotKept(attempt: AttemptId, to: MemberId): void {
+    this.context.transmit(to, {
+      kind: 'failed',
+      attempt,
+      error: 'link-lost',
+      run: 'unknown',
+      detail: 'the answer was not kept',
+      owner: null,
+      version: NO_VERSION,
+      outstanding: this.open,
+    });
+  }
+
+  private lose(arrival: Arrival, run: Run, detail: string): void {
+    if (run.settled) return;
+    this.settle(arrival, run);
+    const state = run.written ? 'unknown' : 'not-run';
+    this.reportLost(arrival.attempt, state, detail);
+  }
+
+  private settle(arrival: Arrival, run: Run): void {
+    run.settled = true;
+    this.active.delete(arrival);
+  }
+
+  private reportLost(attempt: AttemptId, run: RunState, detail: string): void {
+    this.context.emit({kind: 'runFailed', attempt, run, detail});
+  }
+}
+
+function mayRead(arrival: Arrival): boolean {
+  return arrival.streams.every(stream => stream.credit > 0);
+}
+
+function headersOf(
+  dispatch: Dispatch,
+  effect: Extract<Effect, {kind: 'run'}>,
+): Record<string, string | string[]> {
+  const record = toRecord(dispatch.headers);
+  record['x-jackdawfall-request'] = dispatch.request;
+  record['x-jackdawfall-attempt'] = dispatch.attempt;
+  record['x-jackdawfall-service'] = dispatch.service;
+  record['x-jackdawfall-generation'] = String(effect.generation);
+  record['x-jackdawfall-deadline-ms'] = String(Math.floor(effect.budgetMs));
+  if (dispatch.slice !== null) {
+    record['x-jackdawfall-slice'] = String(dispatch.slice);
+  }
+  return record;
+}
--- /dev/null
+++ b/packages/daemon/src/runs/types.ts
@@ -0,0 +1,54 @@
+/** @fileoverview What the daemon beside a backend server keeps of attempts. */
+
+import type {ClientRequest, IncomingMessage} from 'node:http';
+
+import type {AttemptId, Dispatch, Header, MemberId} from '@jackdawfall/core';
+
+/** An attempt sent to this daemon. */
+export interface Arrival {
+  readonly attempt: AttemptId;
+  readonly dispatch: Dispatch;
+  /** Parts of the body that no backend connection has taken yet. */
+  readonly parts: Uint8Array[];
+  bodyEnded: boolean;
+  run: Run | null;
+  /** Where the answer goes. */
+  streams: Stream[];
+  /** The answer from its first byte, or null when it is not kept. */
+  kept: Kept | null;
+}
+
+/** One receiver of an answer. */
+export interface Stream {
+  /** The attempt under which the receiver knows the answer. */
+  readonly attempt: AttemptId;
+  readonly to: MemberId;
+  /** Bytes that may still be sent. */
+  credit: number;
+}
+
+/** An attempt under way at the backend server. */
+export interface Run {
+  readonly outgoing: ClientRequest;
+  incoming: IncomingMessage | null;
+  /** True from the moment bytes may have reached the backend server. */
+  written: boolean;
+  /** True once the end, a failure or a cancellation was reported. */
+  settled: boolean;
+  /** Time of the last sign of life, monotonic, in milliseconds. */
+  heardMs: number;
+}
+
+/** The head of an answer. */
+export interface Head {
+  readonly status: number;
+  readonly headers: readonly Header[];
+}
+
+/** An answer kept for a replay. */
+export interface Kept {
+  head: Head | null;
+  readonly parts: Uint8Array[];
+  bytes: number;
+  whole: boolean;
+}
--- a/packages/wire/src/links/links.ts
+++ b/packages/wire/src/links/links.ts
@@ -83,6 +83,27 @@
     link.send(message);
   }
 
+  /**
+   * Tells whether messages can be handed to a member now.
+   *
+   * @param to - The member.
+   * @returns True while a link with it is open, whoever opened it.
+   */
+  isOpen(to: MemberId): boolean {
+    return this.peers.get(to)?.links.some(isOpen) ?? false;
+  }
+
+  /**
+   * Opens a link with a member unless one is open or opening.
+   *
+   * @param to - The member.
+   * @param address - Where that member accepts links.
+   */
+  connect(to: MemberId, address: Address): void {
+    if (this.options.signal.aborted) return;
+    if (this.current(to) === undefined) this.open(to, address);
+  }
+
   /**
    * Drops the links with a member without a report; the next send opens a
    * new one.
