Bench frame and the links bench

Cause: figures are needed for the plan's size, from one command. Change: npm run bench [-- NAME...], worker processes for benches, the links bench; links.batchBytes becomes a setting so that batching can be measured.

--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -36,6 +36,8 @@
     windowBytes: 262144,
     /** Time a new link may take to open. */
     connectTimeoutMs: 1000,
+    /** Estimated size at which a frame is closed and another begins. */
+    batchBytes: 262144,
     /** Bytes waiting for one peer at which its link is dropped. */
     queueBytes: 16777216,
   },
--- /dev/null
+++ b/packages/emulator/src/bench/links/definition.ts
@@ -0,0 +1,155 @@
+/**
+ * @fileoverview The links bench: requests over one link, and what idle links
+ * cost.
+ */
+
+import {setTimeout as sleep} from 'node:timers/promises';
+import {progress} from '../progress.js';
+import type {Bench, Figures} from '../types.js';
+import {startWorker} from '../workers.js';
+import type {Usage, Worker} from '../workers.js';
+import {startByteCounter} from './byte_counter.js';
+import type {DriveOrder, DriveResult, Peer} from './types.js';
+
+const WORKER = new URL('./worker.js', import.meta.url);
+const OUTSTANDING = 64;
+const WARM_UP_REQUESTS = 20_000;
+const REQUESTS = 100_000;
+/** Messages of one request and its answer. */
+const MESSAGES = 4;
+const LINK_COUNTS = [250, 500, 1000, 2000];
+const MEMBERS_PER_WORKER = 500;
+const SETTLE_MS = 1500;
+const IDLE_MS = 6000;
+const COUNT_MS = 10_000;
+
+/** Cost of links: busy and idle. */
+export const linksBench: Bench = {
+  name: 'links',
+  text: 'requests over one link, and memory, CPU and bytes of idle links',
+  run: async signal => ({
+    oneMessageAFrame: await busy(1, signal),
+    oneTurnAFrame: await busy(undefined, signal),
+    heartbeatBytesPerLinkAndSecond: await heartbeatBytes(signal),
+    acceptedIdleLinks: await series('accepted', signal),
+    dialledIdleLinks: await series('dialled', signal),
+  }),
+};
+
+async function busy(
+  batchBytes: number | undefined,
+  signal: AbortSignal,
+): Promise<Figures> {
+  progress(`  ${OUTSTANDING} outstanding, batch ${batchBytes ?? 'default'}`);
+  const driver = startWorker(WORKER, signal);
+  const server = startWorker(WORKER, signal);
+  const options = {batchBytes};
+  const from = await driver.call<Peer>('open', {member: 'd#1', ...options});
+  const to = await server.call<Peer>('open', {member: 's#1', ...options});
+  await server.call('echo', from);
+  const order: DriveOrder = {to, requests: REQUESTS, outstanding: OUTSTANDING};
+  await driver.call('drive', {...order, requests: WARM_UP_REQUESTS});
+  const before = await server.call<Usage>('usage');
+  const result = await driver.call<DriveResult>('drive', order);
+  const after = await server.call<Usage>('usage');
+  await Promise.all([driver.stop(), server.stop()]);
+  const seconds = result.durationMs / 1000;
+  return {
+    requestsPerSecond: Math.round(REQUESTS / seconds),
+    messagesPerSecond: Math.round((REQUESTS * MESSAGES) / seconds),
+    p50Ms: result.p50Us / 1000,
+    p99Ms: result.p99Us / 1000,
+    driverCpuUsPerRequest: round(result.cpuUs / REQUESTS),
+    serverCpuUsPerRequest: round((after.cpuUs - before.cpuUs) / REQUESTS),
+    serverRssMb: megabytes(after.rssBytes),
+  };
+}
+
+async function heartbeatBytes(signal: AbortSignal): Promise<number> {
+  const stop = new AbortController();
+  const both = AbortSignal.any([signal, stop.signal]);
+  const driver = startWorker(WORKER, signal);
+  const server = startWorker(WORKER, signal);
+  await driver.call('open', {member: 'd#1'});
+  const to = await server.call<Peer>('open', {member: 's#1'});
+  const port = Number(to.address.split(':')[1]);
+  const counter = await startByteCounter(port, both);
+  const address = `127.0.0.1:${counter.port}`;
+  await driver.call('visit', [{...to, address}]);
+  await sleep(SETTLE_MS);
+  const before = counter.bytes();
+  await sleep(COUNT_MS);
+  const bytes = counter.bytes() - before;
+  stop.abort();
+  await Promise.all([driver.stop(), server.stop()]);
+  return Math.round((bytes * 1000) / COUNT_MS);
+}
+
+async function series(
+  side: 'accepted' | 'dialled',
+  signal: AbortSignal,
+): Promise<Figures[]> {
+  const figures: Figures[] = [];
+  for (const count of LINK_COUNTS) {
+    progress(`  ${count} idle links, ${side}`);
+    figures.push(await idle(side, count, signal));
+  }
+  return figures;
+}
+
+async function idle(
+  side: 'accepted' | 'dialled',
+  count: number,
+  signal: AbortSignal,
+): Promise<Figures> {
+  const hub = startWorker(WORKER, signal);
+  const to = await hub.call<Peer>('open', {member: 'hub#1'});
+  const empty = await hub.call<Usage>('usage');
+  const others = await connectOthers(side, count, hub, to, signal);
+  await sleep(SETTLE_MS);
+  const begin = await hub.call<Usage>('usage');
+  await sleep(IDLE_MS);
+  const end = await hub.call<Usage>('usage');
+  const open = await hub.call<number>('size');
+  const lost = await hub.call<number>('losses');
+  await Promise.all([hub, ...others].map(worker => worker.stop()));
+  const cpuShare = (end.cpuUs - begin.cpuUs) / 1000 / (end.atMs - begin.atMs);
+  return {
+    links: open,
+    lost,
+    rssMb: megabytes(end.rssBytes),
+    rssKbPerLink: round((end.rssBytes - empty.rssBytes) / 1024 / count),
+    cpuPercentOfCore: round(cpuShare * 100),
+    cpuUsPerLinkAndSecond: round((cpuShare * 1_000_000) / count),
+  };
+}
+
+async function connectOthers(
+  side: 'accepted' | 'dialled',
+  count: number,
+  hub: Worker,
+  to: Peer,
+  signal: AbortSignal,
+): Promise<Worker[]> {
+  const others: Worker[] = [];
+  for (let left = count; left > 0; left -= MEMBERS_PER_WORKER) {
+    const part = Math.min(left, MEMBERS_PER_WORKER);
+    const other = startWorker(WORKER, signal);
+    others.push(other);
+    if (side === 'accepted') {
+      await other.call('crowd', {count: part, to});
+    } else {
+      const peers = await other.call<Peer[]>('village', {count: part});
+      await hub.call('visit', peers);
+    }
+  }
+  return others;
+}
+
+function megabytes(bytes: number): number {
+  return round(bytes / 1024 / 1024);
+}
+
+function round(value: number): number {
+  return Math.round(value * 10) / 10;
+}
--- /dev/null
+++ b/packages/emulator/src/bench/main.ts
@@ -0,0 +1,64 @@
+/**
+ * @fileoverview `npm run bench [-- NAME...]`: runs benches one after another
+ * and prints one JSON document on standard output.
+ */
+
+import {availableParallelism, totalmem} from 'node:os';
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+import {BENCHES} from './definitions.js';
+import {progress} from './progress.js';
+import type {Bench, Figures} from './types.js';
+
+interface Outcome {
+  readonly durationMs: number;
+  readonly figures?: Figures;
+  readonly error?: string;
+}
+
+const names = BENCHES.map(bench => bench.name);
+const args = await yargs(hideBin(process.argv))
+  .scriptName('bench')
+  .usage('$0 [NAME...]\n\nBenches: ' + names.join(', '))
+  .check(({_}) => {
+    const unknown = _.find(name => !names.includes(String(name)));
+    if (unknown === undefined) return true;
+    throw new Error(`no bench "${unknown}"; there are: ${names.join(', ')}`);
+  })
+  .strictOptions()
+  .parseAsync();
+
+const abort = new AbortController();
+process.once('SIGINT', () => abort.abort());
+process.once('SIGTERM', () => abort.abort());
+
+const wanted = args._.map(String);
+const outcomes: Record<string, Outcome> = {};
+for (const bench of BENCHES) {
+  if (abort.signal.aborted) break;
+  if (wanted.length > 0 && !wanted.includes(bench.name)) continue;
+  outcomes[bench.name] = await measure(bench);
+}
+const machine = {
+  node: process.version,
+  processors: availableParallelism(),
+  memoryBytes: totalmem(),
+};
+process.stdout.write(
+  `${JSON.stringify({machine, benches: outcomes}, null, 2)}\n`,
+);
+const failed = Object.values(outcomes).some(({error}) => error !== undefined);
+process.exitCode = failed || abort.signal.aborted ? 1 : 0;
+
+async function measure(bench: Bench): Promise<Outcome> {
+  progress(`bench ${bench.name}: ${bench.text}`);
+  const from = performance.now();
+  const spent = () => Math.round(performance.now() - from);
+  try {
+    const figures = await bench.run(abort.signal);
+    return {durationMs: spent(), figures};
+  } catch (error) {
+    progress(`bench ${bench.name} failed: ${String(error)}`);
+    return {durationMs: spent(), error: String(error)};
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/bench/progress.ts
@@ -0,0 +1,10 @@
+/** @fileoverview Progress of benches, on standard error. */
+
+/**
+ * Prints a line for the person who waits.
+ *
+ * @param line - The line, without an end of line.
+ */
+export function progress(line: string): void {
+  process.stderr.write(`${line}\n`);
+}
--- /dev/null
+++ b/packages/emulator/src/bench/types.ts
@@ -0,0 +1,24 @@
+/** @fileoverview What a bench is and what it gives. */
+
+/** One measured figure or a group of them; names carry the unit. */
+export type Figure =
+  | number
+  | string
+  | boolean
+  | null
+  | readonly Figure[]
+  | {readonly [name: string]: Figure};
+
+/** The figures of one bench. */
+export interface Figures {
+  readonly [name: string]: Figure;
+}
+
+/** A bench as it registers itself. */
+export interface Bench {
+  readonly name: string;
+  /** What it measures, in one sentence. */
+  readonly text: string;
+  /** Runs to its end by itself; stops early when `signal` aborts. */
+  run(signal: AbortSignal): Promise<Figures>;
+}
--- a/packages/wire/src/links/link.ts
+++ b/packages/wire/src/links/link.ts
@@ -14,9 +14,6 @@
 import type {Frame, Hello} from '../codec/types.js';
 import type {Stream} from './stream.js';
 
-/** Weight at which a batch is closed and another frame begins. */
-const BATCH_BYTES = 256 * 1024;
-
 /** What a link needs of the set of links it belongs to. */
 export interface LinkOwner {
   /** Judges the peer's first frame; a reason refuses the link. */
@@ -33,6 +30,8 @@
   readonly openingTurns: number;
   /** Most bytes waiting to be taken by the connection. */
   readonly queueBytes: number;
+  /** Estimated size at which a frame is closed. */
+  readonly batchBytes: number;
 }
 
 /** One stream to or from a peer. */
@@ -242,7 +241,7 @@
     this.queueWeight = 0;
     let from = 0;
     while (from < queue.length) {
-      const to = endOfBatch(queue, from);
+      const to = endOfBatch(queue, from, this.limits.batchBytes);
       this.write({kind: 'batch', messages: queue.slice(from, to)});
       from = to;
     }
@@ -258,12 +257,16 @@
   }
 }
 
-function endOfBatch(queue: readonly Message[], from: number): number {
+function endOfBatch(
+  queue: readonly Message[],
+  from: number,
+  batchBytes: number,
+): number {
   let weight = 0;
   for (let at = from; at < queue.length; at += 1) {
     const message = queue[at];
     if (message) weight += weigh(message);
-    if (weight > BATCH_BYTES && at > from) return at;
+    if (weight > batchBytes && at > from) return at;
   }
   return queue.length;
 }
--- a/packages/wire/src/links/links.ts
+++ b/packages/wire/src/links/links.ts
@@ -49,6 +49,7 @@
       silentTurns: Math.ceil(tuning.silenceMs / tuning.heartbeatMs),
       openingTurns: Math.ceil(tuning.connectTimeoutMs / tuning.heartbeatMs),
       queueBytes: tuning.queueBytes,
+      batchBytes: tuning.batchBytes,
     };
     this.beats = setInterval(() => this.beat(), tuning.heartbeatMs);
     signal.addEventListener('abort', () => this.close(), {once: true});
