Stand-ins of platform, backend server, callers and relay, with the ledger that joins them

Cause: no part of the path can be tried without the platform, backend servers and callers. Change: each stand-in runs in-process with an abort signal and as a process with its ports printed as one JSON line; faults are switched over the control port. The ledger joins callers' records with the backend servers' notes. A backend server prints each note at once, since its memory is lost with SIGKILL.

--- /dev/null
+++ b/packages/emulator/src/control/definition.ts
@@ -0,0 +1,85 @@
+/** @fileoverview The control port that every emulator process offers. */
+
+import type {IncomingMessage, ServerResponse} from 'node:http';
+import {createServer} from 'node:http';
+
+import type {ZodType} from 'zod';
+
+import {listen, readText, sendJson} from './logic.js';
+
+const MAX_ORDER_BYTES = 65536;
+
+/** What a process offers over its control port. */
+export interface Control<Order> {
+  /** Port to listen on; 0 for any free one. */
+  readonly port: number;
+  /** Shape of the orders. */
+  readonly orders: ZodType<Order>;
+  /** Carries out one order. */
+  readonly obey: (order: Order) => void | Promise<void>;
+  /** Renders the record of what happened. */
+  readonly ledger: () => unknown;
+}
+
+/**
+ * Serves `POST /control`, `GET /ledger` and `GET /ready`.
+ *
+ * @param control - Orders and ledger of the process.
+ * @param signal - Closes the port.
+ * @returns The real port.
+ */
+export function startControl<Order>(
+  control: Control<Order>,
+  signal: AbortSignal,
+): Promise<number> {
+  const server = createServer((request, response) => {
+    handle(control, request, response).catch((error: unknown) => {
+      sendJson(response, 500, {detail: String(error)});
+    });
+  });
+  return listen(server, control.port, signal);
+}
+
+async function handle<Order>(
+  control: Control<Order>,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const name = `${request.method} ${request.url}`;
+  if (name === 'GET /ready') {
+    response.writeHead(204).end();
+    return;
+  }
+  if (name === 'GET /ledger') {
+    sendJson(response, 200, control.ledger());
+    return;
+  }
+  if (name !== 'POST /control') {
+    sendJson(response, 404, {detail: `no such operation: ${name}`});
+    return;
+  }
+  await take(control, request, response);
+}
+
+async function take<Order>(
+  control: Control<Order>,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  const text = await readText(request, MAX_ORDER_BYTES);
+  const parsed = control.orders.safeParse(parse(text));
+  if (!parsed.success) {
+    sendJson(response, 400, {issues: parsed.error.issues});
+    return;
+  }
+  await control.obey(parsed.data);
+  response.writeHead(204).end();
+}
+
+function parse(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return null;
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/deployment/child.spec.ts
@@ -0,0 +1,38 @@
+/** @fileoverview Tests that emulator processes start, talk and end. */
+
+import test from 'ava';
+
+import {get} from '../control/client.js';
+import {startEmulator} from './child.js';
+
+const CASES: ReadonlyArray<{subject: string; args: string[]}> = [
+  {subject: 'platform', args: []},
+  {subject: 'server', args: ['--host', 'h1', '--service', 'finder']},
+  {subject: 'relay', args: ['--target', '127.0.0.1:9']},
+];
+
+for (const {subject, args} of CASES) {
+  test(`the ${subject} process prints its ports and ends on abort`, async t => {
+    const stop = new AbortController();
+    const entry = `emulator/dist/${subject}/main.js`;
+    const program = {name: subject, entry, args};
+    const {child, ports} = await startEmulator(program, stop.signal);
+    const base = `http://127.0.0.1:${ports.controlPort}`;
+    t.is((await get(`${base}/ready`)).status, 204);
+    t.is((await get(`${base}/ledger`)).status, 200);
+    stop.abort();
+    t.is(await child.exited, 'SIGKILL');
+  });
+}
+
+test('a wrong argument ends the process with an error', async t => {
+  const stop = new AbortController();
+  const program = {
+    name: 'platform',
+    entry: 'emulator/dist/platform/main.js',
+    args: ['--nonsense', '1'],
+  };
+  const error = await t.throwsAsync(startEmulator(program, stop.signal));
+  t.true(error.message.includes('nonsense'));
+  stop.abort();
+});
--- /dev/null
+++ b/packages/emulator/src/deployment/definition.ts
@@ -0,0 +1,253 @@
+/** @fileoverview Starts a whole deployment as processes on this machine. */
+
+import type {Child, Cluster, ClusterPlan, Host, HostPlan} from './types.js';
+import type {Note} from '../server/types.js';
+import {mkdtemp, rm, writeFile} from 'node:fs/promises';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+
+import {get, post} from '../control/client.js';
+import {LOOPBACK, sleep} from '../control/logic.js';
+import {StartError, startChild, startEmulator} from './child.js';
+import {freePorts} from './ports.js';
+
+const DAEMON_ENTRY = 'daemon/dist/main.js';
+const READY_TIMEOUT_MS = 20_000;
+const READY_STEP_MS = 50;
+const PROBE_TIMEOUT_MS = 500;
+const MAX_NOTES = 1_000_000;
+const PORTS_PER_HOST = 5;
+const NO_CONTENT = 204;
+
+/**
+ * Starts platform, daemons, backend servers and relays.
+ *
+ * @param plan - What to start.
+ * @param signal - Tears everything down.
+ * @returns The running cluster.
+ * @throws {StartError} When a process does not come up.
+ */
+export async function startCluster(
+  plan: ClusterPlan,
+  signal: AbortSignal,
+): Promise<Cluster> {
+  const folder = await mkdtemp(join(tmpdir(), 'jackdawfall-'));
+  signal.addEventListener('abort', () => {
+    void rm(folder, {recursive: true, force: true});
+  });
+  const platform = await startEmulator(
+    {
+      name: 'platform',
+      entry: 'emulator/dist/platform/main.js',
+      args: ['--seed', String(plan.seed)],
+    },
+    signal,
+  );
+  const hosts = new Map<string, Host>();
+  const cluster: Cluster = {
+    plan,
+    platformControl: `${LOOPBACK}:${platform.ports.controlPort}`,
+    hosts,
+    notes: [],
+    deaths: [],
+  };
+  const address = `${LOOPBACK}:${platform.ports.port}`;
+  for (const one of plan.hosts) {
+    hosts.set(one.host, await prepare(cluster, one, folder, address, signal));
+  }
+  const daemons = [...hosts.values()];
+  await Promise.all(daemons.map(host => startDaemon(host, signal)));
+  await Promise.all(daemons.map(host => startBackend(cluster, host, signal)));
+  await namePeers(cluster);
+  return cluster;
+}
+
+/**
+ * Starts the daemon of a host and waits until it is ready.
+ *
+ * @param host - The host.
+ * @param signal - Kills the daemon.
+ */
+export async function startDaemon(
+  host: Host,
+  signal: AbortSignal,
+): Promise<void> {
+  const name = `daemon ${host.plan.host}`;
+  const args = ['--settings', host.settingsFile];
+  const daemon = startChild({name, entry: DAEMON_ENTRY, args}, signal);
+  host.daemon = daemon;
+  const untilMs = performance.now() + READY_TIMEOUT_MS;
+  while (!(await isReady(host.operators))) {
+    const late = performance.now() > untilMs;
+    if (late || !daemon.isRunning()) {
+      throw new StartError(`${name}: ${daemon.output.join('\n')}`);
+    }
+    await sleep(READY_STEP_MS, signal);
+  }
+}
+
+/**
+ * Starts the backend server of a host.
+ *
+ * @param cluster - Receives its notes.
+ * @param host - The host.
+ * @param signal - Kills the server.
+ */
+export async function startBackend(
+  cluster: Cluster,
+  host: Host,
+  signal: AbortSignal,
+): Promise<void> {
+  const {plan, serverPort, serverControl} = host;
+  const controlPort = Number(serverControl.split(':')[1]);
+  const options = {
+    ...cluster.plan.server,
+    host: plan.host,
+    service: plan.service,
+    announceTo: host.operators,
+    port: serverPort,
+    controlPort,
+  };
+  const {child} = await startEmulator(
+    {
+      name: `server ${plan.host}`,
+      entry: 'emulator/dist/server/main.js',
+      args: argumentsOf(options),
+      onLine: line => keepNote(cluster.notes, line),
+    },
+    signal,
+  );
+  host.server = child;
+}
+
+/**
+ * Kills the backend server of a host and notes when.
+ *
+ * @param cluster - The running cluster.
+ * @param host - The host.
+ */
+export async function killBackend(cluster: Cluster, host: Host): Promise<void> {
+  host.server?.kill('SIGKILL');
+  await host.server?.exited;
+  cluster.deaths.push({host: host.plan.host, atMs: Date.now()});
+  host.server = null;
+}
+
+/**
+ * Sends an order to an emulator process.
+ *
+ * @param address - `ip:port` of its control port.
+ * @param order - The order.
+ * @throws {Error} When the order was not carried out.
+ */
+export async function order(address: string, order: unknown): Promise<void> {
+  const reply = await post(`http://${address}/control`, order);
+  if (reply.status === NO_CONTENT) return;
+  throw new Error(`order refused: ${reply.status} ${reply.body}`);
+}
+
+/**
+ * Tells every relay which process is which daemon.
+ *
+ * @param cluster - The running cluster.
+ */
+export async function namePeers(cluster: Cluster): Promise<void> {
+  const pids: Record<string, number> = {};
+  for (const [name, host] of cluster.hosts) {
+    if (host.daemon !== null) pids[name] = host.daemon.pid;
+  }
+  for (const {relayControl} of cluster.hosts.values()) {
+    if (relayControl !== null) await order(relayControl, {kind: 'peers', pids});
+  }
+}
+
+/**
+ * Lists the processes of a cluster that run.
+ *
+ * @param cluster - The cluster.
+ * @returns Daemons and backend servers.
+ */
+export function childrenOf(cluster: Cluster): Child[] {
+  return [...cluster.hosts.values()].flatMap(host =>
+    [host.daemon, host.server].filter(child => child !== null),
+  );
+}
+
+async function prepare(
+  cluster: Cluster,
+  plan: HostPlan,
+  folder: string,
+  platform: string,
+  signal: AbortSignal,
+): Promise<Host> {
+  const ports = await freePorts(PORTS_PER_HOST);
+  const [callers, links, operators, serverPort, serverControl] = ports;
+  const relay = cluster.plan.relays
+    ? await startLinkRelay(plan.host, links, signal)
+    : null;
+  const settings = {
+    workspace: cluster.plan.workspace,
+    host: plan.host,
+    zone: plan.zone,
+    callers: {ip: LOOPBACK, port: callers},
+    links: {ip: LOOPBACK, port: links},
+    operators: {ip: LOOPBACK, port: operators},
+    ...(relay === null ? {} : {linkAddress: `${LOOPBACK}:${relay.port}`}),
+    platform: {addresses: [platform]},
+    tuning: cluster.plan.tuning,
+  };
+  const settingsFile = join(folder, `${plan.host}.json`);
+  await writeFile(settingsFile, JSON.stringify(settings));
+  return {
+    plan,
+    callers: `${LOOPBACK}:${callers}`,
+    links: `${LOOPBACK}:${links}`,
+    operators: `${LOOPBACK}:${operators}`,
+    settingsFile,
+    serverPort,
+    serverControl: `${LOOPBACK}:${serverControl}`,
+    relayControl: relay && `${LOOPBACK}:${relay.controlPort}`,
+    daemon: null,
+    server: null,
+  };
+}
+
+async function startLinkRelay(
+  host: string,
+  links: number,
+  signal: AbortSignal,
+): Promise<Record<string, number>> {
+  const {ports} = await startEmulator(
+    {
+      name: `relay ${host}`,
+      entry: 'emulator/dist/relay/main.js',
+      args: ['--target', `${LOOPBACK}:${links}`],
+    },
+    signal,
+  );
+  return ports;
+}
+
+function argumentsOf(options: object): string[] {
+  const entries = Object.entries(options) as Array<
+    [string, string | number | boolean | undefined]
+  >;
+  return entries.flatMap(([name, value]) => {
+    if (value === undefined) return [];
+    return [`--${name}=${String(value)}`];
+  });
+}
+
+function keepNote(notes: Note[], line: string): void {
+  if (notes.length >= MAX_NOTES || !line.startsWith('{')) return;
+  notes.push(JSON.parse(line) as Note);
+}
+
+async function isReady(operators: string): Promise<boolean> {
+  try {
+    const reply = await get(`http://${operators}/ready`, PROBE_TIMEOUT_MS);
+    return reply.status < 300;
+  } catch {
+    return false;
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/ledger/logic.spec.ts
@@ -0,0 +1,183 @@
+/** @fileoverview Tests of the join of callers' records and servers' notes. */
+
+import type {Violation} from './types.js';
+import type {CallRecord, Outcome} from '../load/types.js';
+import type {Note, RunEnd} from '../server/types.js';
+
+import test from 'ava';
+
+import {longestUnserved} from '../load/logic.js';
+import {judge} from './logic.js';
+
+const call = (
+  outcome: Outcome,
+  request = 'r1',
+  sentMs = 0,
+  endedMs = 10,
+): CallRecord => ({
+  request,
+  route: 'book',
+  service: 'pairing',
+  key: 'k',
+  idempotent: false,
+  target: 't',
+  sentMs,
+  endedMs,
+  outcome,
+  status: 0,
+  detail: '',
+});
+
+const run = (
+  startMs: number,
+  endMs: number,
+  host = 'h1',
+  generation = 1,
+  request = 'r1',
+  end: RunEnd = 'finished',
+): Note[] => [
+  {
+    kind: 'run',
+    host,
+    instance: host,
+    request,
+    attempt: `${request}-${host}`,
+    service: 'pairing',
+    key: 'k',
+    slice: 3,
+    generation,
+    idempotent: false,
+    startMs,
+  },
+  {kind: 'ended', host, request, attempt: `${request}-${host}`, endMs, end},
+];
+
+const overLimit = (announced: boolean, coldForMs: number): Note => ({
+  kind: 'overLimit',
+  host: 'h1',
+  atMs: 0,
+  offered: 9,
+  bears: 1,
+  coldForMs,
+  announced,
+  overrun: true,
+});
+
+const CASES: ReadonlyArray<{
+  title: string;
+  records: CallRecord[];
+  notes: Note[];
+  violations: Array<Violation['kind']>;
+}> = [
+  {
+    title: 'a booking that ran once',
+    records: [call('done')],
+    notes: run(1, 5),
+    violations: [],
+  },
+  {
+    title: 'a booking that is done but never ran',
+    records: [call('done')],
+    notes: [],
+    violations: ['lost'],
+  },
+  {
+    title: 'a booking that is done but was cancelled',
+    records: [call('done')],
+    notes: run(1, 5, 'h1', 1, 'r1', 'cancelled'),
+    violations: ['lost'],
+  },
+  {
+    title: '"not run" that began to run',
+    records: [call('not-run')],
+    notes: run(1, 5, 'h1', 1, 'r1', 'cancelled'),
+    violations: ['not-run-but-ran'],
+  },
+  {
+    title: '"unknown" that ran',
+    records: [call('unknown')],
+    notes: run(1, 5),
+    violations: [],
+  },
+  {
+    title: 'a booking that ran twice',
+    records: [call('done')],
+    notes: [...run(1, 5), ...run(6, 9, 'h2', 2)],
+    violations: ['run-twice'],
+  },
+  {
+    title: 'two servers at once',
+    records: [call('done'), call('done', 'r2')],
+    notes: [...run(1, 5), ...run(4, 9, 'h2', 2, 'r2')],
+    violations: ['two-servers'],
+  },
+  {
+    title: 'an old owner that comes back',
+    records: [call('done'), call('done', 'r2')],
+    notes: [...run(1, 5, 'h1', 2), ...run(6, 9, 'h2', 1, 'r2')],
+    violations: ['generation-back'],
+  },
+  {
+    title: 'another answer',
+    records: [call('wrong-answer')],
+    notes: run(1, 5),
+    violations: ['wrong-answer'],
+  },
+  {
+    title: 'no answer at all',
+    records: [call('hung')],
+    notes: [],
+    violations: ['hung'],
+  },
+  {
+    title: 'too much for a server that has just started',
+    records: [],
+    notes: [overLimit(true, 10)],
+    violations: ['over-limit'],
+  },
+  {
+    title: 'too much right after an unannounced relapse',
+    records: [],
+    notes: [overLimit(false, 10)],
+    violations: [],
+  },
+  {
+    title: 'too much long after an unannounced relapse',
+    records: [],
+    notes: [overLimit(false, 5000)],
+    violations: ['over-limit'],
+  },
+];
+
+for (const {title, records, notes, violations} of CASES) {
+  test(`the ledger on ${title}`, t => {
+    const verdict = judge(records, notes, []);
+    t.deepEqual(
+      verdict.violations.map(one => one.kind),
+      violations,
+    );
+  });
+}
+
+test('a run without an end lasts until its server was killed', t => {
+  const [begun] = run(1, 5);
+  const next = run(50, 60, 'h2', 2, 'r2');
+  const notes = [begun, ...next];
+  const early = judge([], notes, [{host: 'h1', atMs: 40}]);
+  const late = judge([], notes, [{host: 'h1', atMs: 55}]);
+  t.deepEqual(
+    [early, late].map(verdict => verdict.violations.length),
+    [0, 1],
+  );
+});
+
+test('unserved time runs from the first failure to the next success', t => {
+  const records = [
+    call('done', 'r1', 0, 10),
+    call('unknown', 'r2', 100, 300),
+    call('not-run', 'r3', 150, 160),
+    call('done', 'r4', 900, 950),
+    call('done', 'r5', 2000, 2400),
+  ];
+  t.is(longestUnserved(records).ms, 850);
+});
--- /dev/null
+++ b/packages/emulator/src/load/client.ts
@@ -0,0 +1,145 @@
+/** @fileoverview One request of a caller, with the whole answer verified. */
+
+import type {CallRecord, LoadRoute, Outcome} from './types.js';
+import type {IncomingMessage} from 'node:http';
+import type {Agent} from 'node:http';
+import {request as httpRequest} from 'node:http';
+
+import {checksum, readText} from '../control/logic.js';
+
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+const OK = 200;
+const SERVER_ERROR = 500;
+const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'PUT', 'DELETE']);
+
+/** A request to send. */
+export interface Call {
+  readonly request: string;
+  readonly route: LoadRoute;
+  readonly key: string;
+  readonly body: string;
+}
+
+interface Result {
+  readonly outcome: Outcome;
+  readonly status: number;
+  readonly detail: string;
+}
+
+/** The connection to the target was never made. */
+const NOT_CONNECTED = new Set(['ECONNREFUSED', 'EHOSTUNREACH']);
+
+/**
+ * Sends a request to the first target that accepts the connection.
+ *
+ * @param call - The request.
+ * @param targets - `ip:port` of daemons in order of preference.
+ * @param agent - Keeps connections.
+ * @returns What came of it; never rejects.
+ */
+export async function perform(
+  call: Call,
+  targets: readonly string[],
+  agent: Agent,
+): Promise<CallRecord> {
+  const sentMs = Date.now();
+  let target = '';
+  let result: Result = notRun('no target');
+  for (target of targets) {
+    const tried = await attempt(call, target, agent);
+    if (tried !== null) {
+      result = tried;
+      break;
+    }
+    result = notRun('connection refused');
+  }
+  return {
+    request: call.request,
+    route: call.route.name,
+    service: call.route.service,
+    key: call.key,
+    idempotent: IDEMPOTENT_METHODS.has(call.route.method),
+    target,
+    sentMs,
+    endedMs: Date.now(),
+    ...result,
+  };
+}
+
+function attempt(
+  call: Call,
+  target: string,
+  agent: Agent,
+): Promise<Result | null> {
+  const {route, key} = call;
+  const path = route.path.replace('{key}', encodeURIComponent(key));
+  const timeout = AbortSignal.timeout(route.timeoutMs);
+  return new Promise(resolve => {
+    const request = httpRequest(
+      `http://${target}${path}`,
+      {
+        method: route.method,
+        agent,
+        signal: timeout,
+        headers: {
+          'x-caller-request': call.request,
+          'content-length': Buffer.byteLength(call.body),
+        },
+      },
+      response => {
+        judge(call, response).then(resolve, (error: unknown) =>
+          resolve(broken(error, timeout)),
+        );
+      },
+    );
+    request.on('error', (error: NodeJS.ErrnoException) => {
+      if (NOT_CONNECTED.has(error.code ?? '')) resolve(null);
+      else resolve(broken(error, timeout));
+    });
+    request.end(call.body);
+  });
+}
+
+function notRun(detail: string): Result {
+  return {outcome: 'not-run', status: 0, detail};
+}
+
+function broken(error: unknown, timeout: AbortSignal): Result {
+  const outcome = timeout.aborted ? 'hung' : 'unknown';
+  return {outcome, status: 0, detail: String(error)};
+}
+
+async function judge(call: Call, response: IncomingMessage): Promise<Result> {
+  const text = await readText(response, MAX_ANSWER_BYTES);
+  const status = response.statusCode ?? 0;
+  if (!response.complete) {
+    return {outcome: 'unknown', status, detail: 'answer cut short'};
+  }
+  if (status === OK) return judgeBody(call, status, text);
+  const run = response.headers['x-run'];
+  if (run === 'not-run' || run === 'unknown') {
+    return {outcome: run, status, detail: text.slice(0, 200)};
+  }
+  const outcome = status >= SERVER_ERROR ? 'unknown' : 'wrong-answer';
+  return {outcome, status, detail: text.slice(0, 200)};
+}
+
+function judgeBody(call: Call, status: number, text: string): Result {
+  const answer = parse(text);
+  const own =
+    answer.request === call.request &&
+    answer.key === call.key &&
+    answer.checksum === checksum(call.body);
+  if (own) return {outcome: 'done', status, detail: ''};
+  return {outcome: 'wrong-answer', status, detail: text.slice(0, 200)};
+}
+
+function parse(text: string): Record<string, unknown> {
+  try {
+    const value: unknown = JSON.parse(text);
+    if (typeof value !== 'object' || value === null) return {};
+    return value as Record<string, unknown>;
+  } catch {
+    return {};
+  }
+}
--- /dev/null
+++ b/packages/emulator/src/load/definition.spec.ts
@@ -0,0 +1,72 @@
+/** @fileoverview Tests of the load against a backend server in one process. */
+
+import type {LoadOptions} from './types.js';
+import type {Note, ServerOptions} from '../server/types.js';
+
+import test from 'ava';
+
+import {judge} from '../ledger/logic.js';
+import {startServer} from '../server/definition.js';
+import {startLoad} from './definition.js';
+import {latencyOf} from './logic.js';
+
+const SERVER: ServerOptions = {
+  port: 0,
+  controlPort: 0,
+  host: 'h1',
+  service: 'finder',
+  announceTo: '',
+  slots: 20,
+  connections: 130,
+  checksGrants: false,
+  serviceMs: 2,
+  coldSlots: 20,
+  completedPerSlot: 1,
+  breaksAt: 2,
+  seed: 1,
+};
+
+const load = (targets: string[]): LoadOptions => ({
+  targets,
+  arrivals: {kind: 'closed', callers: 4},
+  durationMs: 5000,
+  maxRequests: 60,
+  seed: 7,
+  keys: 10,
+  zipf: 1,
+  bodyBytes: 50,
+  routes: [
+    {
+      name: 'book',
+      service: 'finder',
+      weight: 1,
+      method: 'POST',
+      path: '/finder/{key}',
+      timeoutMs: 1000,
+    },
+  ],
+});
+
+test('each answer belongs to its own request and ran once', async t => {
+  const stop = new AbortController();
+  const notes: Note[] = [];
+  const ports = await startServer(SERVER, stop.signal, note => {
+    notes.push(note);
+  });
+  const running = startLoad(load([`127.0.0.1:${ports.port}`]), stop.signal);
+  await running.finished;
+  const verdict = judge(running.records, notes, []);
+  t.is(verdict.done, verdict.requests);
+  t.true(verdict.requests >= 60);
+  t.deepEqual(verdict.violations, []);
+  t.is(latencyOf(running.records).count, verdict.done);
+  stop.abort();
+});
+
+test('a refused connection was never sent', async t => {
+  const stop = new AbortController();
+  const running = startLoad(load(['127.0.0.1:9']), stop.signal);
+  await running.finished;
+  t.true(running.records.every(record => record.outcome === 'not-run'));
+  stop.abort();
+});
--- /dev/null
+++ b/packages/emulator/src/platform/logic.spec.ts
@@ -0,0 +1,143 @@
+/** @fileoverview Tests of the stand-in platform. */
+
+import type {PlatformOrder} from './types.js';
+import type {Check, Put, Transaction, WriteId} from '@jackdawfall/core';
+
+import test from 'ava';
+
+import {get, post} from '../control/client.js';
+import {startPlatform} from './definition.js';
+import {admit, commit, obey, read} from './logic.js';
+import {emptyPlatform} from './state.js';
+
+const write = (checks: Check[], puts: Put[]): Transaction => ({
+  writeId: 'w' as WriteId,
+  checks,
+  puts,
+});
+
+const COMMITS: ReadonlyArray<{
+  title: string;
+  checks: Check[];
+  committed: boolean;
+}> = [
+  {title: 'no condition', checks: [], committed: true},
+  {
+    title: 'the row as read',
+    checks: [{key: 'a', revision: 1}],
+    committed: true,
+  },
+  {title: 'an absent row', checks: [{key: 'z', revision: 0}], committed: true},
+  {title: 'a newer row', checks: [{key: 'a', revision: 0}], committed: false},
+  {
+    title: 'one of two conditions',
+    checks: [
+      {key: 'a', revision: 1},
+      {key: 'b', revision: 7},
+    ],
+    committed: false,
+  },
+];
+
+for (const {title, checks, committed} of COMMITS) {
+  test(`a commit under ${title} writes all or nothing`, t => {
+    const state = emptyPlatform();
+    commit(state, write([], [{key: 'a', value: '1'}]));
+    const puts = [
+      {key: 'a', value: null},
+      {key: 'c', value: '3'},
+    ];
+    const outcome = commit(state, write(checks, puts));
+    t.is(outcome.kind, committed ? 'committed' : 'conflict');
+    t.is(state.rows.has('a'), !committed);
+    t.is(state.rows.has('c'), committed);
+  });
+}
+
+test('a range comes in key order and bounded', t => {
+  const state = emptyPlatform();
+  for (const key of ['w/3', 'w/1', 'v/9', 'w/2']) {
+    commit(state, write([], [{key, value: key}]));
+  }
+  const rows = read(state, {kind: 'range', from: 'w/', to: 'w0', limit: 2});
+  t.deepEqual(
+    rows.map(row => row.key),
+    ['w/1', 'w/2'],
+  );
+});
+
+test('the rate limit counts reads and writes apart, second by second', t => {
+  const state = emptyPlatform();
+  obey(state, {kind: 'rate', writesPerSecond: 1, readsPerSecond: 2});
+  const admitted = [
+    admit(state, 'write', 1000),
+    admit(state, 'write', 1900),
+    admit(state, 'read', 1900),
+    admit(state, 'write', 2000),
+  ];
+  t.deepEqual(admitted, [true, false, true, true]);
+});
+
+const FAULTS: ReadonlyArray<{
+  title: string;
+  orders: PlatformOrder[];
+  status: number | null;
+  written: boolean;
+}> = [
+  {title: 'no fault', orders: [], status: 200, written: true},
+  {
+    title: 'an outage that refuses',
+    orders: [{kind: 'outage', mode: 'refuse'}],
+    status: 503,
+    written: false,
+  },
+  {
+    title: 'an outage without answers',
+    orders: [{kind: 'outage', mode: 'hang'}],
+    status: null,
+    written: false,
+  },
+  {
+    title: 'a lost reply',
+    orders: [{kind: 'loseReplies', probability: 1}],
+    status: null,
+    written: true,
+  },
+  {
+    title: 'a delayed write',
+    orders: [{kind: 'delayWrites', probability: 1, ms: 300}],
+    status: null,
+    written: true,
+  },
+];
+
+for (const {title, orders, status, written} of FAULTS) {
+  test(`a commit during ${title}`, async t => {
+    const stop = new AbortController();
+    const options = {port: 0, controlPort: 0, seed: 1};
+    const ports = await startPlatform(options, stop.signal);
+    for (const order of orders) {
+      await post(`http://127.0.0.1:${ports.controlPort}/control`, order);
+    }
+    const url = `http://127.0.0.1:${ports.port}/table/commit`;
+    const body = write([], [{key: 'a', value: '1'}]);
+    const reply = await post(url, body, 150).catch(() => null);
+    t.is(reply?.status ?? null, status);
+    await new Promise(resolve => setTimeout(resolve, 300));
+    const ledger = await get(`http://127.0.0.1:${ports.controlPort}/ledger`);
+    const {commits} = JSON.parse(ledger.body) as {commits: number};
+    t.is(commits, written ? 1 : 0);
+    stop.abort();
+  });
+}
+
+test('an order outside the vocabulary is refused with its path', async t => {
+  const stop = new AbortController();
+  const options = {port: 0, controlPort: 0, seed: 1};
+  const {controlPort} = await startPlatform(options, stop.signal);
+  const url = `http://127.0.0.1:${controlPort}/control`;
+  const reply = await post(url, {kind: 'outage', mode: 'sometimes'});
+  t.is(reply.status, 400);
+  t.true(reply.body.includes('"path":["mode"]'));
+  stop.abort();
+});
--- /dev/null
+++ b/packages/emulator/src/platform/main.ts
@@ -0,0 +1,18 @@
+/** @fileoverview Process entry of the stand-in platform. */
+
+import yargs from 'yargs';
+import {hideBin} from 'yargs/helpers';
+
+import {runProcess} from '../control/process.js';
+import {startPlatform} from './definition.js';
+
+const ARGUMENTS = await yargs(hideBin(process.argv))
+  .options({
+    port: {type: 'number', default: 0, describe: 'port of table and objects'},
+    controlPort: {type: 'number', default: 0, describe: 'control port'},
+    seed: {type: 'number', default: 1, describe: 'seed of random faults'},
+  })
+  .strict()
+  .parse();
+
+await runProcess(signal => startPlatform(ARGUMENTS, signal));
--- /dev/null
+++ b/packages/emulator/src/server/logic.spec.ts
@@ -0,0 +1,138 @@
+/** @fileoverview Tests of what a backend server bears and refuses. */
+
+import type {Arrival} from './logic.js';
+import type {Refusal, ServerOptions, ServerOrder} from './types.js';
+
+import test from 'ava';
+
+import {bears, begin, obey, refusalOf} from './logic.js';
+import {coldServer} from './state.js';
+
+const OPTIONS: ServerOptions = {
+  port: 0,
+  controlPort: 0,
+  host: 'h1',
+  service: 'finder',
+  announceTo: '',
+  slots: 4,
+  connections: 10,
+  checksGrants: true,
+  serviceMs: 1,
+  coldSlots: 1,
+  completedPerSlot: 2,
+  breaksAt: 2,
+  seed: 1,
+};
+
+const ARRIVAL: Arrival = {
+  request: 'r1',
+  attempt: 'a1',
+  service: 'finder',
+  key: 'k',
+  slice: 3,
+  generation: 5,
+  deadlineMs: null,
+  idempotent: true,
+};
+
+const CASES: ReadonlyArray<{
+  title: string;
+  grant: {generation: number; untilMs: number} | null;
+  completed: number;
+  running: number;
+  orders: ServerOrder[];
+  refusal: Refusal | null;
+}> = [
+  {
+    title: 'a valid grant',
+    grant: {generation: 5, untilMs: 200},
+    completed: 6,
+    running: 3,
+    orders: [],
+    refusal: null,
+  },
+  {
+    title: 'no grant',
+    grant: null,
+    completed: 6,
+    running: 0,
+    orders: [],
+    refusal: 'stale-grant',
+  },
+  {
+    title: 'a newer grant of another',
+    grant: {generation: 6, untilMs: 200},
+    completed: 6,
+    running: 0,
+    orders: [],
+    refusal: 'stale-grant',
+  },
+  {
+    title: 'a lapsed grant',
+    grant: {generation: 5, untilMs: 99},
+    completed: 6,
+    running: 0,
+    orders: [],
+    refusal: 'stale-grant',
+  },
+  {
+    title: 'a second request on a cold server',
+    grant: {generation: 5, untilMs: 200},
+    completed: 0,
+    running: 1,
+    orders: [],
+    refusal: 'cold',
+  },
+  {
+    title: 'an unannounced relapse',
+    grant: {generation: 5, untilMs: 200},
+    completed: 6,
+    running: 1,
+    orders: [{kind: 'cold', announced: false}],
+    refusal: 'cold',
+  },
+  {
+    title: 'full slots',
+    grant: {generation: 5, untilMs: 200},
+    completed: 6,
+    running: 4,
+    orders: [],
+    refusal: 'shedding',
+  },
+  {
+    title: 'a server that drains',
+    grant: {generation: 5, untilMs: 200},
+    completed: 6,
+    running: 0,
+    orders: [{kind: 'leave', graceMs: 0}],
+    refusal: 'draining',
+  },
+];
+
+for (const {title, grant, completed, running, orders, refusal} of CASES) {
+  test(`a request meets ${title}`, t => {
+    const state = coldServer(
+      OPTIONS,
+      () => 0.5,
+      () => undefined,
+    );
+    if (grant !== null) state.grants.set(3, grant);
+    state.completedWarm = completed;
+    for (const order of orders) obey(state, order, 999);
+    for (let i = 0; i < running; i++) begin(state, ARRIVAL, 1000);
+    t.is(refusalOf(state, ARRIVAL, 1000, 100), refusal);
+  });
+}
+
+test('what it bears grows with completed work up to its slots', t => {
+  const state = coldServer(
+    OPTIONS,
+    () => 0.5,
+    () => undefined,
+  );
+  const grown = [0, 1, 2, 4, 6, 100].map(completed => {
+    state.completedWarm = completed;
+    return bears(state);
+  });
+  t.deepEqual(grown, [1, 1, 2, 3, 4, 4]);
+});
