--- /dev/null
+++ b/packages/emulator/src/demo/main.ts
@@ -0,0 +1,109 @@
+/**
+ * @fileoverview Taipei's Finder and Pairing in three availability zones: some
+ * hundreds of lookups and bookings, one daemon killed midway, and a table of
+ * what came of each request.
+ */
+
+import type {Cluster, ClusterPlan, Host} from '../deployment/types.js';
+import type {Load} from '../load/definition.js';
+import type {Workspace} from '@jackdawfall/core';
+
+import {sleep} from '../control/logic.js';
+import {startCluster} from '../deployment/definition.js';
+import {
+  applyUntilAccepted,
+  cityDocument,
+  routesOf,
+  untilServed,
+} from '../deployment/operations.js';
+import {judge} from '../ledger/logic.js';
+import {renderVerdict} from '../ledger/view.js';
+import {startLoad} from '../load/definition.js';
+import {latencyOf} from '../load/logic.js';
+
+const ZONES = ['a', 'b', 'c'];
+const SERVICES = ['finder', 'pairing'];
+const KEYS = 40;
+const PER_SECOND = 60;
+const DURATION_MS = 10_000;
+const KILL_AFTER_MS = 4000;
+const START_MS = 20_000;
+const BODY_BYTES = 200;
+const SEED = 20;
+const MAX_REQUESTS = 5000;
+
+const PLAN: ClusterPlan = {
+  workspace: 'taipei',
+  hosts: ZONES.flatMap(zone =>
+    SERVICES.map(service => ({host: `${service}-${zone}`, zone, service})),
+  ),
+  relays: false,
+  server: {slots: 20, connections: 130, serviceMs: 6},
+  tuning: {},
+  seed: SEED,
+};
+
+const stop = new AbortController();
+process.once('SIGINT', () => stop.abort());
+try {
+  process.exitCode = await run(stop.signal);
+} finally {
+  stop.abort();
+}
+
+async function run(signal: AbortSignal): Promise<number> {
+  say(`starting the platform, ${PLAN.hosts.length} daemons and servers`);
+  const cluster = await startCluster(PLAN, signal);
+  const document = await cityDocument({});
+  const hosts = [...cluster.hosts.values()];
+  await applyUntilAccepted(hosts[0], document, 0, START_MS);
+  const readyMs = await untilServed(hosts, SERVICES, KEYS, START_MS);
+  say(`workspace taipei applied; every key served ${readyMs.toFixed(0)} ms on`);
+  const load = lookUpAndBook(document, hosts, signal);
+  await sleep(KILL_AFTER_MS, signal);
+  await killDaemon(cluster, 'pairing-b');
+  await load.finished;
+  return report(cluster, load);
+}
+
+function lookUpAndBook(
+  document: Workspace,
+  hosts: readonly Host[],
+  signal: AbortSignal,
+): Load {
+  say(`${PER_SECOND} lookups and bookings a second for ${DURATION_MS} ms`);
+  return startLoad(
+    {
+      targets: hosts.map(host => host.callers),
+      arrivals: {kind: 'open', perSecond: PER_SECOND},
+      durationMs: DURATION_MS,
+      maxRequests: MAX_REQUESTS,
+      seed: SEED,
+      keys: KEYS,
+      zipf: 0,
+      routes: routesOf(document, SERVICES),
+      bodyBytes: BODY_BYTES,
+    },
+    signal,
+  );
+}
+
+async function killDaemon(cluster: Cluster, name: string): Promise<void> {
+  const daemon = cluster.hosts.get(name)?.daemon;
+  daemon?.kill('SIGKILL');
+  await daemon?.exited;
+  say(`daemon ${name} killed with SIGKILL`);
+}
+
+function report(cluster: Cluster, load: Load): number {
+  const verdict = judge(load.records, cluster.notes, cluster.deaths);
+  const latency = latencyOf(load.records);
+  say('');
+  say(renderVerdict(verdict));
+  say(`latency of the done: p50 ${latency.p50} ms, p99 ${latency.p99} ms`);
+  return verdict.violations.length === 0 ? 0 : 1;
+}
+
+function say(line: string): void {
+  process.stdout.write(`${line}\n`);
+}
--- a/packages/emulator/src/deployment/definition.ts
+++ b/packages/emulator/src/deployment/definition.ts
@@ -207,6 +207,7 @@
     serverPort,
     serverControl: `${LOOPBACK}:${serverControl}`,
     relayControl: relay && `${LOOPBACK}:${relay.controlPort}`,
+    frozen: false,
     daemon: null,
     server: null,
   };
--- /dev/null
+++ b/packages/emulator/src/deployment/operations.ts
@@ -0,0 +1,229 @@
+/** @fileoverview What operators and callers do with a running cluster. */
+
+import type {Cluster, Host} from './types.js';
+import type {LoadRoute} from '../load/types.js';
+import type {
+  Command,
+  CommandResult,
+  ParameterValue,
+  Workspace,
+} from '@jackdawfall/core';
+import {readFile} from 'node:fs/promises';
+
+import {expandTemplate, parseTemplate, parseWorkspace} from '@jackdawfall/core';
+
+import {get, post} from '../control/client.js';
+import {sleep} from '../control/logic.js';
+
+const TEMPLATES = new URL('../../../../templates/', import.meta.url);
+const STEP_MS = 50;
+const COMMAND_TIMEOUT_MS = 5000;
+const LOOKUP_TIMEOUT_MS = 2000;
+const STATUS_TIMEOUT_MS = 1000;
+const OK = 200;
+/** Longer than any route's own timeout, so that an answer always comes. */
+const CALLER_GRACE_MS = 1500;
+
+/** Raised when the cluster did not do in time what was expected. */
+export class ExpectationError extends Error {
+  override readonly name = 'ExpectationError';
+}
+
+/** Parameters of a template by name. */
+export type Parameters = Readonly<Record<string, ParameterValue>>;
+
+/**
+ * Fills in the city template with Taipei's parameters.
+ *
+ * @param changes - Parameters that differ.
+ * @returns The configuration document.
+ * @throws {ExpectationError} When the template or a parameter is wrong.
+ */
+export async function cityDocument(changes: Parameters): Promise<Workspace> {
+  const read = parseTemplate(await readTemplate('city_service.json'));
+  if (read.kind === 'invalid') {
+    throw new ExpectationError(JSON.stringify(read.faults));
+  }
+  const taipei = await readTemplate('parameters/taipei.json');
+  const values = {...(JSON.parse(taipei) as Parameters), ...changes};
+  const expanded = expandTemplate(read.template, values);
+  if (expanded.kind === 'invalid') {
+    throw new ExpectationError(JSON.stringify(expanded.faults));
+  }
+  const parsed = parseWorkspace(JSON.stringify(expanded.document));
+  if (parsed.kind === 'ok') return parsed.workspace;
+  throw new ExpectationError(JSON.stringify(parsed.faults));
+}
+
+/**
+ * Gives a command to a daemon.
+ *
+ * @param host - Its host.
+ * @param command - The command.
+ * @returns The result; a lost reply is `unknown`.
+ */
+export async function command(
+  host: Host,
+  command: Command,
+): Promise<CommandResult> {
+  try {
+    const url = `http://${host.operators}/commands`;
+    const reply = await post(url, command, COMMAND_TIMEOUT_MS);
+    return JSON.parse(reply.body) as CommandResult;
+  } catch (error) {
+    return {kind: 'unknown', detail: String(error)};
+  }
+}
+
+/**
+ * Applies a document through one daemon until it is accepted.
+ *
+ * @param host - The daemon's host.
+ * @param document - The configuration.
+ * @param basedOn - Version that the operator has read.
+ * @param withinMs - Time allowed.
+ * @returns The accepted result.
+ * @throws {ExpectationError} When it is not accepted in time.
+ */
+export async function applyUntilAccepted(
+  host: Host,
+  document: Workspace,
+  basedOn: number,
+  withinMs: number,
+): Promise<CommandResult> {
+  const order: Command = {
+    kind: 'apply',
+    basedOn,
+    document: JSON.stringify(document),
+    by: 'scenario',
+  };
+  const untilMs = performance.now() + withinMs;
+  for (;;) {
+    const result = await command(host, order);
+    if (result.kind === 'ok') return result;
+    if (performance.now() > untilMs || result.kind === 'rejected') {
+      throw new ExpectationError(`apply: ${JSON.stringify(result)}`);
+    }
+    await sleep(STEP_MS);
+  }
+}
+
+/**
+ * Reads what a daemon shows of itself.
+ *
+ * @param host - Its host.
+ * @returns The status, or null when the daemon does not answer.
+ */
+export async function statusOf(host: Host): Promise<DaemonStatus | null> {
+  try {
+    const url = `http://${host.operators}/status`;
+    const reply = await get(url, STATUS_TIMEOUT_MS);
+    return JSON.parse(reply.body) as DaemonStatus;
+  } catch {
+    return null;
+  }
+}
+
+/** The parts of a daemon's status that scenarios look at. */
+export interface DaemonStatus {
+  readonly ownership: {
+    readonly member: string;
+    readonly version: number;
+    readonly configuration: number;
+    readonly members: ReadonlyArray<{readonly member: string}>;
+  };
+}
+
+/**
+ * Waits until every key of a service is served through each of the hosts.
+ *
+ * @param hosts - Daemons that are asked in turn.
+ * @param services - Services by name.
+ * @param keys - Number of keys.
+ * @param withinMs - Time allowed.
+ * @returns Time it took, in milliseconds.
+ * @throws {ExpectationError} Names the first key that was not served.
+ */
+export async function untilServed(
+  hosts: readonly Host[],
+  services: readonly string[],
+  keys: number,
+  withinMs: number,
+): Promise<number> {
+  const startMs = performance.now();
+  const waiting = services.flatMap(service =>
+    Array.from({length: keys}, (_, index) => ({service, index})),
+  );
+  await Promise.all(
+    waiting.map(async ({service, index}) => {
+      const host = hosts[index % hosts.length];
+      const path = `/${service}/key-${index}`;
+      await untilAnswered(host, path, startMs + withinMs);
+    }),
+  );
+  return performance.now() - startMs;
+}
+
+/**
+ * Names the routes that callers of a document use.
+ *
+ * @param document - The configuration.
+ * @param services - Services to call.
+ * @returns Routes with equal weights.
+ */
+export function routesOf(
+  document: Workspace,
+  services: readonly string[],
+): LoadRoute[] {
+  const chosen = document.routes.filter(
+    route =>
+      services.includes(route.service) && route.priority === 'interactive',
+  );
+  return chosen.map(route => ({
+    name: `${route.method} ${route.service}`,
+    service: route.service,
+    weight: 1,
+    method: route.method,
+    path: route.path,
+    timeoutMs: route.timeoutMs + CALLER_GRACE_MS,
+  }));
+}
+
+/**
+ * Lists the hosts whose daemon runs and is not frozen.
+ *
+ * @param cluster - The cluster.
+ * @returns Hosts in the order of the plan.
+ */
+export function liveHosts(cluster: Cluster): Host[] {
+  return [...cluster.hosts.values()].filter(
+    host => host.daemon?.isRunning() && !host.frozen,
+  );
+}
+
+async function readTemplate(name: string): Promise<string> {
+  return readFile(new URL(name, TEMPLATES), 'utf8');
+}
+
+async function untilAnswered(
+  host: Host,
+  path: string,
+  untilMs: number,
+): Promise<void> {
+  let last = 'no answer';
+  for (;;) {
+    const leftMs = untilMs - performance.now();
+    if (leftMs <= 0) {
+      throw new ExpectationError(`${path} via ${host.plan.host}: ${last}`);
+    }
+    try {
+      const url = `http://${host.callers}${path}`;
+      const reply = await get(url, Math.min(leftMs, LOOKUP_TIMEOUT_MS));
+      if (reply.status === OK) return;
+      last = reply.body;
+    } catch (error) {
+      last = String(error);
+    }
+    await sleep(STEP_MS);
+  }
+}
--- a/packages/emulator/src/deployment/types.ts
+++ b/packages/emulator/src/deployment/types.ts
@@ -28,7 +28,6 @@
   readonly hosts: readonly HostPlan[];
   /** Whether links between daemons pass through relays. */
   readonly relays: boolean;
-  /** Whether the daemons reach the platform through a relay. */
   readonly server: Partial<ServerOptions>;
   /** Partial settings of the daemons. */
   readonly tuning: Readonly<Record<string, unknown>>;
@@ -45,6 +44,8 @@
   readonly serverPort: number;
   readonly serverControl: string;
   readonly relayControl: string | null;
+  /** True while its daemon is stopped by SIGSTOP. */
+  frozen: boolean;
   daemon: Child | null;
   server: Child | null;
 }
