--- /dev/null
+++ b/packages/core/src/admission/logic.ts
@@ -0,0 +1,322 @@
+/**
+ * @fileoverview How much work the backend server beside this daemon gets.
+ * The limit starts at one and grows by completed work; shedding, a new
+ * instance or a jump in latency set it back to one. Reports of load or health
+ * play no part.
+ */
+
+import type {AttemptId} from '../ids/types.js';
+import type {Announcement} from '../loop/types.js';
+import type {Priority} from '../workspace/types.js';
+import type {
+  Admission,
+  AdmissionPolicy,
+  Completion,
+  Decision,
+  RelapseCause,
+  Waiting,
+} from './types.js';
+
+const MAX_CAUTION = 8;
+/** Fewest completions that a latency decision is taken from. */
+const MIN_WINDOW = 16;
+/** Weight of a sample that is above the baseline. */
+const BASELINE_RISE = 0.01;
+/** Weight of a sample that is below the baseline. */
+const BASELINE_FALL = 0.02;
+
+/**
+ * Creates a gate that admits nothing until a server announces itself.
+ *
+ * @param policy - Settings.
+ * @returns The gate.
+ */
+export function createAdmission(policy: AdmissionPolicy): Admission {
+  return {
+    policy,
+    instance: null,
+    ceiling: 0,
+    limit: 0,
+    running: 0,
+    runningDeferrable: 0,
+    completions: 0,
+    caution: 1,
+    ramping: true,
+    relapsedAt: -Infinity,
+    ratioSum: 0,
+    ratios: 0,
+    baselines: new Map(),
+    queues: {interactive: [], deferrable: []},
+  };
+}
+
+/**
+ * Takes in what the server says of itself.
+ *
+ * @param gate - The gate.
+ * @param said - The announcement.
+ * @param now - Monotonic time, in milliseconds.
+ * @returns The cause of a relapse, or null.
+ */
+export function announce(
+  gate: Admission,
+  said: Announcement,
+  now: number,
+): RelapseCause | null {
+  gate.ceiling = Math.max(0, Math.min(said.slots, said.connections));
+  gate.limit = Math.min(gate.limit, gate.ceiling);
+  if (gate.instance === said.instance) return null;
+  gate.instance = said.instance;
+  gate.caution = 1;
+  relapse(gate, now);
+  return 'instance';
+}
+
+/**
+ * Closes the gate: the server is gone.
+ *
+ * @param gate - The gate.
+ */
+export function close(gate: Admission): void {
+  gate.instance = null;
+  gate.ceiling = 0;
+  gate.limit = 0;
+}
+
+/**
+ * Decides about an attempt that arrives.
+ *
+ * @param gate - The gate.
+ * @param attempt - The attempt.
+ * @param priority - Its class.
+ * @param now - Monotonic time, in milliseconds.
+ * @param deadline - Monotonic time of its deadline.
+ * @returns Whether it starts, waits in the gate's queue, or is refused.
+ */
+export function offer(
+  gate: Admission,
+  attempt: AttemptId,
+  priority: Priority,
+  now: number,
+  deadline: number,
+): Decision {
+  const queue = gate.queues[priority];
+  if (queue.length === 0 && hasSlot(gate, priority)) return 'start';
+  if (queue.length >= gate.ceiling * gate.policy.queueFactor) return 'refuse';
+  const until = Math.min(deadline, now + queueTimeMs(gate, priority));
+  queue.push({attempt, since: now, until});
+  return 'wait';
+}
+
+/**
+ * Counts a run that begins.
+ *
+ * @param gate - The gate.
+ * @param priority - The run's class.
+ */
+export function begin(gate: Admission, priority: Priority): void {
+  gate.running += 1;
+  if (priority === 'deferrable') gate.runningDeferrable += 1;
+}
+
+/**
+ * Takes the next attempt that may start.
+ *
+ * @param gate - The gate.
+ * @returns The attempt with its class, or null.
+ */
+export function takeNext(
+  gate: Admission,
+): {readonly waiting: Waiting; readonly priority: Priority} | null {
+  for (const priority of ['interactive', 'deferrable'] as const) {
+    const [waiting] = gate.queues[priority];
+    if (waiting === undefined || !hasSlot(gate, priority)) continue;
+    gate.queues[priority].shift();
+    return {waiting, priority};
+  }
+  return null;
+}
+
+/**
+ * Removes the attempts whose time in the queue is over.
+ *
+ * @param gate - The gate.
+ * @param now - Monotonic time, in milliseconds.
+ * @returns The attempts removed.
+ */
+export function takeExpired(gate: Admission, now: number): AttemptId[] {
+  if (nextExpiry(gate) > now) return [];
+  return takeWhere(gate, waiting => waiting.until <= now);
+}
+
+/**
+ * Removes waiting attempts.
+ *
+ * @param gate - The gate.
+ * @param chosen - Which to remove.
+ * @returns The attempts removed.
+ */
+export function takeWhere(
+  gate: Admission,
+  chosen: (waiting: Waiting) => boolean,
+): AttemptId[] {
+  const taken: AttemptId[] = [];
+  for (const queue of Object.values(gate.queues)) {
+    const kept = queue.filter(waiting => !chosen(waiting));
+    if (kept.length === queue.length) continue;
+    taken.push(...queue.filter(chosen).map(waiting => waiting.attempt));
+    queue.splice(0, queue.length, ...kept);
+  }
+  return taken;
+}
+
+/**
+ * Finds when the next waiting attempt is due to be refused.
+ *
+ * @param gate - The gate.
+ * @returns Monotonic time in milliseconds, or Infinity.
+ */
+export function nextExpiry(gate: Admission): number {
+  const {interactive, deferrable} = gate.queues;
+  const first = interactive.length > 0 ? interactive[0].until : Infinity;
+  const second = deferrable.length > 0 ? deferrable[0].until : Infinity;
+  return Math.min(first, second);
+}
+
+/**
+ * Counts a run that is over without an answer worth learning from.
+ *
+ * @param gate - The gate.
+ * @param priority - The run's class.
+ */
+export function release(gate: Admission, priority: Priority): void {
+  gate.running -= 1;
+  if (priority === 'deferrable') gate.runningDeferrable -= 1;
+}
+
+/**
+ * Counts a run that the server refused to start.
+ *
+ * @param gate - The gate.
+ * @param run - The run.
+ * @param now - Monotonic time, in milliseconds.
+ * @returns The cause of a relapse, or null.
+ */
+export function shed(
+  gate: Admission,
+  run: Completion,
+  now: number,
+): RelapseCause | null {
+  release(gate, run.priority);
+  if (run.startedAt < gate.relapsedAt) return null;
+  gate.caution = Math.min(MAX_CAUTION, gate.caution * 2);
+  relapse(gate, now);
+  return 'shed';
+}
+
+/**
+ * Counts a run with a whole answer, and adapts the limit.
+ *
+ * @param gate - The gate.
+ * @param run - The run.
+ * @param now - Monotonic time, in milliseconds.
+ * @returns The cause of a relapse, or null.
+ */
+export function complete(
+  gate: Admission,
+  run: Completion,
+  now: number,
+): RelapseCause | null {
+  const busy = gate.running * 2 >= gate.limit;
+  release(gate, run.priority);
+  if (run.startedAt < gate.relapsedAt) return null;
+  learn(gate, run.label, now - run.startedAt);
+  if (busy) gate.completions += 1;
+  const window = Math.max(MIN_WINDOW, gate.limit);
+  if (gate.ratios < window) return null;
+  const ratio = gate.ratioSum / gate.ratios;
+  gate.ratioSum = 0;
+  gate.ratios = 0;
+  return adapt(gate, ratio, now);
+}
+
+/**
+ * Finds the usual latency of runs with a label.
+ *
+ * @param gate - The gate.
+ * @param label - The label.
+ * @returns Milliseconds, or 0 if unknown.
+ */
+export function usualLatencyMs(gate: Admission, label: string): number {
+  return gate.baselines.get(label)?.latencyMs ?? 0;
+}
+
+function adapt(
+  gate: Admission,
+  ratio: number,
+  now: number,
+): RelapseCause | null {
+  const {policy} = gate;
+  if (ratio >= policy.jumpRatio && gate.limit > 1) {
+    relapse(gate, now);
+    return 'latency';
+  }
+  if (ratio >= policy.slowRatio) {
+    gate.limit = Math.max(1, Math.floor(gate.limit * policy.decrease));
+    gate.completions = 0;
+    return null;
+  }
+  grow(gate);
+  return null;
+}
+
+function grow(gate: Admission): void {
+  const needed = gate.limit * gate.policy.growthCompletions * gate.caution;
+  if (gate.completions < needed) return;
+  gate.completions = 0;
+  gate.limit = Math.min(gate.ceiling, gate.limit + 1);
+  if (gate.limit < gate.ceiling) return;
+  gate.ramping = false;
+  gate.caution = 1;
+}
+
+/** The baseline starts anew: what follows is measured at a limit of one. */
+function relapse(gate: Admission, now: number): void {
+  gate.limit = Math.min(1, gate.ceiling);
+  gate.ramping = true;
+  gate.completions = 0;
+  gate.ratioSum = 0;
+  gate.ratios = 0;
+  gate.relapsedAt = now;
+  gate.baselines.clear();
+}
+
+function learn(gate: Admission, label: string, latencyMs: number): void {
+  const baseline = gate.baselines.get(label);
+  gate.ratios += 1;
+  if (baseline === undefined) {
+    gate.baselines.set(label, {latencyMs, samples: 1});
+    gate.ratioSum += 1;
+    return;
+  }
+  baseline.samples += 1;
+  gate.ratioSum += latencyMs / Math.max(baseline.latencyMs, 1);
+  const rises = latencyMs > baseline.latencyMs;
+  const least = rises ? BASELINE_RISE : BASELINE_FALL;
+  const weight = Math.max(least, 1 / baseline.samples);
+  baseline.latencyMs += (latencyMs - baseline.latencyMs) * weight;
+}
+
+function hasSlot(gate: Admission, priority: Priority): boolean {
+  if (gate.running >= gate.limit) return false;
+  if (priority === 'interactive') return true;
+  if (gate.queues.interactive.length > 0) return false;
+  const share = Math.floor(gate.limit * gate.policy.deferrableShare);
+  return gate.runningDeferrable < Math.max(1, share);
+}
+
+function queueTimeMs(gate: Admission, priority: Priority): number {
+  const {policy} = gate;
+  if (priority === 'deferrable') return policy.deferrableQueueMs;
+  return gate.ramping ? policy.rampQueueMs : policy.queueMs;
+}
--- /dev/null
+++ b/packages/core/src/admission/types.ts
@@ -0,0 +1,64 @@
+/** @fileoverview State of the gate before one backend server. */
+
+import type {AttemptId, InstanceId} from '../ids/types.js';
+import type {Tuning} from '../settings/defaults.js';
+import type {Priority} from '../workspace/types.js';
+
+/** Settings of admission. */
+export type AdmissionPolicy = Tuning['admission'];
+
+/** One attempt that waits for a slot. */
+export interface Waiting {
+  readonly attempt: AttemptId;
+  readonly since: number;
+  /** Monotonic time at which it is refused, in milliseconds. */
+  readonly until: number;
+}
+
+/** Latency of one class of runs when the server is well. */
+export interface Baseline {
+  latencyMs: number;
+  samples: number;
+}
+
+/** Why the limit was set back to one. */
+export type RelapseCause = 'instance' | 'shed' | 'latency';
+
+/** The gate: how much the backend server gets, and who waits. */
+export interface Admission {
+  readonly policy: AdmissionPolicy;
+  instance: InstanceId | null;
+  /** Upper bound of the limit: slots and connections. */
+  ceiling: number;
+  /** Runs allowed at the same time. */
+  limit: number;
+  /** Runs given to the server and not yet over. */
+  running: number;
+  /** Those of them that are deferrable. */
+  runningDeferrable: number;
+  /** Completions since the limit last changed. */
+  completions: number;
+  /** Factor on the completions needed to grow; doubles at a relapse. */
+  caution: number;
+  /** True until the limit has reached its ceiling after a relapse. */
+  ramping: boolean;
+  /** Runs that started before this moment don't cause another relapse. */
+  relapsedAt: number;
+  /** Sum of latency ratios in the current window, and their number. */
+  ratioSum: number;
+  ratios: number;
+  readonly baselines: Map<string, Baseline>;
+  readonly queues: Record<Priority, Waiting[]>;
+}
+
+/** What becomes of an attempt that asks for a slot. */
+export type Decision = 'start' | 'wait' | 'refuse';
+
+/** One run that is over, as the gate sees it. */
+export interface Completion {
+  readonly priority: Priority;
+  /** Runs with the same label have comparable latencies. */
+  readonly label: string;
+  /** Monotonic time at which it started, in milliseconds. */
+  readonly startedAt: number;
+}
--- /dev/null
+++ b/packages/core/src/choice/logic.ts
@@ -0,0 +1,274 @@
+/**
+ * @fileoverview Choice of a server for work that any server of a service may
+ * run: the better of two by outstanding work and observed latency. Nothing is
+ * probed; what is seen comes from answers and their absence.
+ */
+
+import type {AttemptId, MemberId, ServiceName, ZoneName} from '../ids/types.js';
+import type {Server} from '../ownership/types.js';
+import type {Tuning} from '../settings/defaults.js';
+import type {Choice, Observed, Seen} from './types.js';
+import {LatencyWindow} from './window.js';
+
+/** Score of a server that refused a moment ago, as a factor. */
+const REFUSED_FACTOR = 1e6;
+const LEAST_LATENCY_MS = 0.1;
+const MEAN_WEIGHT = 0.02;
+const LATENCY_WEIGHT = 0.2;
+/** Samples needed before a percentile is used. */
+const MIN_SAMPLES = 20;
+
+type ChoicePolicy = Tuning['routing'];
+
+/** What a choice depends on besides the servers. */
+export interface Situation {
+  readonly service: ServiceName;
+  /** Monotonic time, in milliseconds. */
+  readonly now: number;
+  /** This daemon's availability zone, or null if unknown. */
+  readonly zone: ZoneName | null;
+  readonly random: number;
+  /** Servers not to be chosen. */
+  readonly avoid: readonly MemberId[];
+  readonly policy: ChoicePolicy;
+}
+
+/**
+ * Creates the state.
+ *
+ * @returns The state.
+ */
+export function createChoice(): Choice {
+  return {servers: new Map(), services: new Map()};
+}
+
+/**
+ * Chooses a server.
+ *
+ * @param choice - What was seen.
+ * @param servers - Servers that take new work.
+ * @param situation - Moment, place, randomness and exclusions.
+ * @returns The server, or null if none is left.
+ */
+export function chooseServer(
+  choice: Choice,
+  servers: readonly Server[],
+  situation: Situation,
+): Server | null {
+  const {avoid, random} = situation;
+  const open =
+    avoid.length === 0
+      ? servers
+      : servers.filter(server => !avoid.includes(server.member));
+  if (open.length < 2) return open[0] ?? null;
+  const [a, b] = pairOf(open, random);
+  const scoreA = scoreOf(choice, a, situation);
+  const scoreB = scoreOf(choice, b, situation);
+  return scoreA <= scoreB ? a : b;
+}
+
+/**
+ * Notes that an attempt was sent.
+ *
+ * @param choice - What was seen.
+ * @param member - The server's member.
+ * @param attempt - The attempt.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function noteSent(
+  choice: Choice,
+  member: MemberId,
+  attempt: AttemptId,
+  now: number,
+): void {
+  observed(choice, member).outstanding.set(attempt, now);
+}
+
+/**
+ * Notes a latency.
+ *
+ * @param choice - What was seen.
+ * @param member - The server's member.
+ * @param service - The service.
+ * @param latencyMs - From sending to the head of the answer.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function noteLatency(
+  choice: Choice,
+  member: MemberId,
+  service: ServiceName,
+  latencyMs: number,
+  now: number,
+): void {
+  const server = observed(choice, member);
+  const known = server.latencyMs;
+  const rises = latencyMs > known;
+  const weight = rises ? 1 : LATENCY_WEIGHT;
+  server.latencyMs = known + (latencyMs - known) * weight;
+  server.latencyAt = now;
+  const all = seen(choice, service);
+  all.window.add(latencyMs);
+  const meanWeight = all.meanMs === 0 ? 1 : MEAN_WEIGHT;
+  all.meanMs += (latencyMs - all.meanMs) * meanWeight;
+}
+
+/**
+ * Notes that an attempt was given up: its latency is at least its age.
+ *
+ * @param choice - What was seen.
+ * @param member - The server's member.
+ * @param ageMs - Time since it was sent.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function noteSlow(
+  choice: Choice,
+  member: MemberId,
+  ageMs: number,
+  now: number,
+): void {
+  const server = observed(choice, member);
+  if (ageMs < server.latencyMs) return;
+  server.latencyMs = ageMs;
+  server.latencyAt = now;
+}
+
+/**
+ * Notes that an attempt is over.
+ *
+ * @param choice - What was seen.
+ * @param member - The server's member.
+ * @param attempt - The attempt.
+ */
+export function noteOver(
+  choice: Choice,
+  member: MemberId,
+  attempt: AttemptId,
+): void {
+  choice.servers.get(member)?.outstanding.delete(attempt);
+}
+
+/**
+ * Notes what a server said of the work it has.
+ *
+ * @param choice - What was seen.
+ * @param member - The server's member.
+ * @param outstanding - Attempts that wait or run there.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function noteReport(
+  choice: Choice,
+  member: MemberId,
+  outstanding: number,
+  now: number,
+): void {
+  const server = observed(choice, member);
+  server.reported = outstanding;
+  server.reportedAt = now;
+}
+
+/**
+ * Notes that a server refused for lack of room.
+ *
+ * @param choice - What was seen.
+ * @param member - The server's member.
+ * @param until - Monotonic time until which it is passed over.
+ */
+export function noteRefused(
+  choice: Choice,
+  member: MemberId,
+  until: number,
+): void {
+  observed(choice, member).refusedUntil = until;
+}
+
+/**
+ * Drops what was seen of members that are gone.
+ *
+ * @param choice - What was seen.
+ * @param isGone - Whether a member is gone.
+ */
+export function dropServers(
+  choice: Choice,
+  isGone: (member: MemberId) => boolean,
+): void {
+  for (const [member, {outstanding}] of choice.servers) {
+    if (outstanding.size > 0 || !isGone(member)) continue;
+    choice.servers.delete(member);
+  }
+}
+
+/**
+ * Finds the wait before a slow lookup is hedged: the observed p95.
+ *
+ * @param choice - What was seen.
+ * @param service - The service.
+ * @param leastMs - Lower bound.
+ * @returns Milliseconds, or null while too little was seen.
+ */
+export function hedgeDelayMs(
+  choice: Choice,
+  service: ServiceName,
+  leastMs: number,
+): number | null {
+  const all = choice.services.get(service);
+  if (all === undefined || all.window.size < MIN_SAMPLES) return null;
+  return Math.max(leastMs, all.window.percentile(0.95));
+}
+
+function pairOf(
+  servers: readonly Server[],
+  random: number,
+): readonly [Server, Server] {
+  const count = servers.length;
+  const pick = Math.floor(random * count * (count - 1));
+  const first = Math.floor(pick / (count - 1));
+  const offset = 1 + (pick % (count - 1));
+  return [servers[first], servers[(first + offset) % count]];
+}
+
+function scoreOf(choice: Choice, server: Server, at: Situation): number {
+  const known = choice.servers.get(server.member);
+  const isNear = at.zone === null || server.zone === at.zone;
+  const distance = isNear ? 1 : at.policy.otherZoneFactor;
+  const meanMs = choice.services.get(at.service)?.meanMs ?? 0;
+  if (known === undefined) return Math.max(LEAST_LATENCY_MS, meanMs) * distance;
+  const latencyMs = expectedMs(known, meanMs, at);
+  const halfLives = (at.now - known.reportedAt) / at.policy.latencyHalfLifeMs;
+  const reported = known.reported * 0.5 ** halfLives;
+  const load = 1 + Math.max(known.outstanding.size, reported);
+  const refused = known.refusedUntil > at.now ? REFUSED_FACTOR : 1;
+  return latencyMs * load * distance * refused;
+}
+
+/** Latency above the mean fades; an attempt without an answer counts by age. */
+function expectedMs(known: Observed, meanMs: number, at: Situation): number {
+  const halfLives = (at.now - known.latencyAt) / at.policy.latencyHalfLifeMs;
+  const latest = known.latencyMs === 0 ? meanMs : known.latencyMs;
+  const fadedMs = meanMs + (latest - meanMs) * 0.5 ** halfLives;
+  const [oldest] = known.outstanding.values();
+  const ageMs = oldest === undefined ? 0 : at.now - oldest;
+  return Math.max(LEAST_LATENCY_MS, fadedMs, ageMs);
+}
+
+function observed(choice: Choice, member: MemberId): Observed {
+  const known = choice.servers.get(member);
+  if (known !== undefined) return known;
+  const fresh: Observed = {
+    outstanding: new Map(),
+    reported: 0,
+    reportedAt: 0,
+    latencyMs: 0,
+    latencyAt: 0,
+    refusedUntil: 0,
+  };
+  choice.servers.set(member, fresh);
+  return fresh;
+}
+
+function seen(choice: Choice, service: ServiceName): Seen {
+  const known = choice.services.get(service);
+  if (known !== undefined) return known;
+  const fresh: Seen = {window: new LatencyWindow(), meanMs: 0};
+  choice.services.set(service, fresh);
+  return fresh;
+}
--- /dev/null
+++ b/packages/core/src/execution/definition.ts
@@ -0,0 +1,126 @@
+/** @fileoverview Registers the work beside the backend server. */
+
+import {announce, close} from '../admission/logic.js';
+import type {MemberId} from '../ids/types.js';
+import type {Subject} from '../loop/subject.js';
+import type {Announcement, Effect, Event} from '../loop/types.js';
+import type {Message} from '../messages/types.js';
+import type {OwnershipView} from '../ownership/types.js';
+import {takeCancel, takeDispatch, takeInquiry} from './intake.js';
+import {pump, runEnded, runFailed, runHead, runWritten} from './runs.js';
+import type {Turn} from './state.js';
+import type {Execution} from './types.js';
+import {renderExecution} from './view.js';
+import {noticeStall, wakeForQueue, watch} from './watch.js';
+
+/** The owner's side of requests. */
+export const EXECUTION: Subject<
+  Execution,
+  {readonly ownership: OwnershipView}
+> = {
+  name: 'execution',
+  reduce(state, input, {ownership}) {
+    const effects: Effect[] = [];
+    const now = input.at.monotonic;
+    const turn: Turn = {state, input, now, ownership, effects};
+    noticeStall(turn);
+    handle(turn, input.event);
+    pump(turn);
+    wakeForQueue(turn);
+    return effects;
+  },
+  render: renderExecution,
+};
+
+function handle(turn: Turn, event: Event): void {
+  const {state} = turn;
+  switch (event.kind) {
+    case 'received':
+      receive(turn, event.from, event.message);
+      return;
+    case 'ticked':
+      watch(turn);
+      return;
+    case 'woken':
+      if (turn.now >= state.wakeAt) state.wakeAt = Infinity;
+      return;
+    case 'announced':
+      takeAnnouncement(turn, event.announcement);
+      return;
+    case 'announcementLapsed':
+      if (state.server?.instance === event.instance) loseServer(state);
+      return;
+    case 'stopRequested':
+      state.stopping = true;
+      leave(turn);
+      return;
+    case 'runWritten':
+    case 'runHead':
+    case 'runEnded':
+    case 'runFailed':
+      progress(turn, event);
+      return;
+    case 'linkOpened':
+    case 'linkLost':
+    case 'unsent':
+    case 'storeReplied':
+    case 'taken':
+    case 'hungUp':
+    case 'answered':
+    case 'commanded':
+      return;
+  }
+}
+
+type RunEvent = Extract<
+  Event,
+  {kind: 'runWritten' | 'runHead' | 'runEnded' | 'runFailed'}
+>;
+
+function progress(turn: Turn, event: RunEvent): void {
+  const job = turn.state.jobs.get(event.attempt);
+  if (job === undefined) return;
+  switch (event.kind) {
+    case 'runWritten':
+      runWritten(turn, job);
+      return;
+    case 'runHead':
+      runHead(turn, job, event.shed);
+      return;
+    case 'runEnded':
+      runEnded(turn, job);
+      return;
+    case 'runFailed':
+      runFailed(turn, job, event.run, event.detail);
+      return;
+  }
+}
+
+function receive(turn: Turn, from: MemberId, message: Message): void {
+  if (message.kind === 'dispatch') takeDispatch(turn, from, message);
+  if (message.kind === 'cancel') takeCancel(turn, from, message);
+  if (message.kind === 'inquire') takeInquiry(turn, from, message);
+}
+
+function takeAnnouncement(turn: Turn, announcement: Announcement): void {
+  const {state, now, effects} = turn;
+  state.server = announcement;
+  const cause = announce(state.gate, announcement, now);
+  if (cause !== null) {
+    effects.push({kind: 'log', event: 'limitFellBack', fields: {cause}});
+  }
+  if (announcement.leaving) leave(turn);
+  else if (!state.stopping) state.leavingSince = null;
+}
+
+function leave(turn: Turn): void {
+  const {state, now, effects} = turn;
+  if (state.leavingSince !== null) return;
+  state.leavingSince = now;
+  effects.push({kind: 'log', event: 'serverLeaving', fields: {}});
+}
+
+function loseServer(state: Execution): void {
+  state.server = null;
+  close(state.gate);
+}
--- /dev/null
+++ b/packages/core/src/execution/endings.ts
@@ -0,0 +1,173 @@
+/** @fileoverview How attempts leave the daemon beside the backend server. */
+
+import {release} from '../admission/logic.js';
+import type {ErrorKind, RunState} from '../errors/types.js';
+import type {AttemptId, MemberId} from '../ids/types.js';
+import {settle} from '../outcomes/logic.js';
+import {remember} from './memory.js';
+import type {Turn} from './state.js';
+import {send, sliceKey} from './state.js';
+import type {Ending, Job} from './types.js';
+
+/** Why an attempt failed and whether it ran. */
+export interface Fault {
+  readonly error: ErrorKind;
+  readonly run: RunState;
+  /** Detail for people. */
+  readonly detail: string;
+}
+
+/**
+ * Tells an origin that an attempt failed.
+ *
+ * @param turn - The turn.
+ * @param to - The origin.
+ * @param attempt - The attempt.
+ * @param failure - The kind of error, whether it ran, and detail for people.
+ * @param owner - A better owner to try, or null.
+ */
+export function sendFailed(
+  turn: Turn,
+  to: MemberId,
+  attempt: AttemptId,
+  failure: Fault,
+  owner: MemberId | null = null,
+): void {
+  const outstanding = turn.state.jobs.size;
+  const {version} = turn.ownership;
+  send(turn, to, {
+    kind: 'failed',
+    attempt,
+    error: failure.error,
+    run: failure.run,
+    detail: failure.detail,
+    owner,
+    version,
+    outstanding,
+  });
+}
+
+/**
+ * Ends a job with an error and tells its origin and all that joined it.
+ *
+ * @param turn - The turn.
+ * @param job - The job; its place decides whether it ran.
+ * @param error - The kind of error.
+ * @param detail - Detail for people.
+ * @param owner - A better owner to try, or null.
+ */
+export function failJob(
+  turn: Turn,
+  job: Job,
+  error: ErrorKind,
+  detail: string,
+  owner: MemberId | null = null,
+): void {
+  const {run} = settle(job.place, job.idempotent);
+  const failed = {error, run, detail};
+  endJob(turn, job, {kind: 'failed', ...failed});
+  if (run === 'not-run') clearTraces(turn, job);
+  turn.effects.push({kind: 'forget', attempt: job.attempt});
+  sendFailed(turn, job.origin, job.attempt, failed, owner);
+  for (const joined of job.joined) {
+    sendFailed(turn, joined.origin, joined.attempt, failed, owner);
+  }
+}
+
+/**
+ * Aborts a run, if any, and ends its job with an error.
+ *
+ * @param turn - The turn.
+ * @param job - The job.
+ * @param error - The kind of error.
+ * @param detail - Detail for people.
+ */
+export function abortJob(
+  turn: Turn,
+  job: Job,
+  error: ErrorKind,
+  detail: string,
+): void {
+  if (isRunning(job)) {
+    turn.effects.push({kind: 'cancelRun', attempt: job.attempt});
+    release(turn.state.gate, job.priority);
+    leaveSlice(turn, job);
+  }
+  failJob(turn, job, error, detail);
+}
+
+/**
+ * Moves a job from the live ones to memory.
+ *
+ * @param turn - The turn.
+ * @param job - The job.
+ * @param ending - How it ended.
+ */
+export function endJob(turn: Turn, job: Job, ending: Ending): void {
+  turn.state.jobs.delete(job.attempt);
+  rememberEnding(turn, job, ending);
+}
+
+/**
+ * Remembers an ending and frees what falls out of memory for it.
+ *
+ * @param turn - The turn.
+ * @param of - The attempt with its idempotency key and signature.
+ * @param ending - How it ended.
+ */
+export function rememberEnding(
+  turn: Turn,
+  of: Pick<Job, 'attempt' | 'key' | 'signature'>,
+  ending: Ending,
+): void {
+  const {memory, settings} = turn.state;
+  const dropped = remember(memory, settings.execution, of, ending, turn.now);
+  forgetAll(turn, dropped);
+}
+
+/**
+ * Has the runner drop what it keeps of attempts.
+ *
+ * @param turn - The turn.
+ * @param attempts - The attempts.
+ */
+export function forgetAll(turn: Turn, attempts: readonly AttemptId[]): void {
+  for (const attempt of attempts) turn.effects.push({kind: 'forget', attempt});
+}
+
+/**
+ * Counts a run that is over out of its slice.
+ *
+ * @param turn - The turn.
+ * @param job - The job.
+ */
+export function leaveSlice(turn: Turn, job: Job): void {
+  const {running} = turn.state;
+  const key = sliceKey(job.service, job.slice);
+  const left = (running.get(key) ?? 0) - 1;
+  if (left > 0) running.set(key, left);
+  else running.delete(key);
+}
+
+/**
+ * Tells whether a job was given to the runner.
+ *
+ * @param job - The job.
+ * @returns True from the `run` effect to the end of the run.
+ */
+export function isRunning(job: Job): boolean {
+  return (
+    job.place === 'started' ||
+    job.place === 'written' ||
+    job.place === 'answering'
+  );
+}
+
+/** A request that did not run may be dispatched again. */
+function clearTraces(turn: Turn, job: Job): void {
+  const {keys, ran} = turn.state.memory;
+  if (job.startedAt > 0) ran.delete(job.request);
+  if (job.key !== null && keys.get(job.key) === job.attempt) {
+    keys.delete(job.key);
+  }
+}
--- /dev/null
+++ b/packages/core/src/execution/memory.ts
@@ -0,0 +1,146 @@
+/**
+ * @fileoverview What is remembered of attempts that are over. Memory is
+ * bounded in time and number. What is dropped raises its origin's floor: an
+ * unknown attempt at or below the floor may be one that was forgotten, so it
+ * is never run and nothing is claimed of it. Origins number their attempts in
+ * ascending order, so no clock has to be compared between hosts.
+ */
+
+import {originOf, sequenceOf} from '../ids/logic.js';
+import type {AttemptId, MemberId} from '../ids/types.js';
+import type {Tuning} from '../settings/defaults.js';
+import type {Ending, Memory, Outcome} from './types.js';
+
+type MemoryPolicy = Tuning['execution'];
+
+/** What an ending belongs to. */
+export interface Subjected {
+  readonly attempt: AttemptId;
+  readonly key: string | null;
+  readonly signature: string;
+}
+
+/**
+ * Creates an empty memory.
+ *
+ * @returns The memory.
+ */
+export function createMemory(): Memory {
+  return {
+    plain: new Map(),
+    keyed: new Map(),
+    floors: new Map(),
+    keys: new Map(),
+    ran: new Map(),
+  };
+}
+
+/**
+ * Remembers how an attempt ended.
+ *
+ * @param memory - The memory.
+ * @param policy - Its bounds.
+ * @param of - The attempt.
+ * @param ending - How it ended.
+ * @param now - Monotonic time, in milliseconds.
+ * @returns Attempts dropped to stay within the bounds.
+ */
+export function remember(
+  memory: Memory,
+  policy: MemoryPolicy,
+  of: Subjected,
+  ending: Ending,
+  now: number,
+): AttemptId[] {
+  const keyed = of.key !== null;
+  const ttlMs = keyed ? policy.keyedOutcomeMs : policy.outcomeMs;
+  const outcomes = keyed ? memory.keyed : memory.plain;
+  const {key, signature} = of;
+  outcomes.set(of.attempt, {ending, until: now + ttlMs, key, signature});
+  if (outcomes.size <= policy.maxOutcomes) return [];
+  const [oldest] = outcomes;
+  drop(memory, outcomes, oldest, now);
+  return [oldest[0]];
+}
+
+/**
+ * Finds how an attempt ended.
+ *
+ * @param memory - The memory.
+ * @param attempt - The attempt.
+ * @returns The outcome, or null if it is not remembered.
+ */
+export function recall(memory: Memory, attempt: AttemptId): Outcome | null {
+  const outcome = memory.plain.get(attempt) ?? memory.keyed.get(attempt);
+  return outcome ?? null;
+}
+
+/**
+ * Tells whether an unknown attempt may be one that was forgotten.
+ *
+ * @param memory - The memory.
+ * @param attempt - An attempt that is neither live nor remembered.
+ * @returns True if it must not be run.
+ */
+export function mayBeForgotten(memory: Memory, attempt: AttemptId): boolean {
+  const sequence = sequenceOf(attempt);
+  if (!Number.isInteger(sequence)) return true;
+  const floor = memory.floors.get(originOf(attempt));
+  return floor !== undefined && sequence <= floor.sequence;
+}
+
+/**
+ * Drops what is older than its time.
+ *
+ * @param memory - The memory.
+ * @param policy - Its bounds.
+ * @param now - Monotonic time, in milliseconds.
+ * @returns Attempts dropped.
+ */
+export function expire(
+  memory: Memory,
+  policy: MemoryPolicy,
+  now: number,
+): AttemptId[] {
+  const dropped: AttemptId[] = [];
+  for (const outcomes of [memory.plain, memory.keyed]) {
+    for (const entry of outcomes) {
+      if (entry[1].until > now) break;
+      drop(memory, outcomes, entry, now);
+      dropped.push(entry[0]);
+    }
+  }
+  for (const [request, until] of memory.ran) {
+    if (until > now) break;
+    memory.ran.delete(request);
+  }
+  for (const [origin, floor] of memory.floors) {
+    if (now - floor.at < policy.floorMs) break;
+    memory.floors.delete(origin);
+  }
+  return dropped;
+}
+
+function drop(
+  memory: Memory,
+  outcomes: Map<AttemptId, Outcome>,
+  [attempt, outcome]: [AttemptId, Outcome],
+  now: number,
+): void {
+  outcomes.delete(attempt);
+  raise(memory, originOf(attempt), sequenceOf(attempt), now);
+  const {key} = outcome;
+  if (key !== null && memory.keys.get(key) === attempt) memory.keys.delete(key);
+}
+
+/** Deleted first, so that the map stays in the order of the last change. */
+function raise(
+  memory: Memory,
+  origin: MemberId,
+  sequence: number,
+  now: number,
+): void {
+  const before = memory.floors.get(origin)?.sequence ?? 0;
+  memory.floors.delete(origin);
+  memory.floors.set(origin, {sequence: Math.max(before, sequence), at: now});
+}
--- /dev/null
+++ b/packages/core/src/execution/runs.ts
@@ -0,0 +1,239 @@
+/** @fileoverview Runs on the backend server: start, progress and end. */
+
+import {
+  begin,
+  complete,
+  release,
+  shed,
+  takeExpired,
+  takeNext,
+} from '../admission/logic.js';
+import type {Completion, RelapseCause} from '../admission/types.js';
+import type {ErrorKind, RunState} from '../errors/types.js';
+import type {Permission} from '../ownership/types.js';
+import {endJob, failJob, isRunning, leaveSlice} from './endings.js';
+import type {Turn} from './state.js';
+import {labelOf, sliceKey} from './state.js';
+import type {Job} from './types.js';
+
+type Denial = Extract<Permission, {kind: 'denied'}>['reason'];
+
+/**
+ * Asks ownership whether a job may be dispatched at this moment (rule R1).
+ *
+ * @param turn - The turn.
+ * @param job - The job.
+ * @returns The permission.
+ */
+export function permissionOf(
+  turn: Turn,
+  job: Pick<Job, 'service' | 'slice'>,
+): Permission {
+  const {ownership, input} = turn;
+  if (job.slice === null) return ownership.mayServe(input.at);
+  return ownership.mayDispatch(job.service, job.slice, input.at);
+}
+
+/**
+ * Refuses a job that this daemon may not dispatch, and names the owner.
+ *
+ * @param turn - The turn.
+ * @param job - The job; it has not run.
+ * @param reason - Why it is denied.
+ */
+export function denyJob(turn: Turn, job: Job, reason: Denial): void {
+  const {ownership} = turn;
+  const {service, slice} = job;
+  const owner = slice === null ? null : ownership.placement(service, slice);
+  const better = owner === null ? null : owner.owner;
+  const hint = better === ownership.self ? null : better;
+  failJob(turn, job, errorOf(reason, slice !== null), reason, hint);
+}
+
+/**
+ * Starts a job on the backend server if its slice is held at this moment.
+ *
+ * @param turn - The turn.
+ * @param job - A job that has a slot.
+ */
+export function startJob(turn: Turn, job: Job): void {
+  const {state, effects, now} = turn;
+  const permission = permissionOf(turn, job);
+  if (permission.kind === 'denied') {
+    denyJob(turn, job, permission.reason);
+    return;
+  }
+  if (isSecondRun(turn, job)) return;
+  begin(state.gate, job.priority);
+  job.place = 'started';
+  job.startedAt = now;
+  job.generation = permission.generation;
+  const key = sliceKey(job.service, job.slice);
+  state.running.set(key, (state.running.get(key) ?? 0) + 1);
+  const {attempt, origin, service, slice, generation} = job;
+  const budgetMs = job.deadline - now;
+  const keep = isKept(job);
+  effects.push({
+    kind: 'run',
+    attempt,
+    origin,
+    service,
+    slice,
+    generation,
+    budgetMs,
+    keep,
+  });
+  const waitedMs = now - job.arrivedAt;
+  effects.push({kind: 'measure', histogram: 'queue', valueMs: waitedMs});
+}
+
+/**
+ * Refuses jobs whose time in the queue is over and starts those that fit.
+ *
+ * @param turn - The turn.
+ */
+export function pump(turn: Turn): void {
+  const {state, now} = turn;
+  for (const attempt of takeExpired(state.gate, now)) {
+    const job = state.jobs.get(attempt);
+    if (job === undefined) continue;
+    const late = job.deadline <= now;
+    failJob(
+      turn,
+      job,
+      late ? 'deadline-exceeded' : 'overloaded',
+      'no slot was free in time',
+    );
+  }
+  for (;;) {
+    const next = takeNext(state.gate);
+    if (next === null) return;
+    const job = state.jobs.get(next.waiting.attempt);
+    if (job !== undefined) startJob(turn, job);
+  }
+}
+
+/**
+ * Checks ownership once more before the first byte: seeking a connection took
+ * time.
+ *
+ * @param turn - The turn.
+ * @param job - The job.
+ */
+export function runWritten(turn: Turn, job: Job): void {
+  if (job.place !== 'started') return;
+  const permission = permissionOf(turn, job);
+  if (permission.kind === 'granted') {
+    job.place = 'written';
+    return;
+  }
+  turn.effects.push({kind: 'cancelRun', attempt: job.attempt});
+  leaveSlice(turn, job);
+  release(turn.state.gate, job.priority);
+  denyJob(turn, job, permission.reason);
+}
+
+/**
+ * Takes in the head of an answer.
+ *
+ * @param turn - The turn.
+ * @param job - The job.
+ * @param refused - Whether the server refused before running.
+ */
+export function runHead(turn: Turn, job: Job, refused: boolean): void {
+  if (!isRunning(job)) return;
+  if (!refused) {
+    job.place = 'answering';
+    return;
+  }
+  leaveSlice(turn, job);
+  job.place = 'refused';
+  noteRelapse(turn, shed(turn.state.gate, completionOf(job), turn.now));
+  failJob(turn, job, 'server-refused', 'the backend server refused');
+}
+
+/**
+ * Takes in the end of a whole answer.
+ *
+ * @param turn - The turn.
+ * @param job - The job.
+ */
+export function runEnded(turn: Turn, job: Job): void {
+  if (!isRunning(job)) return;
+  const {state, now, effects} = turn;
+  const key = sliceKey(job.service, job.slice);
+  leaveSlice(turn, job);
+  const wasRamping = state.gate.ramping;
+  noteRelapse(turn, complete(state.gate, completionOf(job), now));
+  if (wasRamping && !state.gate.ramping) {
+    const fields = {limit: state.gate.limit};
+    effects.push({kind: 'log', event: 'limitReached', fields});
+  }
+  if (!state.running.has(key)) state.movingSince.delete(key);
+  state.answeredStart = Math.max(state.answeredStart, job.startedAt);
+  const valueMs = now - job.startedAt;
+  effects.push({kind: 'measure', histogram: 'run', valueMs});
+  endJob(turn, job, {kind: 'done', kept: isKept(job)});
+}
+
+/**
+ * Takes in the end of a run without a whole answer.
+ *
+ * @param turn - The turn.
+ * @param job - The job.
+ * @param run - Whether the runner wrote anything.
+ * @param detail - Detail for people.
+ */
+export function runFailed(
+  turn: Turn,
+  job: Job,
+  run: RunState,
+  detail: string,
+): void {
+  if (!isRunning(job)) return;
+  if (run === 'unknown' && job.place === 'started') job.place = 'written';
+  leaveSlice(turn, job);
+  release(turn.state.gate, job.priority);
+  const late = turn.now >= job.deadline;
+  failJob(turn, job, late ? 'deadline-exceeded' : 'server-lost', detail);
+}
+
+function noteRelapse(turn: Turn, cause: RelapseCause | null): void {
+  if (cause === null) return;
+  turn.effects.push({kind: 'log', event: 'limitFellBack', fields: {cause}});
+}
+
+function completionOf(job: Job): Completion {
+  const {priority, startedAt} = job;
+  return {priority, startedAt, label: labelOf(job)};
+}
+
+/** An idempotent request is run again rather than replayed. */
+function isKept(job: Job): boolean {
+  return !job.idempotent || job.key !== null;
+}
+
+/** Invariant: a non-idempotent request is dispatched at most once. */
+function isSecondRun(turn: Turn, job: Job): boolean {
+  const {state, now, effects} = turn;
+  if (job.idempotent) return false;
+  const {ran} = state.memory;
+  if (job.place === 'queued' && !ran.has(job.request)) {
+    ran.set(job.request, now + state.settings.execution.outcomeMs);
+    return false;
+  }
+  const detail = `request ${job.request}, attempt ${job.attempt}`;
+  effects.push({kind: 'violate', invariant: 'dispatched at most once', detail});
+  failJob(turn, job, 'internal', 'second dispatch of one request');
+  return true;
+}
+
+function errorOf(reason: Denial, keyed: boolean): ErrorKind {
+  switch (reason) {
+    case 'no-lease':
+      return 'lease-lost';
+    case 'not-owner':
+    case 'moving':
+      return keyed ? 'no-owner' : 'stopping';
+  }
+}
--- /dev/null
+++ b/packages/core/src/execution/state.ts
@@ -0,0 +1,95 @@
+/** @fileoverview Creation of the state and the answers to other subjects. */
+
+import {createAdmission} from '../admission/logic.js';
+import type {MemberId, ServiceName, Slice} from '../ids/types.js';
+import type {Effect, Input} from '../loop/types.js';
+import type {OwnershipView, WorkView} from '../ownership/types.js';
+import type {Tuning} from '../settings/defaults.js';
+import {createMemory} from './memory.js';
+import type {Execution, Job} from './types.js';
+
+/** One input on its way through the subject. */
+export interface Turn {
+  readonly state: Execution;
+  readonly input: Input;
+  /** Monotonic time, in milliseconds. */
+  readonly now: number;
+  readonly ownership: OwnershipView;
+  readonly effects: Effect[];
+}
+
+/**
+ * Creates the state.
+ *
+ * @param settings - Settings of the daemon.
+ * @returns The state, without a backend server.
+ */
+export function createExecution(settings: Tuning): Execution {
+  return {
+    settings,
+    server: null,
+    leavingSince: null,
+    stopping: false,
+    gate: createAdmission(settings.admission),
+    jobs: new Map(),
+    running: new Map(),
+    movingSince: new Map(),
+    memory: createMemory(),
+    lastAt: null,
+    stallMs: 0,
+    stallUntil: 0,
+    wakeAt: Infinity,
+    answeredStart: -Infinity,
+  };
+}
+
+/**
+ * Gives other subjects a view of the work.
+ *
+ * @param execution - The state.
+ * @returns The view; it follows the state.
+ */
+export function workOf(execution: Execution): WorkView {
+  return {
+    inFlight: (service, slice) =>
+      execution.running.get(sliceKey(service, slice)) ?? 0,
+    inFlightTotal: () => execution.jobs.size,
+  };
+}
+
+/**
+ * Names a slice in the maps of this subject.
+ *
+ * @param service - The service.
+ * @param slice - The slice, or null for a shared service.
+ * @returns The name.
+ */
+export function sliceKey(service: ServiceName, slice: Slice | null): string {
+  return `${service}/${slice ?? ''}`;
+}
+
+/**
+ * Label under which latencies of runs are compared.
+ *
+ * @param job - The run.
+ * @returns The label.
+ */
+export function labelOf(job: Job): string {
+  return `${job.priority}/${job.idempotent ? 'read' : 'write'}`;
+}
+
+/**
+ * Sends a message over the link that is open to a member.
+ *
+ * @param turn - The turn.
+ * @param to - The receiver.
+ * @param message - The message.
+ */
+export function send(
+  turn: Turn,
+  to: MemberId,
+  message: Extract<Effect, {kind: 'send'}>['message'],
+): void {
+  const address = turn.ownership.addressOf(to);
+  turn.effects.push({kind: 'send', to, address, message});
+}
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -125,7 +125,8 @@
   | {readonly kind: 'answered'; readonly request: RequestId}
   /**
    * The runner is about to write the attempt's first byte to a connection of
-   * the backend server; reported before the write.
+   * the backend server. It writes only after this event was handled and no
+   * `cancelRun` for the attempt came out of it.
    */
   | {readonly kind: 'runWritten'; readonly attempt: AttemptId}
   /** The backend server's status and headers arrived. */
@@ -228,7 +229,8 @@
    * `links.windowBytes`, then stop reading). Abort when `budgetMs` has passed
    * (`runFailed`); the header `x-jackdawfall-deadline-ms` carries it. A
    * connection attempt that takes longer than `links.silenceMs` fails as
-   * `not-run`. A connection that failed or was aborted is never reused.
+   * `not-run`. A connection that failed or was aborted is never reused. Unless
+   * `keep` is set, free everything once `end` was sent.
    */
   | {
       readonly kind: 'run';
--- /dev/null
+++ b/packages/core/src/retry/logic.ts
@@ -0,0 +1,80 @@
+/** @fileoverview The budget of retries and the wait before each. */
+
+const GOLDEN_RATIO = 0.6180339887498949;
+
+/** Settings of the retry policy. */
+export interface RetryPolicy {
+  /** First wait, in milliseconds. */
+  readonly backoffMs: number;
+  /** Longest wait, in milliseconds. */
+  readonly maxBackoffMs: number;
+  /** Retries that may be saved up. */
+  readonly retryBurst: number;
+}
+
+/** Retries and hedges a daemon may still make; a share of its requests. */
+export class RetryBudget {
+  private left: number;
+
+  /** @param burst - Retries that may be saved up. */
+  constructor(private readonly burst: number) {
+    this.left = burst;
+  }
+
+  /** Retries that can be made now. */
+  get available(): number {
+    return Math.floor(this.left);
+  }
+
+  /**
+   * Adds the share that one new request earns.
+   *
+   * @param share - Retries for each request, 0 to 1.
+   */
+  earn(share: number): void {
+    this.left = Math.min(this.burst, this.left + share);
+  }
+
+  /**
+   * Takes one retry from the budget.
+   *
+   * @returns False if none is left.
+   */
+  spend(): boolean {
+    if (this.left < 1) return false;
+    this.left -= 1;
+    return true;
+  }
+}
+
+/**
+ * Finds the wait before a retry: exponential, with full jitter above half.
+ *
+ * @param policy - Bounds of the wait.
+ * @param failures - Failures so far, at least 1.
+ * @param random - Uniform in [0, 1).
+ * @returns Milliseconds.
+ */
+export function backoffMs(
+  policy: RetryPolicy,
+  failures: number,
+  random: number,
+): number {
+  const exponent = Math.min(failures - 1, 16);
+  const ceiling = Math.min(
+    policy.maxBackoffMs,
+    policy.backoffMs * 2 ** exponent,
+  );
+  return ceiling * (0.5 + random / 2);
+}
+
+/**
+ * Derives further uniform values from the one that came with an input.
+ *
+ * @param random - Uniform in [0, 1).
+ * @param index - Which value.
+ * @returns Uniform in [0, 1).
+ */
+export function spread(random: number, index: number): number {
+  return (random + index * GOLDEN_RATIO) % 1;
+}
--- /dev/null
+++ b/packages/core/src/routing/definition.ts
@@ -0,0 +1,215 @@
+/** @fileoverview Registers the requests a daemon takes from callers. */
+
+import {dropServers} from '../choice/logic.js';
+import {failure} from '../errors/logic.js';
+import type {MemberId, RequestId} from '../ids/types.js';
+import type {Subject} from '../loop/subject.js';
+import type {Effect, Event, TakenRequest} from '../loop/types.js';
+import type {Message} from '../messages/types.js';
+import type {OwnershipView} from '../ownership/types.js';
+import {takeAnswered, takeEnd, takeHead} from './answers.js';
+import {cancelOpen, dropRequest, tell, tellLate} from './endings.js';
+import {endAttempt, takeFailed} from './faults.js';
+import {hedge, place} from './placing.js';
+import {resolve, takeFate, takeLinkLoss} from './resolving.js';
+import type {Turn} from './state.js';
+import {passOver, wakeForTimers} from './state.js';
+import type {Due, Pending, Routing} from './types.js';
+import {renderRouting} from './view.js';
+
+/** Share of retries until a configuration is in force. */
+const FIRST_RETRY_SHARE = 0.1;
+
+/** The origin's side of requests. */
+export const ROUTING: Subject<Routing, {readonly ownership: OwnershipView}> = {
+  name: 'routing',
+  reduce(state, input, {ownership}) {
+    const effects: Effect[] = [];
+    const now = input.at.monotonic;
+    const turn: Turn = {state, input, now, ownership, effects, draws: 0};
+    handle(turn, input.event);
+    placeWaiting(turn, input.event.kind === 'ticked');
+    runTimers(turn);
+    wakeForTimers(turn);
+    return effects;
+  },
+  render: renderRouting,
+};
+
+function handle(turn: Turn, event: Event): void {
+  switch (event.kind) {
+    case 'taken':
+      take(turn, event.taken);
+      return;
+    case 'hungUp':
+      hangUp(turn, event.request);
+      return;
+    case 'answered':
+      takeAnswered(turn, event.request);
+      return;
+    case 'received':
+      receive(turn, event.from, event.message);
+      return;
+    case 'linkLost':
+      takeLinkLoss(turn, event.peer);
+      return;
+    case 'unsent': {
+      const attempt = turn.state.attempts.get(event.attempt);
+      if (attempt === undefined) return;
+      passOver(turn, attempt.to);
+      endAttempt(turn, attempt, 'held', 'link-lost', 'no link to the owner');
+      return;
+    }
+    case 'ticked':
+      watch(turn);
+      return;
+    case 'woken':
+      if (turn.now >= turn.state.wakeAt) turn.state.wakeAt = Infinity;
+      return;
+    case 'linkOpened':
+    case 'storeReplied':
+    case 'announced':
+    case 'announcementLapsed':
+    case 'runWritten':
+    case 'runHead':
+    case 'runEnded':
+    case 'runFailed':
+    case 'commanded':
+    case 'stopRequested':
+      return;
+  }
+}
+
+function take(turn: Turn, taken: TakenRequest): void {
+  const {state, now, ownership} = turn;
+  const pending: Pending = {
+    taken,
+    takenAt: now,
+    deadline: now + taken.timeoutMs,
+    attempts: new Map(),
+    made: 0,
+    paid: 0,
+    relayed: null,
+    mayHaveRun: false,
+    waiting: false,
+    late: false,
+    avoid: [],
+    hint: null,
+    last: null,
+  };
+  if (state.requests.size >= state.settings.routing.maxRequests) {
+    tell(turn, pending, failure('overloaded', 'not-run', 'too many requests'));
+    return;
+  }
+  state.requests.set(taken.request, pending);
+  const share = ownership.workspace?.limits.retryShare ?? FIRST_RETRY_SHARE;
+  state.budget.earn(share);
+  place(turn, pending);
+}
+
+function hangUp(turn: Turn, request: RequestId): void {
+  const pending = turn.state.requests.get(request);
+  if (pending !== undefined) dropRequest(turn, pending);
+}
+
+/** What comes from another member than the one asked is discarded. */
+function receive(turn: Turn, from: MemberId, message: Message): void {
+  switch (message.kind) {
+    case 'head':
+    case 'end':
+    case 'failed':
+    case 'fate':
+      break;
+    case 'dispatch':
+    case 'body':
+    case 'data':
+    case 'credit':
+    case 'cancel':
+    case 'inquire':
+    case 'renew':
+    case 'renewed':
+    case 'close':
+    case 'closed':
+    case 'pull':
+    case 'entries':
+    case 'load':
+      return;
+  }
+  const attempt = turn.state.attempts.get(message.attempt);
+  if (attempt === undefined || attempt.to !== from) return;
+  switch (message.kind) {
+    case 'head':
+      takeHead(turn, attempt);
+      return;
+    case 'end':
+      takeEnd(turn, attempt, message);
+      return;
+    case 'failed':
+      if (attempt.progress !== 'whole') takeFailed(turn, attempt, message);
+      return;
+    case 'fate':
+      if (attempt.resolving) takeFate(turn, attempt, message.state);
+      return;
+  }
+}
+
+/** Waiting requests are placed anew when the map changes, and at each tick. */
+function placeWaiting(turn: Turn, ticked: boolean): void {
+  const {state, ownership} = turn;
+  const changed = state.version !== ownership.version;
+  state.version = ownership.version;
+  if (!changed && !ticked) return;
+  for (const request of [...state.waiting]) {
+    const pending = state.requests.get(request);
+    if (pending !== undefined && !pending.late) place(turn, pending);
+  }
+}
+
+function runTimers(turn: Turn): void {
+  const {state, now} = turn;
+  for (;;) {
+    const due = state.timers.takeDue(now);
+    if (due === null) return;
+    const pending = state.requests.get(due.request);
+    if (pending !== undefined && !pending.late) act(turn, pending, due);
+  }
+}
+
+function act(turn: Turn, pending: Pending, due: Due): void {
+  switch (due.kind) {
+    case 'place':
+      if (pending.attempts.size === 0) place(turn, pending);
+      return;
+    case 'hedge':
+      hedge(turn, pending);
+      return;
+  }
+}
+
+function watch(turn: Turn): void {
+  const {state, ownership} = turn;
+  for (const pending of [...state.requests.values()]) watchTime(turn, pending);
+  for (const attempt of [...state.attempts.values()]) resolve(turn, attempt);
+  dropServers(state.choice, member => ownership.isEnded(member));
+}
+
+/**
+ * After the deadline the attempts are cancelled and have a grace period to say
+ * whether they ran; then the caller is told what is known.
+ */
+function watchTime(turn: Turn, pending: Pending): void {
+  const {now, state} = turn;
+  if (now < pending.deadline) return;
+  if (pending.attempts.size === 0) {
+    tellLate(turn, pending);
+    return;
+  }
+  if (!pending.late) {
+    pending.late = true;
+    cancelOpen(turn, pending);
+  }
+  if (now < pending.deadline + state.settings.routing.graceMs) return;
+  pending.mayHaveRun = true;
+  const detail = 'the deadline passed';
+  tell(turn, pending, failure('deadline-exceeded', 'unknown', detail));
+}
--- /dev/null
+++ b/packages/core/src/routing/placing.ts
@@ -0,0 +1,139 @@
+/** @fileoverview From a request to the daemon that gets its next attempt. */
+
+import {chooseServer, hedgeDelayMs, noteSent} from '../choice/logic.js';
+import {attemptOf} from '../ids/logic.js';
+import type {Address, MemberId} from '../ids/types.js';
+import type {Server} from '../ownership/types.js';
+import type {Turn} from './state.js';
+import {draw, schedule} from './state.js';
+import type {Attempt, Pending} from './types.js';
+
+interface Target {
+  readonly member: MemberId;
+  readonly address: Address;
+}
+
+/**
+ * Sends a request to its owner or a server; without one it waits.
+ *
+ * @param turn - The turn.
+ * @param pending - A request without attempts.
+ */
+export function place(turn: Turn, pending: Pending): void {
+  const {state, ownership} = turn;
+  const {request, slice} = pending.taken;
+  if (turn.now >= pending.deadline) return;
+  const isKeyed = slice !== null;
+  const target = isKeyed ? ownerOf(turn, pending) : serverFor(turn, pending);
+  pending.hint = null;
+  pending.waiting = target === null || ownership.self === null;
+  if (target === null || ownership.self === null) {
+    state.waiting.add(request);
+    return;
+  }
+  state.waiting.delete(request);
+  sendAttempt(turn, pending, target, ownership.self);
+  if (!isKeyed) armHedge(turn, pending);
+}
+
+/**
+ * Sends a second attempt of a slow lookup to another server.
+ *
+ * @param turn - The turn.
+ * @param pending - The request.
+ */
+export function hedge(turn: Turn, pending: Pending): void {
+  const {state, ownership, effects} = turn;
+  const {idempotent, slice, request} = pending.taken;
+  if (!idempotent || slice !== null || ownership.self === null) return;
+  if (pending.attempts.size !== 1 || pending.relayed !== null) return;
+  if (pending.late) return;
+  const [first] = pending.attempts.values();
+  const target = serverFor(turn, pending, first.to);
+  if (target === null || !state.budget.spend()) return;
+  state.hedges += 1;
+  effects.push({kind: 'log', event: 'requestHedged', fields: {request}});
+  sendAttempt(turn, pending, target, ownership.self);
+}
+
+function ownerOf(turn: Turn, pending: Pending): Target | null {
+  const {ownership} = turn;
+  const {service, slice} = pending.taken;
+  if (slice === null) return null;
+  if (pending.hint !== null) {
+    const address = ownership.addressOf(pending.hint);
+    if (address !== null) return {member: pending.hint, address};
+  }
+  const {owner, moving} = ownership.placement(service, slice);
+  if (owner === null || moving) return null;
+  const address = ownership.addressOf(owner);
+  return address === null ? null : {member: owner, address};
+}
+
+function serverFor(
+  turn: Turn,
+  pending: Pending,
+  besides: MemberId | null = null,
+): Server | null {
+  const {state, ownership, now} = turn;
+  const {service} = pending.taken;
+  const servers = ownership.serversOf(service);
+  const situation = {
+    service,
+    now,
+    zone: state.zone,
+    random: draw(turn),
+    avoid: besides === null ? pending.avoid : [...pending.avoid, besides],
+    policy: state.settings.routing,
+  };
+  return chooseServer(state.choice, servers, situation);
+}
+
+function sendAttempt(
+  turn: Turn,
+  pending: Pending,
+  target: Target,
+  self: MemberId,
+): void {
+  const {state, effects, now, ownership} = turn;
+  const {request, idempotent} = pending.taken;
+  const isSecond = pending.attempts.size > 0 || pending.mayHaveRun;
+  if (isSecond && !idempotent) {
+    const invariant = 'a non-idempotent request has one open attempt';
+    effects.push({kind: 'violate', invariant, detail: request});
+    return;
+  }
+  state.sequence += 1;
+  const attempt: Attempt = {
+    id: attemptOf(self, state.sequence),
+    request,
+    to: target.member,
+    address: target.address,
+    sentAt: now,
+    progress: 'sent',
+    inquireAt: Infinity,
+    resolving: false,
+  };
+  pending.made += 1;
+  pending.attempts.set(attempt.id, attempt);
+  state.attempts.set(attempt.id, attempt);
+  noteSent(state.choice, attempt.to, attempt.id, now);
+  effects.push({
+    kind: 'forward',
+    attempt: attempt.id,
+    request,
+    to: attempt.to,
+    address: attempt.address,
+    budgetMs: pending.deadline - now,
+    version: ownership.version,
+  });
+}
+
+function armHedge(turn: Turn, pending: Pending): void {
+  const {state} = turn;
+  const {service, idempotent} = pending.taken;
+  if (!idempotent) return;
+  const {minHedgeMs} = state.settings.routing;
+  const delayMs = hedgeDelayMs(state.choice, service, minHedgeMs);
+  if (delayMs !== null) schedule(turn, pending, 'hedge', delayMs);
+}
--- /dev/null
+++ b/packages/core/src/routing/view.ts
@@ -0,0 +1,22 @@
+/** @fileoverview Requests under way as shown to operators. */
+
+import type {Routing} from './types.js';
+
+/**
+ * Renders the state.
+ *
+ * @param routing - The state.
+ * @returns A plain value.
+ */
+export function renderRouting(routing: Routing): unknown {
+  return {
+    requests: routing.requests.size,
+    waiting: routing.waiting.size,
+    attempts: routing.attempts.size,
+    attemptsMade: routing.sequence,
+    retries: routing.retries,
+    hedges: routing.hedges,
+    retryBudget: routing.budget.available,
+    peers: routing.choice.servers.size,
+  };
+}
--- /dev/null
+++ b/packages/core/src/timers/logic.ts
@@ -0,0 +1,77 @@
+/** @fileoverview A queue of moments, earliest first. */
+
+interface Entry<Item> {
+  readonly at: number;
+  readonly item: Item;
+}
+
+/** A binary heap of items ordered by the moment they are due. */
+export class Timers<Item> {
+  private readonly heap: Array<Entry<Item>> = [];
+
+  /** Number of items that wait. */
+  get size(): number {
+    return this.heap.length;
+  }
+
+  /** Moment of the earliest item, or Infinity without one. */
+  get next(): number {
+    return this.heap.length > 0 ? this.heap[0].at : Infinity;
+  }
+
+  /**
+   * Adds an item.
+   *
+   * @param at - Monotonic time it is due, in milliseconds.
+   * @param item - The item.
+   */
+  add(at: number, item: Item): void {
+    const heap = this.heap;
+    let index = heap.length;
+    heap.push({at, item});
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      if (heap[parent].at <= heap[index].at) return;
+      swap(heap, parent, index);
+      index = parent;
+    }
+  }
+
+  /**
+   * Removes the earliest item if it is due.
+   *
+   * @param now - Monotonic time, in milliseconds.
+   * @returns The item, or null if none is due.
+   */
+  takeDue(now: number): Item | null {
+    const heap = this.heap;
+    if (heap.length === 0 || heap[0].at > now) return null;
+    const {item} = heap[0];
+    const last = heap.pop()!;
+    if (heap.length > 0) {
+      heap[0] = last;
+      sink(heap);
+    }
+    return item;
+  }
+}
+
+function sink<Item>(heap: Array<Entry<Item>>): void {
+  let index = 0;
+  for (;;) {
+    const left = 2 * index + 1;
+    if (left >= heap.length) return;
+    const right = left + 1;
+    const hasRight = right < heap.length;
+    const child = hasRight && heap[right].at < heap[left].at ? right : left;
+    if (heap[index].at <= heap[child].at) return;
+    swap(heap, index, child);
+    index = child;
+  }
+}
+
+function swap<Item>(heap: Array<Entry<Item>>, a: number, b: number): void {
+  const entry = heap[a];
+  heap[a] = heap[b];
+  heap[b] = entry;
+}
