--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -98,6 +98,7 @@
     code: 1,
     fields: {
       ...ATTEMPT,
+      to: 'string',
       request: 'string',
       service: 'string',
       slice: ['null', 'int'],
@@ -137,7 +138,7 @@
   },
   credit: {code: 7, fields: {...ATTEMPT, bytes: LOGICAL.count}},
   cancel: {code: 8, fields: ATTEMPT},
-  inquire: {code: 9, fields: ATTEMPT},
+  inquire: {code: 9, fields: {...ATTEMPT, to: 'string'}},
   fate: {code: 10, fields: {...ATTEMPT, state: LOGICAL.fate}},
   renew: {
     code: 11,
