--- /dev/null
+++ b/packages/core/src/admission/logic.spec.ts
@@ -0,0 +1,244 @@
+/** @fileoverview Tables of admission: ramp, relapse, shedding, queues. */
+
+import test from 'ava';
+import fc from 'fast-check';
+
+import type {AttemptId, InstanceId} from '../ids/types.js';
+import type {Announcement} from '../loop/types.js';
+import {DEFAULTS} from '../settings/defaults.js';
+import {
+  announce,
+  begin,
+  complete,
+  createAdmission,
+  offer,
+  shed,
+  takeExpired,
+  takeNext,
+} from './logic.js';
+import type {Admission} from './types.js';
+
+const POLICY = DEFAULTS.admission;
+const SLOTS = 8;
+
+function announcement(instance: string, changes: Partial<Announcement> = {}) {
+  return {
+    instance: instance as InstanceId,
+    service: 's' as never,
+    address: '' as never,
+    slots: SLOTS,
+    connections: 100,
+    checksGrants: false,
+    leaving: false,
+    ...changes,
+  };
+}
+
+function openGate(): Admission {
+  const gate = createAdmission(POLICY);
+  announce(gate, announcement('i1'), 0);
+  return gate;
+}
+
+let clock = 0;
+
+/** Keeps the gate full with runs of one latency. */
+function work(gate: Admission, rounds: number, latencyMs: number): void {
+  for (let round = 0; round < rounds; round++) {
+    const startedAt = clock;
+    const runs = Math.max(0, gate.limit - gate.running);
+    for (let i = 0; i < runs; i++) begin(gate, 'interactive');
+    clock += latencyMs;
+    for (let i = 0; i < runs; i++) {
+      const run = {priority: 'interactive', label: 'r', startedAt} as const;
+      complete(gate, run, clock);
+    }
+  }
+}
+
+function warmGate(): Admission {
+  const gate = openGate();
+  work(gate, 1000, 6);
+  return gate;
+}
+
+test('a closed gate admits nothing', t => {
+  const gate = createAdmission(POLICY);
+  t.is(offer(gate, 'a' as AttemptId, 'interactive', 0, 100), 'refuse');
+});
+
+test('a server that has just started gets one run at a time', t => {
+  const gate = openGate();
+  t.is(gate.limit, 1);
+  t.is(offer(gate, 'a' as AttemptId, 'interactive', 0, 100), 'start');
+  begin(gate, 'interactive');
+  t.is(offer(gate, 'b' as AttemptId, 'interactive', 0, 100), 'wait');
+});
+
+test('the limit grows by completed work up to the slots', t => {
+  const gate = openGate();
+  work(gate, POLICY.growthCompletions + 6, 6);
+  t.is(gate.limit, 2);
+  work(gate, 1000, 6);
+  t.is(gate.limit, SLOTS);
+  t.false(gate.ramping);
+});
+
+const RELAPSES: ReadonlyArray<{
+  name: string;
+  cause: (gate: Admission) => void;
+  limit: number;
+}> = [
+  {
+    name: 'a new instance',
+    cause: gate => announce(gate, announcement('i2'), clock),
+    limit: 1,
+  },
+  {
+    name: 'the same instance again',
+    cause: gate => announce(gate, announcement('i1'), clock),
+    limit: SLOTS,
+  },
+  {
+    name: 'a run that the server sheds',
+    cause: gate => {
+      const startedAt = clock;
+      begin(gate, 'interactive');
+      shed(gate, {priority: 'interactive', label: 'r', startedAt}, clock + 1);
+    },
+    limit: 1,
+  },
+  {
+    name: 'a run shed that began before the last relapse',
+    cause: gate => {
+      begin(gate, 'interactive');
+      gate.relapsedAt = clock;
+      const startedAt = clock - 1;
+      shed(gate, {priority: 'interactive', label: 'r', startedAt}, clock);
+    },
+    limit: SLOTS,
+  },
+  {
+    name: 'a latency twenty times as long',
+    cause: gate => work(gate, 2, 120),
+    limit: 1,
+  },
+  {
+    name: 'a latency twice and a half as long',
+    cause: gate => work(gate, 2, 15),
+    limit: Math.floor(SLOTS * POLICY.decrease),
+  },
+  {
+    name: 'fewer slots',
+    cause: gate => announce(gate, announcement('i1', {slots: 3}), clock),
+    limit: 3,
+  },
+  {
+    name: 'fewer connections than slots',
+    cause: gate => announce(gate, announcement('i1', {connections: 2}), clock),
+    limit: 2,
+  },
+  {
+    name: 'a report of more slots',
+    cause: gate => announce(gate, announcement('i1', {slots: 50}), clock),
+    limit: SLOTS,
+  },
+];
+
+for (const {name, cause, limit} of RELAPSES) {
+  test(`after ${name} the limit is ${limit}`, t => {
+    const gate = warmGate();
+    cause(gate);
+    t.is(gate.limit, limit);
+  });
+}
+
+test('each shed run makes the next ramp slower', t => {
+  const gate = openGate();
+  begin(gate, 'interactive');
+  shed(gate, {priority: 'interactive', label: 'r', startedAt: 1}, 2);
+  work(gate, POLICY.growthCompletions + 16, 6);
+  t.is(gate.limit, 1);
+});
+
+test('the queue refuses what has waited too long, oldest first', t => {
+  const gate = warmGate();
+  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
+  offer(gate, 'a' as AttemptId, 'interactive', 0, 1000);
+  offer(gate, 'b' as AttemptId, 'interactive', 5, 1000);
+  offer(gate, 'c' as AttemptId, 'interactive', 5, 7);
+  t.deepEqual(takeExpired(gate, 9), ['c']);
+  t.deepEqual(takeExpired(gate, POLICY.queueMs), ['a']);
+});
+
+test('the queue has room for a bounded number', t => {
+  const gate = warmGate();
+  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
+  const room = SLOTS * POLICY.queueFactor;
+  for (let i = 0; i < room; i++) {
+    t.is(offer(gate, `${i}` as AttemptId, 'interactive', 0, 1000), 'wait');
+  }
+  t.is(offer(gate, 'z' as AttemptId, 'interactive', 0, 1000), 'refuse');
+});
+
+test('interactive work goes first; deferrable work gets a share', t => {
+  const gate = warmGate();
+  const share = SLOTS * POLICY.deferrableShare;
+  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
+  for (let i = 0; i < 5; i++) {
+    offer(gate, `d${i}` as AttemptId, 'deferrable', 0, 1000);
+  }
+  offer(gate, 'i' as AttemptId, 'interactive', 0, 1000);
+  gate.running = 0;
+  const started: string[] = [];
+  for (let next = takeNext(gate); next !== null; next = takeNext(gate)) {
+    begin(gate, next.priority);
+    started.push(next.waiting.attempt);
+  }
+  t.deepEqual(started, ['i', 'd0', 'd1'].slice(0, 1 + share));
+});
+
+test('never more runs than slots or connections, whatever happens', t => {
+  const step = fc.record({
+    kind: fc.constantFrom('offer', 'offer', 'end', 'end', 'shed', 'say'),
+    deferrable: fc.boolean(),
+    slots: fc.integer({min: 1, max: 12}),
+    latencyMs: fc.integer({min: 1, max: 200}),
+  });
+  fc.assert(
+    fc.property(fc.array(step, {maxLength: 400}), steps => {
+      const gate = openGate();
+      let now = 0;
+      const running: Array<'interactive' | 'deferrable'> = [];
+      const start = (priority: 'interactive' | 'deferrable') => {
+        begin(gate, priority);
+        running.push(priority);
+        if (gate.running > gate.ceiling) throw new Error('above the slots');
+      };
+      for (const {kind, deferrable, slots, latencyMs} of steps) {
+        now += 1;
+        const startedAt = now - latencyMs;
+        if (kind === 'say') announce(gate, announcement('i1', {slots}), now);
+        if (kind === 'offer') {
+          const priority = deferrable ? 'deferrable' : 'interactive';
+          const id = `${now}` as AttemptId;
+          if (offer(gate, id, priority, now, now + 50) === 'start') {
+            start(priority);
+          }
+        }
+        const over = kind === 'end' || kind === 'shed' ? running.shift() : null;
+        if (over) {
+          const run = {priority: over, label: 'r', startedAt};
+          if (kind === 'end') complete(gate, run, now);
+          else shed(gate, run, now);
+        }
+        takeExpired(gate, now);
+        for (let next = takeNext(gate); next; next = takeNext(gate)) {
+          start(next.priority);
+        }
+      }
+    }),
+    {seed: 11, numRuns: 300},
+  );
+  t.pass();
+});
--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -177,10 +177,11 @@
  * @returns Monotonic time in milliseconds, or Infinity.
  */
 export function nextExpiry(gate: Admission): number {
-  const {interactive, deferrable} = gate.queues;
-  const first = interactive.length > 0 ? interactive[0].until : Infinity;
-  const second = deferrable.length > 0 ? deferrable[0].until : Infinity;
-  return Math.min(first, second);
+  let next = Infinity;
+  for (const queue of Object.values(gate.queues)) {
+    for (const {until} of queue) next = Math.min(next, until);
+  }
+  return next;
 }
 
 /**
