--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,6 +7,9 @@
 export {renderDaemon} from './daemon/view.js';
 export type * from './errors/types.js';
 export {ANSWERS, failure} from './errors/logic.js';
+export {EXECUTION} from './execution/definition.js';
+export {createExecution, workOf} from './execution/state.js';
+export type {Execution} from './execution/types.js';
 export type * from './ids/types.js';
 export {
   NO_VERSION,
@@ -29,7 +32,12 @@
 export type {Ownership, OwnershipSettings, Rule} from './ownership/state.js';
 export {createOwnership} from './ownership/state.js';
 export {viewOf} from './ownership/view.js';
+export type * from './outcomes/types.js';
+export {placeOfReport, settle} from './outcomes/logic.js';
 export type * from './ownership/types.js';
+export {ROUTING} from './routing/definition.js';
+export {createRouting} from './routing/state.js';
+export type {Routing} from './routing/types.js';
 export type * from './settings/defaults.js';
 export {DEFAULTS} from './settings/defaults.js';
 export type * from './store/types.js';
