--- /dev/null
+++ b/packages/core/src/faults/logic.ts
@@ -0,0 +1,54 @@
+/** @fileoverview Reading JSON documents by a schema. */
+
+import type {z} from 'zod';
+
+import type {Fault, Read} from './types.js';
+
+/**
+ * Reads a JSON document.
+ *
+ * @param text - The JSON text.
+ * @param schema - What the document must look like.
+ * @returns The checked value, or every fault with its place.
+ */
+export function readDocument<T>(text: string, schema: z.ZodType<T>): Read<T> {
+  let value: unknown;
+  try {
+    value = JSON.parse(text);
+  } catch (error) {
+    const message = `is no JSON: ${(error as Error).message}`;
+    return {kind: 'invalid', faults: [{path: '', message}]};
+  }
+  return readValue(value, schema);
+}
+
+/**
+ * Checks a JSON value.
+ *
+ * @param value - The value.
+ * @param schema - What the value must look like.
+ * @returns The checked value, or every fault with its place.
+ */
+export function readValue<T>(value: unknown, schema: z.ZodType<T>): Read<T> {
+  const parsed = schema.safeParse(value);
+  if (parsed.success) return {kind: 'ok', value: parsed.data};
+  const faults = parsed.error.issues.map(issue => ({
+    path: issue.path.join('.'),
+    message: issue.message,
+  }));
+  return {kind: 'invalid', faults};
+}
+
+/**
+ * Renders faults for people.
+ *
+ * @param faults - The faults.
+ * @returns One indented line for each.
+ */
+export function describeFaults(faults: readonly Fault[]): string {
+  return faults
+    .map(({path, message}) =>
+      path === '' ? `  ${message}` : `  ${path}: ${message}`,
+    )
+    .join('\n');
+}
--- a/packages/core/src/templates/logic.spec.ts
+++ b/packages/core/src/templates/logic.spec.ts
@@ -90,7 +90,7 @@
     const parameters: unknown = JSON.parse(
       readShipped(`parameters/${name}.json`),
     );
-    const expansion = expandTemplate(parsed.template, parameters);
+    const expansion = expandTemplate(parsed.value, parameters);
     if (expansion.kind === 'invalid') return t.fail(JSON.stringify(expansion));
     const read = parseWorkspace(JSON.stringify(expansion.document));
     if (read.kind === 'invalid') return t.fail(JSON.stringify(read.faults));
--- a/packages/core/src/templates/logic.ts
+++ b/packages/core/src/templates/logic.ts
@@ -2,8 +2,8 @@
 
 import {z} from 'zod';
 
-import type {Fault} from '../workspace/schema.js';
-import {faultsOf} from '../workspace/schema.js';
+import {readDocument, readValue} from '../faults/logic.js';
+import type {Fault, Read} from '../faults/types.js';
 import type {
   Expansion,
   Parameter,
@@ -42,29 +42,19 @@
   document: z.unknown(),
 });
 
+const parametersSchema = z.record(z.string(), z.unknown());
+
 /**
  * Reads a template and checks that it uses the parameters it declares.
  *
  * @param text - The JSON text of the template.
  * @returns The template, or its faults by place.
  */
-export function parseTemplate(
-  text: string,
-):
-  | {readonly kind: 'ok'; readonly template: Template}
-  | {readonly kind: 'invalid'; readonly faults: readonly Fault[]} {
-  let value: unknown;
-  try {
-    value = JSON.parse(text);
-  } catch (error) {
-    const message = `is no JSON: ${(error as Error).message}`;
-    return {kind: 'invalid', faults: [{path: '', message}]};
-  }
-  const parsed = templateSchema.safeParse(value);
-  if (!parsed.success) return {kind: 'invalid', faults: faultsOf(parsed.error)};
-  const faults = checkReferences(parsed.data);
-  if (faults.length > 0) return {kind: 'invalid', faults};
-  return {kind: 'ok', template: parsed.data};
+export function parseTemplate(text: string): Read<Template> {
+  const read = readDocument(text, templateSchema);
+  if (read.kind === 'invalid') return read;
+  const faults = checkReferences(read.value);
+  return faults.length > 0 ? {kind: 'invalid', faults} : read;
 }
 
 /**
@@ -79,39 +69,31 @@
   template: Template,
   parameters: unknown,
 ): Expansion {
-  const given = z.record(z.string(), z.unknown()).safeParse(parameters);
-  if (!given.success) return {kind: 'invalid', faults: faultsOf(given.error)};
+  const given = readValue(parameters, parametersSchema);
+  if (given.kind === 'invalid') return given;
   const faults: Fault[] = [];
   const values = new Map<string, ParameterValue>();
-  for (const name of Object.keys(given.data)) {
+  for (const name of Object.keys(given.value)) {
     if (Object.hasOwn(template.parameters, name)) continue;
     faults.push({path: name, message: 'is not a parameter of the template'});
   }
   for (const [name, parameter] of Object.entries(template.parameters)) {
-    const value = readValue(given.data[name], parameter);
-    if (value.kind === 'ok') values.set(name, value.value);
-    else faults.push({path: name, message: value.message});
+    const value = given.value[name] ?? parameter.default;
+    const fault = checkValue(value, parameter);
+    if (fault !== null) faults.push({path: name, message: fault});
+    else values.set(name, value as ParameterValue);
   }
   if (faults.length > 0) return {kind: 'invalid', faults};
   return {kind: 'ok', document: substitute(template.document, values)};
 }
 
-function readValue(
-  given: unknown,
-  parameter: Parameter,
-):
-  | {readonly kind: 'ok'; readonly value: ParameterValue}
-  | {readonly kind: 'wrong'; readonly message: string} {
-  const value = given ?? parameter.default;
-  if (value === undefined) return {kind: 'wrong', message: 'is missing'};
-  const parsed = VALUES[parameter.type].safeParse(value);
-  if (parsed.success) return {kind: 'ok', value: parsed.data};
-  const {path, message} = parsed.error.issues[0];
-  const place = path.length > 0 ? ` at ${path.join('.')}` : '';
-  return {
-    kind: 'wrong',
-    message: `must be of type ${parameter.type}${place}: ${message}`,
-  };
+function checkValue(value: unknown, parameter: Parameter): string | null {
+  if (value === undefined) return 'is missing';
+  const read = readValue(value, VALUES[parameter.type]);
+  if (read.kind === 'ok') return null;
+  const [{path, message}] = read.faults;
+  const place = path === '' ? '' : ` at ${path}`;
+  return `must be of type ${parameter.type}${place}: ${message}`;
 }
 
 function substitute(
--- a/packages/core/src/templates/types.ts
+++ b/packages/core/src/templates/types.ts
@@ -1,6 +1,6 @@
 /** @fileoverview Templates of workspaces and their parameters. */
 
-import type {Fault} from '../workspace/schema.js';
+import type {Fault} from '../faults/types.js';
 
 /** What a parameter may hold. */
 export type ParameterKind =
--- a/packages/core/src/workspace/logic.spec.ts
+++ b/packages/core/src/workspace/logic.spec.ts
@@ -2,7 +2,7 @@
 
 import test from 'ava';
 
-import type {Fault} from './schema.js';
+import type {Fault} from '../faults/types.js';
 import {checkChange} from './logic.js';
 import {matchRoute} from './router.js';
 import {parseWorkspace} from './schema.js';
--- a/packages/core/src/workspace/logic.ts
+++ b/packages/core/src/workspace/logic.ts
@@ -1,6 +1,6 @@
 /** @fileoverview Which changes of a workspace are allowed. */
 
-import type {Fault} from './schema.js';
+import type {Fault} from '../faults/types.js';
 import type {Division, Workspace} from './types.js';
 
 /**
--- a/packages/core/src/workspace/schema.ts
+++ b/packages/core/src/workspace/schema.ts
@@ -2,6 +2,8 @@
 
 import {z} from 'zod';
 
+import {readDocument} from '../faults/logic.js';
+import type {Fault} from '../faults/types.js';
 import type {ServiceName, WorkspaceName, ZoneName} from '../ids/types.js';
 import type {Workspace} from './types.js';
 
@@ -13,14 +15,6 @@
 const MAX_KEY_BYTES = 4096;
 const MAX_DRAIN_MS = 60_000;
 
-/** A fault of a document. */
-export interface Fault {
-  /** Place in the document, for example `routes.2.service`. */
-  readonly path: string;
-  /** What is wrong there, in one sentence. */
-  readonly message: string;
-}
-
 /** The result of reading a configuration document. */
 export type ParsedWorkspace =
   | {readonly kind: 'ok'; readonly workspace: Workspace}
@@ -115,29 +109,9 @@
  * @returns The workspace, or every fault with its place in the document.
  */
 export function parseWorkspace(text: string): ParsedWorkspace {
-  let value: unknown;
-  try {
-    value = JSON.parse(text);
-  } catch (error) {
-    const message = `is no JSON: ${(error as Error).message}`;
-    return {kind: 'invalid', faults: [{path: '', message}]};
-  }
-  const parsed = workspaceSchema.safeParse(value);
-  if (parsed.success) return {kind: 'ok', workspace: parsed.data};
-  return {kind: 'invalid', faults: faultsOf(parsed.error)};
-}
-
-/**
- * Turns the issues of the schema library into faults.
- *
- * @param error - What the schema library found.
- * @returns One fault for each issue, in the order found.
- */
-export function faultsOf(error: z.ZodError): readonly Fault[] {
-  return error.issues.map(issue => ({
-    path: issue.path.join('.'),
-    message: issue.message,
-  }));
+  const read = readDocument(text, workspaceSchema);
+  if (read.kind === 'invalid') return read;
+  return {kind: 'ok', workspace: read.value};
 }
 
 interface PlacedFault {
--- a/packages/daemon/src/settings/logic.ts
+++ b/packages/daemon/src/settings/logic.ts
@@ -2,7 +2,12 @@
 
 import {readFile} from 'node:fs/promises';
 
-import {faultsOf, mergeTuning, tuningSchema} from '@jackdawfall/core';
+import {
+  describeFaults,
+  mergeTuning,
+  readDocument,
+  tuningSchema,
+} from '@jackdawfall/core';
 import type {
   Address,
   Fault,
@@ -26,10 +31,7 @@
     readonly file: string,
     readonly faults: readonly Fault[],
   ) {
-    const lines = faults.map(({path, message}) =>
-      path === '' ? `  ${message}` : `  ${path}: ${message}`,
-    );
-    super(`settings ${file} can't be used:\n${lines.join('\n')}`);
+    super(`settings ${file} can't be used:\n${describeFaults(faults)}`);
   }
 }
 
@@ -71,16 +73,9 @@
  * @throws SettingsError naming every fault.
  */
 export function parseSettings(text: string, file: string): Settings {
-  let value: unknown;
-  try {
-    value = JSON.parse(text);
-  } catch (error) {
-    const message = `is no JSON: ${(error as Error).message}`;
-    throw new SettingsError(file, [{path: '', message}]);
-  }
-  const parsed = settingsSchema.safeParse(value);
-  if (parsed.success) return parsed.data;
-  throw new SettingsError(file, faultsOf(parsed.error));
+  const read = readDocument(text, settingsSchema);
+  if (read.kind === 'ok') return read.value;
+  throw new SettingsError(file, read.faults);
 }
 
 /**
