jackdawfall: the operators' client

Cause: operators need one command line for templates, configuration, planned actions, status, map and audit trail. Change: yargs program, HTTP client that tries the next daemon only when the last certainly did nothing, wait until in force at every member, tables and JSON, closed list of exit codes. Ruled out: sending a change of unknown result to another daemon.

--- /dev/null
+++ b/packages/cli/src/audit/definition.ts
@@ -0,0 +1,39 @@
+/** @fileoverview The command that shows the audit trail. */
+
+import type {AuditPage} from '@jackdawfall/core';
+
+import type {Registration} from '../command/types.js';
+import {failureReport} from '../output/logic.js';
+import {renderTable} from '../output/view.js';
+
+const DEFAULT_LIMIT = 50;
+
+/** Registers `audit`. */
+export const auditCommand: Registration = (program, command) =>
+  program.command(
+    'audit',
+    'show who changed what and when, the newest first',
+    options =>
+      options.option('limit', {
+        type: 'number',
+        default: DEFAULT_LIMIT,
+        describe: 'most changes to show',
+      }),
+    command(async ({limit}, client) => {
+      const reply = await client.audit(limit);
+      if (reply.kind !== 'ok') return failureReport(reply);
+      const {value} = reply;
+      return {exit: 'ok', text: describeAudit(value), body: value};
+    }),
+  );
+
+function describeAudit({entries}: AuditPage): string {
+  const rows = entries.map(entry => [
+    entry.version,
+    new Date(entry.at).toISOString(),
+    entry.by,
+    entry.what,
+    entry.from === entry.to ? '' : `${entry.from} -> ${entry.to}`,
+  ]);
+  return renderTable(['VERSION', 'TIME', 'BY', 'WHAT', 'CONFIGURATION'], rows);
+}
--- /dev/null
+++ b/packages/cli/src/client/logic.ts
@@ -0,0 +1,84 @@
+/** @fileoverview Commands to whichever daemon answers. */
+
+import type {Command, CommandResult} from '@jackdawfall/core';
+import {describeFaults, readDocument} from '@jackdawfall/core';
+import type {z} from 'zod';
+
+import {exchange} from './exchange.js';
+import {
+  acceptedSchema,
+  auditSchema,
+  mapSchema,
+  statusSchema,
+} from './schema.js';
+import type {Client, ClientSettings, Reply} from './types.js';
+
+/**
+ * Creates a client.
+ *
+ * @param settings - Daemons to try, timeouts and the signal that ends it.
+ * @returns The client.
+ */
+export function createClient(settings: ClientSettings): Client {
+  const ask = async <T>(
+    command: Command,
+    schema: z.ZodType<T>,
+    daemons = settings.daemons,
+  ): Promise<Reply<T>> =>
+    readBody(await askInTurn(daemons, command, settings), schema);
+  return {
+    status: () => ask({kind: 'status'}, statusSchema),
+    statusOf: daemon => ask({kind: 'status'}, statusSchema, [daemon]),
+    map: service => ask({kind: 'map', service: service as never}, mapSchema),
+    audit: limit => ask({kind: 'audit', limit}, auditSchema),
+    change: command => ask(command, acceptedSchema),
+  };
+}
+
+/** A change whose fate is unknown is never sent to a second daemon. */
+async function askInTurn(
+  daemons: readonly string[],
+  command: Command,
+  settings: ClientSettings,
+): Promise<CommandResult> {
+  const details: string[] = [];
+  for (const daemon of daemons) {
+    const result = await exchange(daemon, command, settings);
+    switch (result.kind) {
+      case 'ok':
+      case 'conflict':
+      case 'rejected':
+        return result;
+      case 'unknown':
+        if (!isRead(command)) return result;
+        details.push(result.detail);
+        break;
+      case 'unavailable':
+        details.push(result.detail);
+        break;
+    }
+  }
+  return {kind: 'unavailable', detail: details.join('; ')};
+}
+
+function isRead({kind}: Command): boolean {
+  switch (kind) {
+    case 'status':
+    case 'map':
+    case 'audit':
+      return true;
+    case 'apply':
+    case 'zone':
+    case 'stopServer':
+    case 'endMember':
+      return false;
+  }
+}
+
+function readBody<T>(result: CommandResult, schema: z.ZodType<T>): Reply<T> {
+  if (result.kind !== 'ok') return result;
+  const read = readDocument(result.body, schema);
+  if (read.kind === 'ok') return read;
+  const faults = describeFaults(read.faults);
+  return {kind: 'unknown', detail: `the answer can't be read:\n${faults}`};
+}
--- /dev/null
+++ b/packages/cli/src/client/schema.ts
@@ -0,0 +1,101 @@
+/** @fileoverview Schemas of what daemons answer; unknown keys are ignored. */
+
+import type {
+  Accepted,
+  AuditPage,
+  CommandResult,
+  MapView,
+  Status,
+} from '@jackdawfall/core';
+import {z} from 'zod';
+
+const detail = z.string();
+
+/** The result of a command as it travels. */
+export const resultSchema: z.ZodType<CommandResult> = z.discriminatedUnion(
+  'kind',
+  [
+    z.object({kind: z.literal('ok'), body: z.string()}),
+    z.object({kind: z.literal('conflict'), detail}),
+    z.object({kind: z.literal('rejected'), detail}),
+    z.object({kind: z.literal('unavailable'), detail}),
+    z.object({kind: z.literal('unknown'), detail}),
+  ],
+);
+
+const server = z.object({
+  service: z.string(),
+  slots: z.number(),
+  leaving: z.boolean(),
+});
+
+const member = z.object({
+  member: z.string(),
+  zone: z.string(),
+  operators: z.string().nullable(),
+  server: server.nullable(),
+  owned: z.number(),
+  standby: z.number(),
+  draining: z.boolean(),
+});
+
+const service = z.object({
+  service: z.string(),
+  slices: z.number(),
+  unowned: z.number(),
+  withoutStandby: z.number(),
+  moving: z.number(),
+});
+
+/** Body of `status`. */
+export const statusSchema: z.ZodType<Status> = z.object({
+  workspace: z.string(),
+  member: z.string().nullable(),
+  zone: z.string(),
+  phase: z.string(),
+  version: z.number(),
+  configuration: z.number(),
+  document: z.string().nullable(),
+  coordinator: z.string().nullable(),
+  lease: z.object({held: z.boolean(), grantors: z.array(z.string())}),
+  storeReachable: z.boolean(),
+  zonesOut: z.array(z.string()),
+  members: z.array(member),
+  services: z.array(service),
+});
+
+const run = z.object({
+  first: z.number(),
+  count: z.number(),
+  owner: z.string().nullable(),
+  standby: z.string().nullable(),
+  generation: z.number(),
+  moving: z.boolean(),
+});
+
+/** Body of `map`. */
+export const mapSchema: z.ZodType<MapView> = z.object({
+  service: z.string(),
+  version: z.number(),
+  runs: z.array(run),
+});
+
+/** Body of commands that change something. */
+export const acceptedSchema: z.ZodType<Accepted> = z.object({
+  version: z.number(),
+  configuration: z.number(),
+});
+
+const auditEntry = z.object({
+  version: z.number(),
+  at: z.number(),
+  by: z.string(),
+  what: z.string(),
+  from: z.number(),
+  to: z.number(),
+});
+
+/** Body of `audit`. */
+export const auditSchema: z.ZodType<AuditPage> = z.object({
+  entries: z.array(auditEntry),
+});
--- /dev/null
+++ b/packages/cli/src/client/types.ts
@@ -0,0 +1,47 @@
+/** @fileoverview The client's way to the daemons. */
+
+import type {
+  AuditPage,
+  Accepted,
+  Command,
+  CommandResult,
+  MapView,
+  Status,
+} from '@jackdawfall/core';
+
+/** Commands that change something. */
+export type Change = Extract<
+  Command,
+  {kind: 'apply' | 'zone' | 'stopServer' | 'endMember'}
+>;
+
+/** A result whose body was read. */
+export type Reply<T> =
+  | {readonly kind: 'ok'; readonly value: T}
+  | Exclude<CommandResult, {kind: 'ok'}>;
+
+/** Talks to the daemons of one workspace. */
+export interface Client {
+  status(): Promise<Reply<Status>>;
+  /**
+   * Asks one daemon only.
+   *
+   * @param daemon - Its operators port as `ip:port`.
+   */
+  statusOf(daemon: string): Promise<Reply<Status>>;
+  map(service: string): Promise<Reply<MapView>>;
+  audit(limit: number): Promise<Reply<AuditPage>>;
+  change(command: Change): Promise<Reply<Accepted>>;
+}
+
+/** How the client reaches the daemons. */
+export interface ClientSettings {
+  /** Operators ports as `ip:port`, tried in this order. */
+  readonly daemons: readonly string[];
+  /** Longest wait for a connection, in milliseconds. */
+  readonly connectTimeoutMs: number;
+  /** Longest wait for an answer, in milliseconds. */
+  readonly timeoutMs: number;
+  /** Ends whatever is under way. */
+  readonly signal: AbortSignal;
+}
--- /dev/null
+++ b/packages/cli/src/client/wait.ts
@@ -0,0 +1,106 @@
+/** @fileoverview Waiting until a change is in force at every member. */
+
+import {setTimeout as sleep} from 'node:timers/promises';
+
+import type {Accepted, MemberStatus, Status} from '@jackdawfall/core';
+
+import type {Client} from './types.js';
+
+/** Members that are asked at the same time. */
+const MAX_CONCURRENT = 32;
+/** Time between two rounds of questions. */
+const ROUND_MS = 200;
+
+/** A member at which a change is not known to be in force. */
+export interface Laggard {
+  readonly member: string;
+  /** What was seen there, for people. */
+  readonly seen: string;
+}
+
+/** How a wait ended. */
+export interface Waited {
+  readonly members: number;
+  /** Empty when the change is in force everywhere. */
+  readonly lagging: readonly Laggard[];
+}
+
+/**
+ * Waits until every live member has applied a change; asks each itself.
+ *
+ * @param client - The client.
+ * @param accepted - The change.
+ * @param limitMs - Longest wait, in milliseconds.
+ * @returns Who lags at the end, if anyone.
+ */
+export async function waitUntilInForce(
+  client: Client,
+  accepted: Accepted,
+  limitMs: number,
+): Promise<Waited> {
+  const deadline = performance.now() + limitMs;
+  const done = new Set<string>();
+  for (;;) {
+    const waited = await askAll(client, accepted, done);
+    const isOver = performance.now() + ROUND_MS > deadline;
+    if (waited.lagging.length === 0 || isOver) return waited;
+    await sleep(ROUND_MS);
+  }
+}
+
+async function askAll(
+  client: Client,
+  accepted: Accepted,
+  done: Set<string>,
+): Promise<Waited> {
+  const reply = await client.status();
+  if (reply.kind !== 'ok') {
+    const laggard = {member: 'every member', seen: reply.detail};
+    return {members: 0, lagging: [laggard]};
+  }
+  const {members} = reply.value;
+  const open = members.filter(({member}) => !done.has(member));
+  const lagging: Laggard[] = [];
+  if (!isInForce(reply.value, accepted)) {
+    const member = reply.value.member ?? 'the asked daemon';
+    lagging.push({member, seen: versionsOf(reply.value)});
+  }
+  for (let at = 0; at < open.length; at += MAX_CONCURRENT) {
+    const batch = open.slice(at, at + MAX_CONCURRENT);
+    const seen = await Promise.all(
+      batch.map(member => askOne(client, accepted, member)),
+    );
+    batch.forEach(({member}, index) => {
+      const text = seen[index];
+      if (text === null) done.add(member);
+      else lagging.push({member, seen: text});
+    });
+  }
+  return {members: members.length, lagging};
+}
+
+/** Null when the change is in force there, else what was seen. */
+async function askOne(
+  client: Client,
+  accepted: Accepted,
+  {member, operators}: MemberStatus,
+): Promise<string | null> {
+  if (operators === null) return 'its operators port is not known';
+  const reply = await client.statusOf(operators);
+  if (reply.kind !== 'ok') return reply.detail;
+  if (reply.value.member !== member) {
+    return `${operators} is ${reply.value.member ?? 'no member'} now`;
+  }
+  return isInForce(reply.value, accepted) ? null : versionsOf(reply.value);
+}
+
+function isInForce(
+  status: Status,
+  {version, configuration}: Accepted,
+): boolean {
+  return status.version >= version && status.configuration >= configuration;
+}
+
+function versionsOf({version, configuration}: Status): string {
+  return `log version ${version}, configuration ${configuration}`;
+}
--- /dev/null
+++ b/packages/cli/src/map/definition.ts
@@ -0,0 +1,37 @@
+/** @fileoverview The command that shows who owns which slices. */
+
+import type {MapView} from '@jackdawfall/core';
+
+import type {Registration} from '../command/types.js';
+import {failureReport} from '../output/logic.js';
+import {renderTable} from '../output/view.js';
+
+/** Registers `map`. */
+export const mapCommand: Registration = (program, command) =>
+  program.command(
+    'map <service>',
+    'show owner and standby of each range of slices',
+    options =>
+      options.positional('service', {type: 'string', demandOption: true}),
+    command(async ({service}, client) => {
+      const reply = await client.map(service);
+      if (reply.kind !== 'ok') return failureReport(reply);
+      const {value} = reply;
+      return {exit: 'ok', text: describeMap(value), body: value};
+    }),
+  );
+
+function describeMap(map: MapView): string {
+  const rows = map.runs.map(run => [
+    `${run.first}-${run.first + run.count - 1}`,
+    run.owner ?? 'nobody',
+    run.standby ?? 'nobody',
+    run.generation,
+    run.moving ? 'moving' : '',
+  ]);
+  const table = renderTable(
+    ['SLICES', 'OWNER', 'STANDBY', 'GENERATION', ''],
+    rows,
+  );
+  return `service ${map.service} at log version ${map.version}\n${table}`;
+}
--- /dev/null
+++ b/packages/cli/src/output/logic.ts
@@ -0,0 +1,81 @@
+/** @fileoverview Exit codes, and reports for results that are no success. */
+
+import type {CommandResult, Fault} from '@jackdawfall/core';
+import {describeFaults} from '@jackdawfall/core';
+
+import type {ExitName, Report} from './types.js';
+
+/** Exit code of each way a command can end; the list is closed. */
+export const EXIT_CODES: Readonly<Record<ExitName, number>> = {
+  ok: 0,
+  internal: 1,
+  invalid: 2,
+  conflict: 3,
+  unavailable: 4,
+  unknown: 5,
+  'not-in-force': 6,
+};
+
+/** A command that ends early with a report. */
+export class CommandError extends Error {
+  override readonly name = 'CommandError';
+
+  /** @param report - What the command ends with. */
+  constructor(readonly report: Report) {
+    super(report.text);
+  }
+}
+
+/**
+ * Reports faults of what the operator gave.
+ *
+ * @param what - The thing at fault, for example a file name.
+ * @param faults - Its faults.
+ * @returns The report.
+ */
+export function invalidReport(what: string, faults: readonly Fault[]): Report {
+  return {
+    exit: 'invalid',
+    text: `${what} is not valid:\n${describeFaults(faults)}`,
+    body: {kind: 'invalid', what, faults},
+  };
+}
+
+/**
+ * Reports a result that is no success.
+ *
+ * @param result - The result of a command.
+ * @returns The report, with what the operator can do next.
+ */
+export function failureReport(
+  result: Exclude<CommandResult, {kind: 'ok'}>,
+): Report {
+  const {kind, detail} = result;
+  const body = {kind, detail};
+  switch (kind) {
+    case 'conflict':
+      return {
+        exit: 'conflict',
+        text: `conflict: ${detail}\nNothing was changed. Read the status, look at the other change, then decide anew.`,
+        body,
+      };
+    case 'rejected':
+      return {
+        exit: 'invalid',
+        text: `rejected: ${detail}\nNothing was changed.`,
+        body,
+      };
+    case 'unavailable':
+      return {
+        exit: 'unavailable',
+        text: `unavailable: ${detail}\nNothing was changed. The command may be given again.`,
+        body,
+      };
+    case 'unknown':
+      return {
+        exit: 'unknown',
+        text: `unknown: ${detail}\nThe change may or may not take effect, also later. Look at 'jackdawfall audit' before giving it again.`,
+        body,
+      };
+  }
+}
--- a/packages/core/src/commands/types.ts
+++ b/packages/core/src/commands/types.ts
@@ -3,8 +3,6 @@
  * them as the JSON text in `CommandResult.body`; the client checks them.
  */
 
-import type {Workspace} from '../workspace/types.js';
-
 /** A backend server as the log knows it. */
 export interface OfferedServer {
   readonly service: string;
@@ -48,8 +46,10 @@
   readonly phase: string;
   /** Log version the asked daemon has applied. */
   readonly version: number;
-  /** The configuration in force at the asked daemon, or null. */
-  readonly configuration: Workspace | null;
+  /** Version of the configuration in force at the asked daemon, 0 for none. */
+  readonly configuration: number;
+  /** JSON text of that configuration, or null. */
+  readonly document: string | null;
   readonly coordinator: string | null;
   readonly lease: {
     readonly held: boolean;
