Thin whole path: callers, links, owners and backend servers as processes

Cause: the parts stood apart; nothing served a request end to end. Change: the reducer composes ownership, execution and routing; the runner carries out their effects; the platform client times its calls with a timer of its own, since AbortSignal.any over AbortSignal.timeout did not fire in a test (a commit in silence stayed pending for good). Before: no request served. Ruled out: a fault of the fake server (the same test passes with the timer).

--- a/packages/core/src/daemon/logic.ts
+++ b/packages/core/src/daemon/logic.ts
@@ -3,9 +3,11 @@
  * in a fixed order.
  */
 
-import {EXECUTION, workOf} from '../execution/definition.js';
+import {EXECUTION} from '../execution/definition.js';
+import {workOf} from '../execution/state.js';
 import type {Effect, Input} from '../loop/types.js';
-import {OWNERSHIP, viewOf} from '../ownership/definition.js';
+import {OWNERSHIP} from '../ownership/definition.js';
+import {viewOf} from '../ownership/view.js';
 import type {OwnershipView} from '../ownership/types.js';
 import {ROUTING} from '../routing/definition.js';
 import type {Daemon} from './types.js';
--- a/packages/core/src/daemon/state.ts
+++ b/packages/core/src/daemon/state.ts
@@ -15,7 +15,7 @@
 export function createDaemon(settings: OwnershipSettings): Daemon {
   return {
     ownership: createOwnership(settings),
-    execution: createExecution(settings),
-    routing: createRouting(settings),
+    execution: createExecution(settings.tuning),
+    routing: createRouting(settings.tuning),
   };
 }
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -107,6 +107,8 @@
       requestStop(context);
       return;
     case 'ticked':
+    case 'woken':
+    case 'unsent':
     case 'linkOpened':
     case 'linkLost':
     case 'taken':
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -133,6 +133,8 @@
     case 'pull':
     case 'entries':
     case 'load':
+    case 'suspect':
+    case 'cleared':
       return;
   }
   const attempt = turn.state.attempts.get(message.attempt);
--- a/packages/core/src/testing/ownership.ts
+++ b/packages/core/src/testing/ownership.ts
@@ -91,6 +91,7 @@
     mayDispatch: permission,
     mayServe: permission,
     serversOf: () => fixed.servers.map(serverOf),
+    overdue: () => [],
   };
 }
 
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -23,6 +23,7 @@
 } from '@jackdawfall/core';
 
 import {endToEndHeaders} from '../bodies/headers.js';
+import type {AnswerMessage} from '../bodies/messages.js';
 import {Answers, writeFailure} from './answers.js';
 import {BodyBudget, readBody} from './intake.js';
 import {createIncoming} from './state.js';
@@ -147,43 +148,29 @@
   }
 
   /**
-   * Takes a message about an answer.
+   * Takes a message about an answer; one that belongs to no attempt sent to
+   * that member goes nowhere.
    *
    * @param from - The member that sent it.
-   * @param message - Any message; other kinds are passed over.
-   * @returns False when the message belongs to no answer and must be dropped.
+   * @param message - The message.
    */
-  receive(from: MemberId, message: Message): boolean {
-    switch (message.kind) {
-      case 'head':
-      case 'data':
-      case 'end':
-      case 'credit':
-      case 'failed':
-      case 'fate':
-        break;
-      default:
-        return true;
-    }
+  receive(from: MemberId, message: AnswerMessage): void {
     const incoming = this.incoming.get(message.attempt);
-    if (incoming === undefined || incoming.from !== from) return false;
+    if (incoming === undefined || incoming.from !== from) return;
     const chosen = this.chosen(incoming);
     switch (message.kind) {
       case 'head':
         this.answers.head(incoming, message.status, message.headers);
-        return true;
+        return;
       case 'data':
         this.answers.data(incoming, message.bytes, chosen);
-        return true;
+        return;
       case 'end':
         this.answers.end(incoming, chosen);
-        return true;
+        return;
       case 'credit':
         this.credit(incoming, message.bytes);
-        return true;
-      case 'failed':
-      case 'fate':
-        return true;
+        return;
     }
   }
 
--- a/packages/daemon/src/operators/logic.ts
+++ b/packages/daemon/src/operators/logic.ts
@@ -47,7 +47,7 @@
   command(command: Command): Promise<CommandResult>;
   status(): unknown;
   metrics(): string;
-  /** True once this daemon has joined and has a configuration. */
+  /** True once this daemon has joined its workspace. */
   ready(): boolean;
 }
 
--- a/packages/daemon/src/platform/logic.ts
+++ b/packages/daemon/src/platform/logic.ts
@@ -78,22 +78,25 @@
     exchange: Exchange,
     timeoutMs: number,
   ): Promise<{status: number; text: string}> {
-    const signal = AbortSignal.any([
-      this.signal,
-      AbortSignal.timeout(timeoutMs),
-    ]);
     return new Promise((resolve, reject) => {
       const outgoing = request(
         `http://${address}${exchange.path}`,
-        {method: exchange.method, agent: this.agent, signal},
+        {method: exchange.method, agent: this.agent, signal: this.signal},
         incoming => {
-          readText(incoming).then(
-            text => resolve({status: incoming.statusCode ?? 0, text}),
-            reject,
-          );
+          readText(incoming)
+            .then(text => resolve({status: incoming.statusCode ?? 0, text}))
+            .catch(reject)
+            .finally(() => clearTimeout(late));
         },
       );
-      outgoing.on('error', reject);
+      const late = setTimeout(
+        () => outgoing.destroy(new Error('no reply in time')),
+        timeoutMs,
+      );
+      outgoing.on('error', error => {
+        clearTimeout(late);
+        reject(error);
+      });
       outgoing.end(exchange.body ?? undefined);
     });
   }
--- a/packages/daemon/src/process/logic.ts
+++ b/packages/daemon/src/process/logic.ts
@@ -53,6 +53,7 @@
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
   const member = memberOf(settings.host, incarnation);
   const logger = createLogger(settings.tuning.logs.level, {
+    workspace: settings.workspace,
     host: settings.host,
     member,
   });
--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -18,6 +18,11 @@
 } from '@jackdawfall/core';
 import {Links} from '@jackdawfall/wire';
 
+import {
+  isAnswerMessage,
+  isRunMessage,
+  isStreamMessage,
+} from '../bodies/messages.js';
 import {Callers} from '../callers/logic.js';
 import type {Configuration} from '../callers/logic.js';
 import type {Logger} from '../logs/types.js';
@@ -123,10 +128,9 @@
     this.loop.emit({kind: 'stopRequested'});
   }
 
-  /** @returns True once this daemon has joined and has a configuration. */
+  /** @returns True once this daemon has joined its workspace. */
   ready(): boolean {
-    const view = viewOfDaemon(this.parts.daemon);
-    return view.self !== null && view.workspace !== null;
+    return viewOfDaemon(this.parts.daemon).self !== null;
   }
 
   /**
@@ -231,9 +235,9 @@
   }
 
   private receive(from: MemberId, message: Message): void {
-    this.runs.receive(from, message);
-    this.callers.receive(from, message);
-    if (!isForReducer(message)) return;
+    if (isRunMessage(message)) this.runs.receive(from, message);
+    if (isAnswerMessage(message)) this.callers.receive(from, message);
+    if (isStreamMessage(message)) return;
     this.loop.emit({kind: 'received', from, message});
   }
 
@@ -316,14 +320,3 @@
   const {ip, port} = settings.links;
   return settings.linkAddress ?? (`${ip}:${port}` as Announcement['address']);
 }
-
-function isForReducer(message: Message): boolean {
-  switch (message.kind) {
-    case 'data':
-    case 'body':
-    case 'credit':
-      return false;
-    default:
-      return true;
-  }
-}
--- a/packages/daemon/src/runs/logic.spec.ts
+++ b/packages/daemon/src/runs/logic.spec.ts
@@ -208,6 +208,7 @@
   return {
     kind: 'dispatch',
     attempt: ATTEMPT,
+    request: 'r1',
     method: 'GET',
     path: '/finder/a',
     headers: [],
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -19,6 +19,7 @@
 } from '@jackdawfall/core';
 
 import {endToEndHeaders, toRecord} from '../bodies/headers.js';
+import type {RunMessage} from '../bodies/messages.js';
 import {KeptAnswers} from './answers.js';
 import type {KeptBounds} from './answers.js';
 import {Connections} from './connections.js';
@@ -79,9 +80,9 @@
    * Takes a message about an attempt that this daemon runs.
    *
    * @param from - The daemon that sent it.
-   * @param message - Any message; other kinds are passed over.
+   * @param message - The message.
    */
-  receive(from: MemberId, message: Message): void {
+  receive(from: MemberId, message: RunMessage): void {
     switch (message.kind) {
       case 'dispatch':
         this.arrive(from, message);
@@ -92,8 +93,6 @@
       case 'credit':
         this.takeCredit(from, message.attempt, message.bytes);
         return;
-      default:
-        return;
     }
   }
 
@@ -220,6 +219,7 @@
   }
 
   private arrive(from: MemberId, dispatch: Dispatch): void {
+    if (originOf(dispatch.attempt) !== from) return;
     if (this.arrivals.has(dispatch.attempt)) return;
     this.arrivals.set(dispatch.attempt, {
       attempt: dispatch.attempt,
--- a/packages/emulator/src/deployment/operations.ts
+++ b/packages/emulator/src/deployment/operations.ts
@@ -46,7 +46,7 @@
   }
   const taipei = await readTemplate('parameters/taipei.json');
   const values = {...(JSON.parse(taipei) as Parameters), ...changes};
-  const expanded = expandTemplate(read.template, values);
+  const expanded = expandTemplate(read.value, values);
   if (expanded.kind === 'invalid') {
     throw new ExpectationError(JSON.stringify(expanded.faults));
   }
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -334,6 +334,7 @@
         node.alive = false;
         return;
       case 'dropLink':
+      case 'wake':
       case 'forward':
       case 'run':
       case 'cancelRun':
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -165,7 +165,10 @@
     fields: {member: 'string', round: LOGICAL.count, closed: 'boolean'},
   },
   pull: {code: 15, fields: {after: LOGICAL.count}},
-  entries: {code: 16, fields: {entries: LOGICAL.entries}},
+  entries: {
+    code: 16,
+    fields: {entries: LOGICAL.entries, version: LOGICAL.count},
+  },
   load: {
     code: 17,
     fields: {
@@ -174,6 +177,8 @@
       rates: LOGICAL.doubles,
     },
   },
+  suspect: {code: 18, fields: {member: 'string'}},
+  cleared: {code: 19, fields: {member: 'string'}},
 };
 
 /** The schema of the first frame. */
