Pages of log events and errors, written from the tables

Cause: code and pages must agree; one command writes both pages. Conclusion: the test that holds catalogue, code and page together follows once the daemon uses the events.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
 export type * from './clock/types.js';
 export type * from './errors/types.js';
 export {ANSWERS, failure} from './errors/logic.js';
+export {renderErrorPage} from './errors/view.js';
 export type * from './ids/types.js';
 export {
   NO_VERSION,
@@ -16,6 +17,7 @@
 export {hashKey, sliceOf} from './keys/logic.js';
 export type * from './logs/catalogue.js';
 export {LOGS} from './logs/catalogue.js';
+export {renderLogPage} from './logs/view.js';
 export type * from './loop/subject.js';
 export type * from './loop/types.js';
 export type * from './messages/types.js';
