Status, map, progress and audit trail in the bodies the client reads

Cause: ownership answered commands in shapes of its own; the map named each slice (about 10 MB at 128 Ki slices), the audit trail began with the oldest rows and cut the newest off, 'unchanged' answers lacked the configuration, and 'server stop' took the oldest member of a host, which after a restart is the predecessor that is on its way out. Change: packages/core/src/commands renders them; the map joins alike slices; the audit trail is read downwards in bounded windows; a small 'progress' command for waiting, since a status names every member; 'joined' entries carry the operators port. Ruled out: polling 'status' at every member (about 1 MB an answer at 5,800). Conclusion: the daemon has to accept 'progress' on its operators port and to pass its operators address to ownership.

--- a/packages/cli/src/audit/definition.ts
+++ b/packages/cli/src/audit/definition.ts
@@ -27,13 +27,14 @@
     }),
   );
 
-function describeAudit({entries}: AuditPage): string {
+function describeAudit({entries, searchedFrom}: AuditPage): string {
   const rows = entries.map(entry => [
-    entry.version,
+    `${entry.from} -> ${entry.to}`,
     new Date(entry.at).toISOString(),
     entry.by,
     entry.what,
-    entry.from === entry.to ? '' : `${entry.from} -> ${entry.to}`,
   ]);
-  return renderTable(['VERSION', 'TIME', 'BY', 'WHAT', 'CONFIGURATION'], rows);
+  const table = renderTable(['LOG VERSION', 'TIME', 'BY', 'WHAT'], rows);
+  if (searchedFrom <= 1) return table;
+  return `${table}\nearlier changes than log version ${searchedFrom} are not shown`;
 }
--- a/packages/cli/src/client/logic.ts
+++ b/packages/cli/src/client/logic.ts
@@ -9,6 +9,7 @@
   acceptedSchema,
   auditSchema,
   mapSchema,
+  progressSchema,
   statusSchema,
 } from './schema.js';
 import type {Client, ClientSettings, Reply} from './types.js';
@@ -28,7 +29,7 @@
     readBody(await askInTurn(daemons, command, settings), schema);
   return {
     status: () => ask({kind: 'status'}, statusSchema),
-    statusOf: daemon => ask({kind: 'status'}, statusSchema, [daemon]),
+    progressOf: daemon => ask({kind: 'progress'}, progressSchema, [daemon]),
     map: service => ask({kind: 'map', service: service as never}, mapSchema),
     audit: limit => ask({kind: 'audit', limit}, auditSchema),
     change: command => ask(command, acceptedSchema),
@@ -64,6 +65,7 @@
 function isRead({kind}: Command): boolean {
   switch (kind) {
     case 'status':
+    case 'progress':
     case 'map':
     case 'audit':
       return true;
--- a/packages/cli/src/client/schema.ts
+++ b/packages/cli/src/client/schema.ts
@@ -5,6 +5,7 @@
   AuditPage,
   CommandResult,
   MapView,
+  Progress,
   Status,
 } from '@jackdawfall/core';
 import {z} from 'zod';
@@ -86,16 +87,23 @@
   configuration: z.number(),
 });
 
-const auditEntry = z.object({
+/** Body of `progress`. */
+export const progressSchema: z.ZodType<Progress> = z.object({
+  member: z.string().nullable(),
   version: z.number(),
+  configuration: z.number(),
+});
+
+const auditEntry = z.object({
+  from: z.number(),
+  to: z.number(),
   at: z.number(),
   by: z.string(),
   what: z.string(),
-  from: z.number(),
-  to: z.number(),
 });
 
 /** Body of `audit`. */
 export const auditSchema: z.ZodType<AuditPage> = z.object({
   entries: z.array(auditEntry),
+  searchedFrom: z.number(),
 });
--- a/packages/cli/src/client/types.ts
+++ b/packages/cli/src/client/types.ts
@@ -6,6 +6,7 @@
   Command,
   CommandResult,
   MapView,
+  Progress,
   Status,
 } from '@jackdawfall/core';
 
@@ -28,7 +29,7 @@
    *
    * @param daemon - Its operators port as `ip:port`.
    */
-  statusOf(daemon: string): Promise<Reply<Status>>;
+  progressOf(daemon: string): Promise<Reply<Progress>>;
   map(service: string): Promise<Reply<MapView>>;
   audit(limit: number): Promise<Reply<AuditPage>>;
   change(command: Change): Promise<Reply<Accepted>>;
--- a/packages/cli/src/client/wait.ts
+++ b/packages/cli/src/client/wait.ts
@@ -2,7 +2,7 @@
 
 import {setTimeout as sleep} from 'node:timers/promises';
 
-import type {Accepted, MemberStatus, Status} from '@jackdawfall/core';
+import type {Accepted, MemberStatus, Progress} from '@jackdawfall/core';
 
 import type {Client} from './types.js';
 
@@ -86,7 +86,7 @@
   {member, operators}: MemberStatus,
 ): Promise<string | null> {
   if (operators === null) return 'its operators port is not known';
-  const reply = await client.statusOf(operators);
+  const reply = await client.progressOf(operators);
   if (reply.kind !== 'ok') return reply.detail;
   if (reply.value.member !== member) {
     return `${operators} is ${reply.value.member ?? 'no member'} now`;
@@ -95,12 +95,12 @@
 }
 
 function isInForce(
-  status: Status,
+  progress: Progress,
   {version, configuration}: Accepted,
 ): boolean {
-  return status.version >= version && status.configuration >= configuration;
+  return progress.version >= version && progress.configuration >= configuration;
 }
 
-function versionsOf({version, configuration}: Status): string {
+function versionsOf({version, configuration}: Progress): string {
   return `log version ${version}, configuration ${configuration}`;
 }
--- a/packages/cli/src/program.spec.ts
+++ b/packages/cli/src/program.spec.ts
@@ -273,7 +273,7 @@
         : ok({...STATUS, version: 8, configuration: 1, members: [self(port)]}),
     exit: 0,
     says: /in force at 1 members/,
-    asked: ['zone', 'status', 'status'],
+    asked: ['zone', 'status', 'progress'],
   },
   {
     what: 'a change that is not in force in time',
@@ -284,7 +284,7 @@
         : ok({...STATUS, members: [self(port)]}),
     exit: 6,
     says: /h1#1 +log version 7/,
-    asked: ['zone', 'status', 'status'],
+    asked: ['zone', 'status', 'progress'],
   },
   {
     what: 'a map',
@@ -297,9 +297,9 @@
   {
     what: 'the audit trail',
     args: ['audit', '--limit', '1'],
-    script: () => ok({entries: [AUDIT_ENTRY]}),
+    script: () => ok({entries: [AUDIT_ENTRY], searchedFrom: 1}),
     exit: 0,
-    says: /8 +1970-01-01T00:00:00.000Z +ann +apply +1 -> 2/,
+    says: /7 -> 8 +1970-01-01T00:00:00.000Z +ann +zone a out/,
     asked: ['audit'],
   },
 ];
@@ -313,14 +313,7 @@
   moving: true,
 };
 
-const AUDIT_ENTRY = {
-  version: 8,
-  at: 0,
-  by: 'ann',
-  what: 'apply',
-  from: 1,
-  to: 2,
-};
+const AUDIT_ENTRY = {from: 7, to: 8, at: 0, by: 'ann', what: 'zone a out'};
 
 const OTHER_DOCUMENT = JSON.stringify({
   name: 'windhoek',
--- a/packages/core/src/commands/types.ts
+++ b/packages/core/src/commands/types.ts
@@ -55,7 +55,7 @@
     readonly held: boolean;
     readonly grantors: readonly string[];
   };
-  /** False while calls to the platform fail. */
+  /** Whether the latest call to the platform was answered. */
   readonly storeReachable: boolean;
   readonly zonesOut: readonly string[];
   readonly members: readonly MemberStatus[];
@@ -87,22 +87,32 @@
   readonly configuration: number;
 }
 
+/** Body of `progress`: how far the asked daemon is. */
+export interface Progress {
+  /** Its member id, or null before it joined. */
+  readonly member: string | null;
+  /** Log version it has applied. */
+  readonly version: number;
+  /** Version of the configuration in force there. */
+  readonly configuration: number;
+}
+
 /** One change in the audit trail. */
 export interface AuditEntry {
-  /** Log version of the change. */
-  readonly version: number;
-  /** Milliseconds since the epoch. */
+  /** Log versions before and after the change. */
+  readonly from: number;
+  readonly to: number;
+  /** Milliseconds since the epoch, by the clock of the accepting daemon. */
   readonly at: number;
   /** Who asked for it: an operator, or the member that decided it. */
   readonly by: string;
-  /** What was changed, for example `zone out a`. */
+  /** What was changed, for example `zone b out`. */
   readonly what: string;
-  /** Configuration version before and after; equal if it is no `apply`. */
-  readonly from: number;
-  readonly to: number;
 }
 
 /** Body of `audit`, the newest entry first. */
 export interface AuditPage {
   readonly entries: readonly AuditEntry[];
+  /** Lowest log version that was searched; above 1 there may be more. */
+  readonly searchedFrom: number;
 }
--- /dev/null
+++ b/packages/core/src/commands/view.ts
@@ -0,0 +1,199 @@
+/** @fileoverview Renders what operators ask for from the state of ownership. */
+
+import type {Instant} from '../clock/types.js';
+import type {ServiceName} from '../ids/types.js';
+import {standing} from '../leases/logic.js';
+import type {Change} from '../log/types.js';
+import {memberAt} from '../map/logic.js';
+import {NO_MEMBER} from '../map/state.js';
+import type {ClusterMap, Member, ServiceMap} from '../map/types.js';
+import {ranksOf} from '../membership/ring.js';
+import type {Ownership} from '../ownership/state.js';
+import type {
+  Accepted,
+  MapRun,
+  MapView,
+  MemberStatus,
+  Progress,
+  ServiceStatus,
+  Status,
+} from './types.js';
+
+/**
+ * Renders the state of a workspace as one daemon knows it.
+ *
+ * @param state - The state of ownership.
+ * @param at - The instant of the question; null counts the lease as not held.
+ * @returns The body of `status`.
+ */
+export function renderStatus(state: Ownership, at: Instant | null): Status {
+  const {map, lease} = state;
+  const owned = countByMember(map, service => service.owner);
+  const standby = countByMember(map, service => service.standby);
+  return {
+    workspace: state.settings.workspace,
+    zone: state.settings.zone,
+    phase: state.phase,
+    ...renderProgress(state),
+    document: map.configuration?.document ?? null,
+    coordinator: ranksOf(map)[0] ?? null,
+    lease: {
+      held: at !== null && standing(state, at).source !== 'none',
+      grantors: lease.grantors,
+    },
+    storeReachable: state.storeReachable,
+    zonesOut: [...map.zonesOut],
+    members: [...map.members.values()].map(member =>
+      renderMember(member, owned[member.index], standby[member.index]),
+    ),
+    services: [...map.services.values()].map(renderService),
+  };
+}
+
+/**
+ * Renders how far a daemon is.
+ *
+ * @param state - The state of ownership.
+ * @returns The body of `progress`.
+ */
+export function renderProgress(state: Ownership): Progress {
+  const {map, self} = state;
+  return {
+    member: map.members.has(self) ? self : null,
+    version: map.version,
+    configuration: map.configuration?.number ?? 0,
+  };
+}
+
+/**
+ * Renders an accepted change.
+ *
+ * @param state - The state of ownership.
+ * @param version - Log version of the change.
+ * @returns The body of commands that change something.
+ */
+export function renderAccepted(state: Ownership, version: number): Accepted {
+  return {version, configuration: state.map.configuration?.number ?? 0};
+}
+
+/**
+ * Renders the placement of one service.
+ *
+ * @param map - The map.
+ * @param name - The service.
+ * @returns The body of `map`, or null if no keyed service has this name.
+ */
+export function renderMap(map: ClusterMap, name: ServiceName): MapView | null {
+  const service = map.services.get(name);
+  if (service === undefined) return null;
+  const runs: MapRun[] = [];
+  let first = 0;
+  for (let slice = 1; slice <= service.slices; slice++) {
+    if (slice < service.slices && isAlike(service, first, slice)) continue;
+    runs.push(renderRun(map, service, first, slice - first));
+    first = slice;
+  }
+  return {service: name, version: map.version, runs};
+}
+
+/**
+ * Says in a few words what an entry of the log changes.
+ *
+ * @param change - The change.
+ * @returns A phrase for the audit trail.
+ */
+export function describeChange(change: Change): string {
+  switch (change.kind) {
+    case 'joined':
+      return `${change.member} joined in zone ${change.zone}`;
+    case 'ended':
+      return `${change.members.join(', ')} ended`;
+    case 'offered':
+      return `${change.member} offers ${change.service}`;
+    case 'withdrawn':
+      return `${change.member} offers nothing`;
+    case 'draining':
+      return `${change.member} drains`;
+    case 'placed':
+      return `slices of ${change.service} placed`;
+    case 'moving':
+      return `slices of ${change.service} moving`;
+    case 'released':
+      return `slices of ${change.service} released`;
+    case 'configured':
+      return `configuration ${change.number - 1} -> ${change.number}`;
+    case 'zone':
+      return `zone ${change.zone} ${change.out ? 'out' : 'in'}`;
+  }
+}
+
+/** Counts slices by the index of the member in one of the arrays. */
+function countByMember(
+  map: ClusterMap,
+  arrayOf: (service: ServiceMap) => Uint16Array,
+): Uint32Array {
+  const counts = new Uint32Array(NO_MEMBER + 1);
+  for (const service of map.services.values()) {
+    for (const index of arrayOf(service)) counts[index]++;
+  }
+  return counts;
+}
+
+function renderMember(
+  member: Member,
+  owned: number,
+  standby: number,
+): MemberStatus {
+  const {offer} = member;
+  return {
+    member: member.id,
+    zone: member.zone,
+    operators: member.operators,
+    server: offer && {
+      service: offer.service,
+      slots: offer.slots,
+      leaving: offer.leaving,
+    },
+    owned,
+    standby,
+    draining: member.draining,
+  };
+}
+
+function renderService(service: ServiceMap): ServiceStatus {
+  const countNone = (array: Uint16Array): number =>
+    array.reduce((count, index) => count + Number(index === NO_MEMBER), 0);
+  return {
+    service: service.name,
+    slices: service.slices,
+    unowned: countNone(service.owner),
+    withoutStandby: countNone(service.standby),
+    moving: service.moves.size,
+  };
+}
+
+function isAlike(service: ServiceMap, a: number, b: number): boolean {
+  const {owner, standby, generation, moves} = service;
+  return (
+    owner[a] === owner[b] &&
+    standby[a] === standby[b] &&
+    generation[a] === generation[b] &&
+    moves.get(a as never) === moves.get(b as never)
+  );
+}
+
+function renderRun(
+  map: ClusterMap,
+  service: ServiceMap,
+  first: number,
+  count: number,
+): MapRun {
+  return {
+    first,
+    count,
+    owner: memberAt(map, service.owner[first])?.id ?? null,
+    standby: memberAt(map, service.standby[first])?.id ?? null,
+    generation: service.generation[first],
+    moving: service.moves.has(first as never),
+  };
+}
--- a/packages/core/src/log/types.ts
+++ b/packages/core/src/log/types.ts
@@ -33,6 +33,8 @@
       readonly member: MemberId;
       readonly zone: ZoneName;
       readonly address: Address;
+      /** Its operators port, or null when it has none. */
+      readonly operators: Address | null;
     }
   /** Every slice of these members goes to its standby, generation + 1. */
   | {readonly kind: 'ended'; readonly members: readonly MemberId[]}
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -52,6 +52,8 @@
 /** An operator's command, given to any daemon. */
 export type Command =
   | {readonly kind: 'status'}
+  /** How far the asked daemon is; small, for repeated questions. */
+  | {readonly kind: 'progress'}
   | {readonly kind: 'map'; readonly service: ServiceName}
   | {
       readonly kind: 'apply';
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -55,6 +55,7 @@
         id: change.member,
         zone: change.zone,
         address: change.address,
+        operators: change.operators,
         offer: null,
         draining: false,
       });
--- a/packages/core/src/map/types.ts
+++ b/packages/core/src/map/types.ts
@@ -26,6 +26,8 @@
   readonly index: number;
   readonly zone: ZoneName;
   readonly address: Address;
+  /** Its operators port, or null when it has none. */
+  readonly operators: Address | null;
   offer: Offer | null;
   draining: boolean;
 }
--- a/packages/core/src/ownership/commands.ts
+++ b/packages/core/src/ownership/commands.ts
@@ -1,17 +1,19 @@
 /** @fileoverview Operators' commands. */
 
+import {beginAudit} from '../commands/audit.js';
+import {
+  renderAccepted,
+  renderMap,
+  renderProgress,
+  renderStatus,
+} from '../commands/view.js';
 import {hostOf} from '../ids/logic.js';
-import type {MemberId, ZoneName} from '../ids/types.js';
+import type {MemberId, ServiceName, ZoneName} from '../ids/types.js';
 import type {Change} from '../log/types.js';
 import type {Command, CommandResult} from '../loop/types.js';
 import {suspectMember} from '../membership/endings.js';
-import type {StoreReply} from '../store/types.js';
-import {callStore, reply} from './effects.js';
+import {reply} from './effects.js';
 import type {Context, Ownership, PendingCommand, Wanted} from './state.js';
-import {renderMap, renderOwnership} from './view.js';
-
-/** Most audit rows in one answer. */
-const MOST_AUDIT_ROWS = 1000;
 
 /**
  * Takes a command.
@@ -28,13 +30,16 @@
   const {state} = context;
   switch (command.kind) {
     case 'status':
-      reply(context, token, ok(renderOwnership(state, context.at)));
+      reply(context, token, ok(renderStatus(state, context.at)));
+      return;
+    case 'progress':
+      reply(context, token, ok(renderProgress(state)));
       return;
     case 'map':
-      reply(context, token, ok(renderMap(state, command.service)));
+      reply(context, token, mapResult(state, command.service));
       return;
     case 'audit':
-      readAudit(context, command.limit, token);
+      beginAudit(context, command.limit, token);
       return;
     case 'apply':
     case 'zone':
@@ -82,8 +87,7 @@
 ): void {
   const pending = context.state.commands.find(each => each.writeId === writeId);
   if (pending === undefined) return;
-  const number = context.state.map.configuration?.number ?? 0;
-  finish(context, pending, ok({version, configuration: number}));
+  finish(context, pending, accepted(context.state, version));
 }
 
 /**
@@ -105,27 +109,6 @@
   }
 }
 
-/**
- * Answers an audit command.
- *
- * @param context - The step.
- * @param token - Names the answer.
- * @param answer - The platform's reply.
- */
-export function takeAudit(
-  context: Context,
-  token: number,
-  answer: StoreReply,
-): void {
-  if (answer.kind !== 'rows') {
-    const detail = 'the platform could not be read';
-    reply(context, token, {kind: 'unavailable', detail});
-    return;
-  }
-  const rows = answer.rows.map(row => JSON.parse(row.value) as unknown);
-  reply(context, token, ok(rows));
-}
-
 type Outcome = {readonly change: Change} | {readonly result: CommandResult};
 
 function changeOf(context: Context, command: Command): Outcome | null {
@@ -140,6 +123,7 @@
     case 'endMember':
       return endOutcome(context, command.member);
     case 'status':
+    case 'progress':
     case 'map':
     case 'audit':
       return null;
@@ -188,21 +172,22 @@
     return {result: {kind: 'rejected', detail}};
   }
   if (state.map.zonesOut.has(zone) === out) {
-    return {result: ok({version: state.map.version, unchanged: true})};
+    return {result: accepted(state, state.map.version)};
   }
   return {change: {kind: 'zone', zone, out}};
 }
 
 function stopOutcome(state: Ownership, host: string): Outcome {
-  const member = [...state.map.members.values()].find(
-    each => hostOf(each.id) === host,
-  );
+  // The newest: an older incarnation on the host is on its way out.
+  const member = [...state.map.members.values()]
+    .reverse()
+    .find(each => hostOf(each.id) === host);
   if (member === undefined) {
     const detail = `no live member on host ${host}`;
     return {result: {kind: 'rejected', detail}};
   }
   if (member.draining) {
-    return {result: ok({version: state.map.version, unchanged: true})};
+    return {result: accepted(state, state.map.version)};
   }
   return {change: {kind: 'draining', member: member.id}};
 }
@@ -211,7 +196,7 @@
 function endOutcome(context: Context, member: MemberId): Outcome | null {
   const {state} = context;
   if (state.map.ended.has(member)) {
-    return {result: ok({version: state.map.version})};
+    return {result: accepted(state, state.map.version)};
   }
   if (!state.map.members.has(member) || member === state.self) {
     const detail = `${member} is not another live member`;
@@ -238,29 +223,20 @@
   reply(context, pending.token, result);
 }
 
-function readAudit(context: Context, limit: number, token: number): void {
-  const {state} = context;
-  const {keys, map} = state;
-  const most = Math.min(limit, MOST_AUDIT_ROWS);
-  callStore(
-    context,
-    {kind: 'audit', token},
-    {
-      kind: 'read',
-      query: {
-        kind: 'range',
-        from: keys.audit(0),
-        to: keys.auditEnd,
-        limit: Math.max(most, map.version > 0 ? 1 : 0),
-      },
-    },
-  );
-}
-
 function operatorOf(command: Command): string {
   return 'by' in command ? command.by : '';
 }
 
+function mapResult(state: Ownership, service: ServiceName): CommandResult {
+  const view = renderMap(state.map, service);
+  if (view !== null) return ok(view);
+  return {kind: 'rejected', detail: `no keyed service ${service}`};
+}
+
+function accepted(state: Ownership, version: number): CommandResult {
+  return ok(renderAccepted(state, version));
+}
+
 function ok(body: unknown): CommandResult {
   return {kind: 'ok', body: JSON.stringify(body)};
 }
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -1,5 +1,7 @@
 /** @fileoverview Ownership as a subject of the reducer. */
 
+import {takeAudit} from '../commands/audit.js';
+import {renderStatus} from '../commands/view.js';
 import type {MemberId} from '../ids/types.js';
 import {memberOf} from '../ids/logic.js';
 import {
@@ -34,12 +36,11 @@
 import type {ControlMessage, Message} from '../messages/types.js';
 import type {CallId} from '../ids/types.js';
 import type {Row, StoreReply} from '../store/types.js';
-import {noteCommandDone, takeAudit, takeCommand} from './commands.js';
+import {noteCommandDone, takeCommand} from './commands.js';
 import {doDuties, onMembershipChanged} from './duties.js';
 import {log, send, violate} from './effects.js';
 import type {Context, Ownership} from './state.js';
 import type {WorkView} from './types.js';
-import {renderOwnership} from './view.js';
 
 /** What ownership asks of the other subjects. */
 export interface OwnershipPeers {
@@ -50,7 +51,7 @@
 export const OWNERSHIP: Subject<Ownership, OwnershipPeers> = {
   name: 'ownership',
   reduce: reduceOwnership,
-  render: state => renderOwnership(state, null),
+  render: state => renderStatus(state, null),
 };
 
 function reduceOwnership(
@@ -107,6 +108,8 @@
       requestStop(context);
       return;
     case 'ticked':
+    case 'woken':
+    case 'unsent':
     case 'linkOpened':
     case 'linkLost':
     case 'taken':
@@ -182,6 +185,7 @@
   const pending = state.calls.get(call);
   if (pending === undefined) return;
   state.calls.delete(call);
+  state.storeReachable = answer.kind !== 'refused' && answer.kind !== 'unknown';
   const {purpose} = pending;
   switch (purpose.kind) {
     case 'append':
@@ -212,7 +216,7 @@
       takeEndingRow(context, purpose.member, answer);
       return;
     case 'audit':
-      takeAudit(context, purpose.token, answer);
+      takeAudit(context, purpose.token, purpose.search, answer);
       return;
   }
 }
--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -90,7 +90,7 @@
 
 function wantedJoin(context: Context): Wanted {
   const {state} = context;
-  const {zone, address} = state.settings;
+  const {zone, address, operators = null} = state.settings;
   const predecessor = predecessorOf(state);
   if (!inForce(state, 'R4') && predecessor !== null) {
     return {
@@ -99,7 +99,7 @@
     };
   }
   return {
-    change: {kind: 'joined', member: state.self, zone, address},
+    change: {kind: 'joined', member: state.self, zone, address, operators},
     by: state.self,
   };
 }
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -1,6 +1,7 @@
 /** @fileoverview State of ownership in one daemon, and the context of a step. */
 
 import type {Instant} from '../clock/types.js';
+import type {AuditEntry} from '../commands/types.js';
 import type {Command, Effect, Announcement} from '../loop/types.js';
 import type {
   Address,
@@ -40,6 +41,8 @@
   readonly zone: ZoneName;
   /** Address at which other daemons reach this one. */
   readonly address: Address;
+  /** Its operators port, named in the log so that operators can ask it. */
+  readonly operators?: Address;
   /** Unique for each start of the process. */
   readonly incarnation: string;
   readonly tuning: Tuning;
@@ -47,6 +50,17 @@
   readonly rulesOff?: ReadonlySet<Rule>;
 }
 
+/** A search of the audit trail, from its newest entries downwards. */
+export interface AuditSearch {
+  /** Entries still wanted. */
+  readonly wanted: number;
+  /** Lowest log version that was asked for so far. */
+  readonly from: number;
+  readonly reads: number;
+  /** Entries found so far, the newest first. */
+  readonly found: readonly AuditEntry[];
+}
+
 /** Why a call to the platform was made. */
 export type CallPurpose =
   | {readonly kind: 'append'; readonly writeId: WriteId}
@@ -57,7 +71,11 @@
   | {readonly kind: 'storeSnapshot'; readonly version: Version}
   | {readonly kind: 'trim'}
   | {readonly kind: 'endingRead'; readonly member: MemberId}
-  | {readonly kind: 'audit'; readonly token: number};
+  | {
+      readonly kind: 'audit';
+      readonly token: number;
+      readonly search: AuditSearch;
+    };
 
 /** A call without a reply yet. */
 export interface PendingCall {
@@ -119,6 +137,8 @@
   calls: Map<CallId, PendingCall>;
   nextCall: number;
   nextWrite: number;
+  /** Whether the platform answered the latest call. */
+  storeReachable: boolean;
   /** Set when something changed that duties depend on. */
   dirty: boolean;
   /** Monotonic time at which each peer was last heard. */
@@ -183,6 +203,7 @@
     calls: new Map(),
     nextCall: 1,
     nextWrite: 1,
+    storeReachable: false,
     dirty: true,
     heard: new Map(),
     ring: {changes: -1, ring: EMPTY_RING},
--- a/packages/core/src/ownership/view.ts
+++ b/packages/core/src/ownership/view.ts
@@ -1,4 +1,4 @@
-/** @fileoverview Answers to other subjects and renderings for operators. */
+/** @fileoverview Answers to other subjects. */
 
 import type {Instant} from '../clock/types.js';
 import {NO_VERSION} from '../ids/logic.js';
@@ -12,7 +12,6 @@
 import {standing} from '../leases/logic.js';
 import {memberAt, takesWork} from '../map/logic.js';
 import type {ServiceMap} from '../map/types.js';
-import {ranksOf} from '../membership/ring.js';
 import {overdueSlices} from '../moves/logic.js';
 import type {Ownership} from './state.js';
 import {inForce} from './state.js';
@@ -80,59 +79,6 @@
   return underLease(state, placement.generation[slice], at);
 }
 
-/**
- * Renders ownership for operators.
- *
- * @param state - The state.
- * @param at - The instant, for the lease.
- * @returns A plain value.
- */
-export function renderOwnership(state: Ownership, at: Instant | null): unknown {
-  const {map, lease} = state;
-  return {
-    member: state.self,
-    phase: state.phase,
-    version: map.version,
-    configuration: map.configuration?.number ?? 0,
-    document: map.configuration?.document ?? null,
-    lease: at === null ? null : standing(state, at).source,
-    grantors: lease.grantors,
-    coordinator: ranksOf(map)[0] ?? null,
-    zonesOut: [...map.zonesOut],
-    members: [...map.members.values()].map(member => ({
-      member: member.id,
-      zone: member.zone,
-      address: member.address,
-      service: member.offer?.service ?? null,
-      takesWork: takesWork(map, member),
-      draining: member.draining,
-    })),
-    /** Versions that the members granted from here have reported. */
-    reported: [...state.wards].map(([member, ward]) => ({
-      member,
-      version: ward.version,
-      configuration: ward.configuration,
-    })),
-  };
-}
-
-/**
- * Renders the placement of one service.
- *
- * @param state - The state.
- * @param name - The service.
- * @returns A plain value.
- */
-export function renderMap(state: Ownership, name: ServiceName): unknown {
-  const service = state.map.services.get(name);
-  if (service === undefined) return {service: name, slices: []};
-  const slices = Array.from({length: service.slices}, (_, slice) => ({
-    slice,
-    ...placementOf(state, name, slice as Slice),
-  }));
-  return {service: name, version: state.map.version, slices};
-}
-
 function placementOf(
   state: Ownership,
   name: ServiceName,
