--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -10,6 +10,7 @@
 export {EXECUTION} from './execution/definition.js';
 export {createExecution, workOf} from './execution/state.js';
 export type {Execution} from './execution/types.js';
+export {renderErrorPage} from './errors/view.js';
 export type * from './ids/types.js';
 export {
   NO_VERSION,
@@ -23,9 +24,12 @@
 export {hashKey, sliceOf} from './keys/logic.js';
 export type * from './logs/catalogue.js';
 export {LOGS} from './logs/catalogue.js';
+export {renderLogPage} from './logs/view.js';
 export type * from './loop/subject.js';
 export type * from './loop/types.js';
 export type * from './messages/types.js';
+export type {LeaseSource, Standing} from './leases/types.js';
+export {standing as leaseOf} from './leases/logic.js';
 export type * from './log/types.js';
 export {OWNERSHIP} from './ownership/definition.js';
 export type {OwnershipPeers} from './ownership/definition.js';
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -1,5 +1,7 @@
 /** @fileoverview Ownership as a subject of the reducer. */
 
+import {takeAudit} from '../commands/audit.js';
+import {renderStatus} from '../commands/view.js';
 import type {MemberId} from '../ids/types.js';
 import {memberOf} from '../ids/logic.js';
 import {
@@ -11,8 +13,13 @@
   takeEntries,
   takeTail,
 } from '../journal/reader.js';
-import {noteApplied, takeAppended} from '../journal/writer.js';
-import {clearWard, closeMember, takeRenew} from '../leases/grantor.js';
+import {dropDoomed, noteApplied, takeAppended} from '../journal/writer.js';
+import {
+  clearWard,
+  closeMember,
+  hastenSuspicion,
+  takeRenew,
+} from '../leases/grantor.js';
 import {
   settleRow,
   takeOwnRow,
@@ -26,20 +33,19 @@
 import type {Effect, Event, Input} from '../loop/types.js';
 import {applyEntry} from '../map/logic.js';
 import {
-  forgetRows,
   suspectMember,
   takeClosed,
   takeEndingRow,
+  takeNewerRows,
 } from '../membership/endings.js';
 import type {ControlMessage, Message} from '../messages/types.js';
 import type {CallId} from '../ids/types.js';
 import type {Row, StoreReply} from '../store/types.js';
-import {noteCommandDone, takeAudit, takeCommand} from './commands.js';
+import {noteCommandDone, takeCommand} from './commands.js';
 import {doDuties, onMembershipChanged} from './duties.js';
 import {log, send, violate} from './effects.js';
 import type {Context, Ownership} from './state.js';
 import type {WorkView} from './types.js';
-import {renderOwnership} from './view.js';
 
 /** What ownership asks of the other subjects. */
 export interface OwnershipPeers {
@@ -50,7 +56,7 @@
 export const OWNERSHIP: Subject<Ownership, OwnershipPeers> = {
   name: 'ownership',
   reduce: reduceOwnership,
-  render: state => renderOwnership(state, null),
+  render: state => renderStatus(state, null),
 };
 
 function reduceOwnership(
@@ -106,11 +112,13 @@
     case 'stopRequested':
       requestStop(context);
       return;
+    case 'linkLost':
+      hastenSuspicion(state, event.peer, context.at.monotonic);
+      return;
     case 'ticked':
     case 'woken':
     case 'unsent':
     case 'linkOpened':
-    case 'linkLost':
     case 'taken':
     case 'hungUp':
     case 'answered':
@@ -184,6 +192,7 @@
   const pending = state.calls.get(call);
   if (pending === undefined) return;
   state.calls.delete(call);
+  state.storeReachable = answer.kind !== 'refused' && answer.kind !== 'unknown';
   const {purpose} = pending;
   switch (purpose.kind) {
     case 'append':
@@ -203,6 +212,7 @@
       return;
     case 'tail':
       takeTail(context, answer, each => apply(context, each));
+      dropDoomed(context);
       return;
     case 'loadSnapshot':
       takeSnapshot(context, answer);
@@ -214,13 +224,13 @@
       takeEndingRow(context, purpose.member, answer);
       return;
     case 'audit':
-      takeAudit(context, purpose.token, answer);
+      takeAudit(context, purpose.token, purpose.search, answer);
       return;
   }
 }
 
 function takeConflictRows(context: Context, rows: readonly Row[]): void {
-  forgetRows(context.state);
+  takeNewerRows(context, rows);
   if (context.state.lease.revision > 0) takeOwnRow(context, rows);
 }
 
--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -77,7 +77,7 @@
 function nextWanted(context: Context): Wanted | null {
   const {state} = context;
   if (state.phase === 'joining') return wantedJoin(context);
-  if (state.phase === 'ending') return ownEnd(state);
+  if (state.phase === 'ending') return wantedOwnEnd(context);
   return (
     wantedEnd(context) ??
     wantedByOperators(context) ??
@@ -90,7 +90,7 @@
 
 function wantedJoin(context: Context): Wanted {
   const {state} = context;
-  const {zone, address} = state.settings;
+  const {zone, address, operators = null} = state.settings;
   const predecessor = predecessorOf(state);
   if (!inForce(state, 'R4') && predecessor !== null) {
     return {
@@ -99,7 +99,7 @@
     };
   }
   return {
-    change: {kind: 'joined', member: state.self, zone, address},
+    change: {kind: 'joined', member: state.self, zone, address, operators},
     by: state.self,
   };
 }
@@ -111,7 +111,11 @@
   return null;
 }
 
-function ownEnd(state: Ownership): Wanted {
+/** The own end, once nothing that was dispatched under the lease runs. */
+function wantedOwnEnd(context: Context): Wanted | null {
+  const {state, at, work} = context;
+  const mayRun = standing(state, at).source !== 'none';
+  if (mayRun && work.inFlightTotal() > 0) return null;
   const {self, lease} = state;
   return {
     change: {kind: 'ended', members: [self]},
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -210,6 +210,7 @@
     logicalType: 'entry',
     fields: [
       {name: 'version', type: COUNT},
+      {name: 'revision', type: COUNT},
       {name: 'text', type: 'string'},
     ],
   };
