--- a/packages/core/src/execution/endings.ts
+++ b/packages/core/src/execution/endings.ts
@@ -166,7 +166,8 @@
 /** A request that did not run may be dispatched again. */
 function clearTraces(turn: Turn, job: Job): void {
   const {keys, ran} = turn.state.memory;
-  if (job.startedAt > 0) ran.delete(job.request);
+  const wasStarted = job.place === 'started' || job.place === 'refused';
+  if (wasStarted) ran.delete(job.request);
   if (job.key !== null && keys.get(job.key) === job.attempt) {
     keys.delete(job.key);
   }
