Fault trial: an old link is read until its loss is noticed

Before, a message on a newer link ended the older one, so a dispatch never came after the inquiry about it.

--- a/packages/emulator/src/requests/network.ts
+++ b/packages/emulator/src/requests/network.ts
@@ -21,8 +21,10 @@
 /** All links. A cut is noticed by each end at its own time. */
 export class Network {
   private readonly endpoints = new Map<MemberId, Endpoint>();
-  /** Number of the link an end uses, for each direction. */
+  /** Number of the link an end sends on, for each direction. */
   private readonly using = new Map<string, number>();
+  /** Number of the oldest link an end still reads, for each direction. */
+  private readonly reading = new Map<string, number>();
   /** Links that carry nothing any more, by pair. */
   private readonly cutBelow = new Map<string, number>();
   private readonly latest = new Map<string, number>();
@@ -95,13 +97,19 @@
   private notice(end: MemberId, peer: MemberId, next: number): void {
     const wait = this.schedule.random() * SILENCE_MS;
     this.schedule.after(wait, () => {
-      const known = this.using.get(way(end, peer)) ?? 0;
+      const known = this.reading.get(way(end, peer)) ?? 0;
       if (known >= next) return;
-      this.using.set(way(end, peer), next);
+      this.reading.set(way(end, peer), next);
+      this.use(end, peer, next);
       this.endpoints.get(end)!.lost(peer);
     });
   }
 
+  private use(end: MemberId, peer: MemberId, link: number): void {
+    const known = this.using.get(way(end, peer)) ?? 0;
+    this.using.set(way(end, peer), Math.max(known, link));
+  }
+
   /** An end reads nothing more from a link that it has reported as lost. */
   private carry(
     from: MemberId,
@@ -115,8 +123,8 @@
     const at = Math.max(earliest, this.schedule.now + delayMs);
     this.latest.set(direction, at);
     this.schedule.after(at - this.schedule.now, () => {
-      if (link < (this.using.get(way(to, from)) ?? 0)) return;
-      this.using.set(way(to, from), link);
+      if (link < (this.reading.get(way(to, from)) ?? 0)) return;
+      this.use(to, from, link);
       this.endpoints.get(to)!.hear(from, message);
     });
   }
