--- a/packages/core/src/choice/logic.ts
+++ b/packages/core/src/choice/logic.ts
@@ -13,6 +13,8 @@
 /** Score of a server that refused a moment ago, as a factor. */
 const REFUSED_FACTOR = 1e6;
 const LEAST_LATENCY_MS = 0.1;
+/** Most that lost hedges raise an expected latency to, as a multiple. */
+const MAX_SLOWNESS = 64;
 const MEAN_WEIGHT = 0.02;
 const LATENCY_WEIGHT = 0.2;
 /** Samples needed before a percentile is used. */
@@ -113,22 +115,28 @@
 }
 
 /**
- * Notes that an attempt was given up: its latency is at least its age.
+ * Notes that an attempt was given up. Its latency is at least its age; how
+ * much more is never seen, so each one doubles what is expected, while answers
+ * bring it down again.
  *
  * @param choice - What was seen.
  * @param member - The server's member.
+ * @param service - The service.
  * @param ageMs - Time since it was sent.
  * @param now - Monotonic time, in milliseconds.
  */
 export function noteSlow(
   choice: Choice,
   member: MemberId,
+  service: ServiceName,
   ageMs: number,
   now: number,
 ): void {
   const server = observed(choice, member);
-  if (ageMs < server.latencyMs) return;
-  server.latencyMs = ageMs;
+  const meanMs = choice.services.get(service)?.meanMs ?? 0;
+  const doubledMs = 2 * Math.max(server.latencyMs, ageMs);
+  const mostMs = Math.max(ageMs, MAX_SLOWNESS * meanMs);
+  server.latencyMs = Math.min(doubledMs, mostMs);
   server.latencyAt = now;
 }
 
--- a/packages/core/src/routing/endings.ts
+++ b/packages/core/src/routing/endings.ts
@@ -81,7 +81,8 @@
   const {state, now} = turn;
   for (const attempt of [...pending.attempts.values()]) {
     if (attempt.id === pending.relayed) continue;
-    noteSlow(state.choice, attempt.to, now - attempt.sentAt, now);
+    const ageMs = now - attempt.sentAt;
+    noteSlow(state.choice, attempt.to, pending.taken.service, ageMs, now);
     sendCancel(turn, attempt);
     dropAttempt(turn, pending, attempt);
   }
