Heartbeats of links follow use; calculation of dissemination

Cause: a heartbeat on every idle link cost 210 to 254 us CPU a link and second (npm run bench -- links), more than a core at 5,800 links. Change: a side that awaits something listens, a side that owes a sign gives one, attempts that are open are probed, an unused link is silent and closes after links.unusedMs. Ruled out: longer heartbeat intervals (silence must be noticed in 1 s), gRPC keepalive (whole seconds, no notion of use).

--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -28,10 +28,12 @@
     ttlMs: 2000,
   },
   links: {
-    /** Time between two heartbeats. */
+    /** Time between two looks at a link; heartbeats fall on them. */
     heartbeatMs: 250,
-    /** Silence after which a link is dropped. */
+    /** Silence, while something is awaited, after which a link is lost. */
     silenceMs: 1000,
+    /** Time after which an unused link is closed. */
+    unusedMs: 30000,
     /** Bytes in flight for one body before the sender waits. */
     windowBytes: 262144,
     /** Time a new link may take to open. */
--- a/packages/emulator/src/bench/definitions.ts
+++ b/packages/emulator/src/bench/definitions.ts
@@ -1,7 +1,8 @@
 /** @fileoverview Every bench, in the order in which they run. */
 
+import {disseminationBench} from '../dissemination/definition.js';
 import {linksBench} from './links/definition.js';
 import type {Bench} from './types.js';
 
 /** All benches. */
-export const BENCHES: readonly Bench[] = [linksBench];
+export const BENCHES: readonly Bench[] = [linksBench, disseminationBench];
--- a/packages/emulator/src/bench/links/definition.ts
+++ b/packages/emulator/src/bench/links/definition.ts
@@ -104,12 +104,13 @@
 ): Promise<Figures> {
   const hub = startWorker(WORKER, signal);
   const to = await hub.call<Peer>('open', {member: 'hub#1'});
-  const empty = await hub.call<Usage>('usage');
+  const empty = await hub.call<Usage>('held');
   const others = await connectOthers(side, count, hub, to, signal);
   await sleep(SETTLE_MS);
   const begin = await hub.call<Usage>('usage');
   await sleep(IDLE_MS);
   const end = await hub.call<Usage>('usage');
+  const held = await hub.call<Usage>('held');
   const open = await hub.call<number>('size');
   const lost = await hub.call<number>('losses');
   await Promise.all([hub, ...others].map(worker => worker.stop()));
@@ -117,8 +118,8 @@
   return {
     links: open,
     lost,
-    rssMb: megabytes(end.rssBytes),
-    rssKbPerLink: round((end.rssBytes - empty.rssBytes) / 1024 / count),
+    rssMb: megabytes(held.rssBytes),
+    rssKbPerLink: round((held.rssBytes - empty.rssBytes) / 1024 / count),
     cpuPercentOfCore: round(cpuShare * 100),
     cpuUsPerLinkAndSecond: round((cpuShare * 1_000_000) / count),
   };
--- a/packages/emulator/src/bench/links/worker.ts
+++ b/packages/emulator/src/bench/links/worker.ts
@@ -68,7 +68,8 @@
   },
   size: () => links?.size ?? 0,
   losses: () => losses,
-  usage: () => usage(true),
+  usage: () => usage(),
+  held: () => usage(true),
 });
 
 function makeLinks(member: string, address: string, port = 0): Links {
--- a/packages/wire/src/codec/logic.ts
+++ b/packages/wire/src/codec/logic.ts
@@ -25,6 +25,8 @@
   ping: 2,
   batch: 3,
   refusal: 4,
+  probe: 5,
+  farewell: 6,
 };
 
 interface Codec {
@@ -48,6 +50,8 @@
 const HELLO = recordType('hello', HELLO_SCHEMA);
 const REFUSAL = recordType('refusal', {reason: 'string'});
 const PING = Buffer.from([FRAME_CODES.ping]);
+const PROBE = Buffer.from([FRAME_CODES.probe]);
+const FAREWELL = Buffer.from([FRAME_CODES.farewell]);
 
 /**
  * Estimates a message's size from above without encoding it.
@@ -76,6 +80,10 @@
   switch (frame.kind) {
     case 'ping':
       return PING;
+    case 'probe':
+      return PROBE;
+    case 'farewell':
+      return FAREWELL;
     case 'hello':
       return encodeRecord(FRAME_CODES.hello, HELLO, frame);
     case 'refusal':
@@ -99,6 +107,10 @@
       return {kind: 'batch', messages: decodeBatch(bytes)};
     case FRAME_CODES.ping:
       return {kind: 'ping'};
+    case FRAME_CODES.probe:
+      return {kind: 'probe'};
+    case FRAME_CODES.farewell:
+      return {kind: 'farewell'};
     case FRAME_CODES.hello: {
       const record = decodeRecord<Hello>(HELLO, bytes);
       return {...record, kind: 'hello'};
--- a/packages/wire/src/codec/types.ts
+++ b/packages/wire/src/codec/types.ts
@@ -19,15 +19,19 @@
   readonly address: Address;
   /** The member the sender wants to reach, or empty when it answers. */
   readonly wanted: string;
-  /** How often the sender has lost its links with the receiver. */
+  /** How often the sender has lost or closed links with the receiver. */
   readonly losses: number;
 }
 
 /** One unit of a link's stream. */
 export type Frame =
   | Hello
-  /** Proof of life when nothing else is sent. */
+  /** A sign of life. */
   | {readonly kind: 'ping'}
+  /** Asks for a sign of life at once. */
+  | {readonly kind: 'probe'}
+  /** The sender ends a link that nobody used for long. */
+  | {readonly kind: 'farewell'}
   /** The messages of one turn of the sender's loop, in order. */
   | {readonly kind: 'batch'; readonly messages: readonly Message[]}
   /** The link is refused. */
--- a/packages/wire/src/links/links.ts
+++ b/packages/wire/src/links/links.ts
@@ -6,7 +6,7 @@
  */
 
 import type * as grpc from '@grpc/grpc-js';
-import type {Address, MemberId, Message} from '@jackdawfall/core';
+import type {Address, AttemptId, MemberId, Message} from '@jackdawfall/core';
 import {PROTOCOL} from '../codec/schemas.js';
 import type {Hello} from '../codec/types.js';
 import {Link} from './link.js';
@@ -24,7 +24,9 @@
 interface Peer {
   /** Oldest first; sends go to the first that is not ended. */
   links: Link[];
-  /** How often links with this peer were lost. */
+  /** Attempts that either side waits for. */
+  readonly attempts: Set<AttemptId>;
+  /** How often links with this peer were lost or closed here. */
   losses: number;
   /** The losses that the peer told with its latest hello. */
   lossesTold: number;
@@ -47,6 +49,7 @@
     this.self = options.self;
     this.limits = {
       silentTurns: Math.ceil(tuning.silenceMs / tuning.heartbeatMs),
+      unusedTurns: Math.ceil(tuning.unusedMs / tuning.heartbeatMs),
       openingTurns: Math.ceil(tuning.connectTimeoutMs / tuning.heartbeatMs),
       queueBytes: tuning.queueBytes,
       batchBytes: tuning.batchBytes,
@@ -146,7 +149,7 @@
       peer: to,
       address,
     });
-    peer.links.push(link);
+    join(peer, link);
     link.greet(this.hello(to, peer.losses));
     return link;
   }
@@ -161,6 +164,7 @@
       if (link.peer !== null) this.options.on.message(link.peer, message);
     },
     ended: (link: Link, reason: string) => this.ended(link, reason),
+    retired: (link: Link) => this.retired(link),
   };
 
   private greeted(link: Link, hello: Hello): string | null {
@@ -181,7 +185,7 @@
     if (!link.dialled) {
       link.peer = hello.member;
       link.address = hello.address;
-      peer.links.push(link);
+      join(peer, link);
       link.greet(this.hello('', peer.losses));
     }
     if (first) this.options.on.opened(hello.member);
@@ -206,6 +210,13 @@
     if (link.peer !== null) this.lose(link.peer, reason);
   }
 
+  private retired(link: Link): void {
+    const peer = link.peer === null ? undefined : this.peers.get(link.peer);
+    if (!peer) return;
+    peer.links = peer.links.filter(other => other !== link);
+    peer.losses += 1;
+  }
+
   private lose(id: MemberId, reason: string, except?: Link): void {
     const peer = this.peers.get(id);
     if (!peer || peer.links.length === 0) return;
@@ -216,6 +227,7 @@
   private clear(peer: Peer, except?: Link): void {
     const links = peer.links;
     peer.links = links.filter(link => link === except);
+    peer.attempts.clear();
     peer.losses += 1;
     for (const link of links) if (link !== except) link.destroy();
   }
@@ -232,7 +244,7 @@
   private peerOf(id: MemberId): Peer {
     const known = this.peers.get(id);
     if (known) return known;
-    const peer = {links: [], losses: 0, lossesTold: 0, idleTurns: 0};
+    const peer = newPeer();
     this.peers.set(id, peer);
     return peer;
   }
@@ -262,6 +274,21 @@
   }
 }
 
+function newPeer(): Peer {
+  return {
+    links: [],
+    attempts: new Set(),
+    losses: 0,
+    lossesTold: 0,
+    idleTurns: 0,
+  };
+}
+
+function join(peer: Peer, link: Link): void {
+  link.liveness.attempts = peer.attempts;
+  peer.links.push(link);
+}
+
 function isOpen(link: Link): boolean {
   return link.state === 'open';
 }
--- a/packages/wire/src/links/stream.ts
+++ b/packages/wire/src/links/stream.ts
@@ -28,8 +28,8 @@
 const SERVER_OPTIONS: grpc.ServerOptions = {
   ...CONNECTION_OPTIONS,
   'grpc.max_connection_idle_ms': 5000,
-  'grpc.keepalive_time_ms': 10000,
-  'grpc.keepalive_timeout_ms': 5000,
+  'grpc.keepalive_time_ms': 60000,
+  'grpc.keepalive_timeout_ms': 10000,
 };
 
 const METHOD = {
