Dissemination: the ring at powers of two, views of an older list; text weights

Cause: the product pushes along a ring at powers of two; the calculation had no such way, and joins were always the last numbers. A message's estimate counted three bytes a character, which refuses long entries too early.

--- a/packages/emulator/src/dissemination/definition.ts
+++ b/packages/emulator/src/dissemination/definition.ts
@@ -4,13 +4,19 @@
 import type {Version} from '@jackdawfall/core';
 import type {Bench, Figures} from '../bench/types.js';
 import {progress} from '../bench/progress.js';
-import {hypercube, randomGraph, withOldViews} from './graphs.js';
+import {
+  hypercube,
+  powersOfTwo,
+  randomGraph,
+  treeFrom,
+  without,
+} from './graphs.js';
 import {flood, summarize, tree, unspread} from './logic.js';
 import {ABSENCES, DELAYS, NODES, populate, randomFrom} from './situations.js';
 import type {AbsenceCase, Population} from './situations.js';
-import type {Delay, Situation, Spread, Summary} from './types.js';
+import type {Delay, Graph, Situation, Spread, Summary, View} from './types.js';
 
-const SEEDS = [1, 2, 3, 4, 5];
+const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
 /** Half of the mean degree of a hypercube of this size. */
 const RANDOM_PICKS = 6;
 const TREE_ARITY = 4;
@@ -33,36 +39,45 @@
 
 const WAYS: readonly Way[] = [
   {
-    name: 'hypercube flood',
+    name: 'hypercube',
     legs: 1,
     copies: 'entries',
     spread: floodHypercube,
   },
   {
-    name: 'hypercube flood of versions, entries pulled',
+    name: 'hypercube, versions pushed and entries pulled',
     legs: 3,
     copies: 'versions',
     spread: floodHypercube,
   },
   {
-    name: 'random graph flood',
+    name: 'random graph',
     legs: 1,
     copies: 'entries',
-    spread: (situation, population, seed) => {
-      const random = randomFrom(seed + 1000);
-      const graph = randomGraph(NODES, RANDOM_PICKS, random);
-      return flood(viewed(graph, population), situation);
-    },
+    spread: floodRandomGraph,
+  },
+  {
+    name: 'ring at powers of two',
+    legs: 1,
+    copies: 'entries',
+    spread: floodRing,
+  },
+  {
+    name: 'ring at powers of two, versions pushed and entries pulled',
+    legs: 3,
+    copies: 'versions',
+    spread: floodRing,
   },
   {
     name: `${TREE_ARITY}-ary tree with repair`,
     legs: 1,
     copies: 'entries',
     spread: (situation, population) => {
-      const newcomers = countNewcomers(population);
-      return tree(TREE_ARITY, situation, node =>
-        population.isBehind(node) ? NODES - newcomers : NODES,
+      const {origin} = situation;
+      const view = viewByOrder(population, order =>
+        treeFrom(order, origin, TREE_ARITY, NODES),
       );
+      return tree(view, situation);
     },
   },
   {
@@ -150,23 +165,38 @@
 }
 
 function floodHypercube(situation: Situation, population: Population): Spread {
-  return flood(viewed(hypercube(NODES), population), situation);
+  return flood(viewOfGraph(hypercube(NODES), population), situation);
 }
 
-function viewed(graph: ReturnType<typeof hypercube>, population: Population) {
-  return withOldViews(
-    graph,
-    node => population.isNewcomer(node),
-    node => population.isBehind(node),
-  );
+function floodRandomGraph(
+  situation: Situation,
+  population: Population,
+  seed: number,
+): Spread {
+  const graph = randomGraph(NODES, RANDOM_PICKS, randomFrom(seed + 1000));
+  return flood(viewOfGraph(graph, population), situation);
 }
 
-function countNewcomers(population: Population): number {
-  let count = 0;
-  for (let node = 0; node < NODES; node += 1) {
-    if (population.isNewcomer(node)) count += 1;
-  }
-  return count;
+function floodRing(situation: Situation, population: Population): Spread {
+  const view = viewByOrder(population, order => powersOfTwo(order, NODES));
+  return flood(view, situation);
+}
+
+/** A member's place does not depend on the number of members. */
+function viewOfGraph(graph: Graph, population: Population): View {
+  const old = without(graph, node => !population.isNewcomer(node));
+  return node => (population.isBehind(node) ? old : graph);
+}
+
+/** A member's place is its position in the order of members. */
+function viewByOrder(
+  population: Population,
+  build: (order: readonly number[]) => Graph,
+): View {
+  const all = Array.from({length: NODES}, (_, node) => node);
+  const graph = build(all);
+  const old = build(all.filter(node => !population.isNewcomer(node)));
+  return node => (population.isBehind(node) ? old : graph);
 }
 
 function situationOf(population: Population, delay: Delay): Situation {
--- a/packages/emulator/src/dissemination/graphs.ts
+++ b/packages/emulator/src/dissemination/graphs.ts
@@ -50,46 +50,65 @@
 }
 
 /**
- * Children of a node in a k-ary tree whose root may be any node.
+ * A ring in which each node knows those at distances of powers of two.
+ * Edges have one direction.
  *
- * @param node - The node.
- * @param root - The root.
+ * @param order - The nodes in the order of the ring.
+ * @param nodes - Number of all nodes.
+ * @returns The graph; nodes that are not in the ring have no neighbours.
+ */
+export function powersOfTwo(order: readonly number[], nodes: number): Graph {
+  const graph = emptyGraph(nodes);
+  for (const [at, node] of order.entries()) {
+    for (let distance = 1; distance < order.length; distance *= 2) {
+      const other = order[(at + distance) % order.length];
+      if (other !== undefined) graph[node]?.push(other);
+    }
+  }
+  return graph;
+}
+
+/**
+ * A k-ary tree over nodes in order, rooted at any of them. Edges lead to
+ * children.
+ *
+ * @param order - The nodes.
+ * @param root - The root; without it in the order there is no tree.
  * @param arity - Children of each inner node.
- * @param nodes - Number of nodes.
- * @returns The children.
+ * @param nodes - Number of all nodes.
+ * @returns The graph.
  */
-export function childrenOf(
-  node: number,
+export function treeFrom(
+  order: readonly number[],
   root: number,
   arity: number,
   nodes: number,
-): number[] {
-  const rank = (node - root + nodes) % nodes;
-  const children: number[] = [];
-  for (let child = 1; child <= arity; child += 1) {
-    const childRank = rank * arity + child;
-    if (childRank < nodes) children.push((childRank + root) % nodes);
+): Graph {
+  const graph = emptyGraph(nodes);
+  const start = order.indexOf(root);
+  if (start < 0) return graph;
+  const ranked = [...order.slice(start), ...order.slice(0, start)];
+  for (const [rank, node] of ranked.entries()) {
+    const first = rank * arity + 1;
+    graph[node]?.push(...ranked.slice(first, first + arity));
   }
-  return children;
+  return graph;
 }
 
 /**
- * The graph as it stands when some nodes know an older list of members: they
- * don't know the newcomers, and newcomers are known only to the up-to-date.
+ * Leaves nodes out of everybody's neighbours.
  *
- * @param graph - The graph of the newest list.
- * @param isNewcomer - Whether a node joined since the older list.
- * @param isBehind - Whether a node knows only the older list.
- * @returns The graph of pushes; edges may have one direction.
+ * @param graph - The graph.
+ * @param isKnown - Whether a node is kept.
+ * @returns The graph without them.
  */
-export function withOldViews(
+export function without(
   graph: Graph,
-  isNewcomer: (node: number) => boolean,
-  isBehind: (node: number) => boolean,
+  isKnown: (node: number) => boolean,
 ): Graph {
-  return graph.map((neighbours, node) =>
-    isBehind(node)
-      ? neighbours.filter(other => !isNewcomer(other))
-      : neighbours,
-  );
+  return graph.map(neighbours => neighbours.filter(isKnown));
+}
+
+function emptyGraph(nodes: number): number[][] {
+  return Array.from({length: nodes}, () => []);
 }
--- a/packages/emulator/src/dissemination/logic.ts
+++ b/packages/emulator/src/dissemination/logic.ts
@@ -1,14 +1,13 @@
 /** @fileoverview How a change spreads: floods, trees, renewals, and figures. */
 
-import {childrenOf} from './graphs.js';
-import type {Graph, Situation, Spread, Summary} from './types.js';
+import type {Graph, Situation, Spread, Summary, View} from './types.js';
 
 /** Time between two renewals of a member with one grantor. */
 const RENEW_MS = 500;
 /** Time after which a parent takes a silent child's place. */
 const REPAIR_MS = 1000;
 /** Time at which the calculation gives up. */
-const LIMIT_MS = 1_200_000;
+const LIMIT_MS = 60_000;
 
 interface Copy {
   readonly from: number;
@@ -41,37 +40,34 @@
  * Floods a change: a node passes the first copy to all neighbours but the one
  * that sent it.
  *
- * @param graph - The overlay.
+ * @param viewOf - The overlay as a node knows it.
  * @param situation - Nodes and delays.
  * @returns How it spread.
  */
-export function flood(graph: Graph, situation: Situation): Spread {
+export function flood(viewOf: View, situation: Situation): Spread {
   return push(situation, (node, from) =>
-    (graph[node] ?? []).filter(to => to !== from).map(to => ({to, waitMs: 0})),
+    (viewOf(node)[node] ?? [])
+      .filter(to => to !== from)
+      .map(to => ({to, waitMs: 0})),
   );
 }
 
 /**
- * Sends a change down a tree rooted at its origin; a parent that hears
- * nothing of a child sends to that child's children instead.
+ * Sends a change down a tree; a parent that hears nothing of a child sends to
+ * that child's children instead.
  *
- * @param arity - Children of each node.
+ * @param viewOf - The tree as a node knows it.
  * @param situation - Nodes and delays.
- * @param knownTo - How many nodes a node knows of.
  * @returns How it spread.
  */
-export function tree(
-  arity: number,
-  situation: Situation,
-  knownTo: (node: number) => number,
-): Spread {
-  const {alive, origin} = situation;
-  const targets = (node: number, known: number, waitMs: number): Target[] =>
-    childrenOf(node, origin, arity, known).flatMap(child => [
+export function tree(viewOf: View, situation: Situation): Spread {
+  const {alive} = situation;
+  const targets = (of: number, view: Graph, waitMs: number): Target[] =>
+    (view[of] ?? []).flatMap(child => [
       {to: child, waitMs},
-      ...(alive[child] ? [] : targets(child, known, waitMs + REPAIR_MS)),
+      ...(alive[child] ? [] : targets(child, view, waitMs + REPAIR_MS)),
     ]);
-  return push(situation, node => targets(node, knownTo(node), 0));
+  return push(situation, node => targets(node, viewOf(node), 0));
 }
 
 interface Target {
--- a/packages/emulator/src/dissemination/situations.ts
+++ b/packages/emulator/src/dissemination/situations.ts
@@ -84,7 +84,7 @@
 ): Population {
   const alive = new Uint8Array(NODES).fill(1);
   const behind = new Set<number>();
-  let oldest = NODES;
+  const newcomers = new Set<number>();
   switch (absence.kind) {
     case 'none':
       break;
@@ -95,16 +95,16 @@
       removeZone(alive, uniformInt(random, 0, ZONES - 1));
       break;
     case 'churn':
-      oldest -= absence.joins;
-      remove(alive.subarray(0, oldest), absence.leaves, random);
-      draw(behind, absence.behindShare * NODES, oldest, random);
+      draw(newcomers, absence.joins, random);
+      remove(alive, absence.leaves, random);
+      draw(behind, absence.behindShare * NODES, random);
       break;
   }
   return {
     alive,
     origin: pickAlive(alive, random),
-    isNewcomer: node => node >= oldest,
-    isBehind: node => behind.has(node),
+    isNewcomer: node => newcomers.has(node),
+    isBehind: node => behind.has(node) && !newcomers.has(node),
   };
 }
 
@@ -126,13 +126,8 @@
   for (let node = zone; node < alive.length; node += ZONES) alive[node] = 0;
 }
 
-function draw(
-  into: Set<number>,
-  count: number,
-  below: number,
-  random: RandomGenerator,
-): void {
-  while (into.size < count) into.add(uniformInt(random, 0, below - 1));
+function draw(into: Set<number>, count: number, random: RandomGenerator): void {
+  while (into.size < count) into.add(uniformInt(random, 0, NODES - 1));
 }
 
 function pickAlive(alive: Uint8Array, random: RandomGenerator): number {
--- a/packages/emulator/src/dissemination/types.ts
+++ b/packages/emulator/src/dissemination/types.ts
@@ -3,6 +3,9 @@
 /** Lists of neighbours by node. */
 export type Graph = readonly (readonly number[])[];
 
+/** The overlay as a node knows it: old or new list of members. */
+export type View = (node: number) => Graph;
+
 /** Delay of a message from one node to another, in whole milliseconds. */
 export type Delay = (from: number, to: number) => number;
 
--- a/packages/wire/src/codec/logic.ts
+++ b/packages/wire/src/codec/logic.ts
@@ -15,10 +15,12 @@
 /** Largest frame, in bytes. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 /** Largest message, in bytes of `weigh`. */
-export const MAX_MESSAGE_BYTES = 1024 * 1024;
+export const MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
 
 const FIXED_BYTES = 160;
 const MAX_UTF8_BYTES = 3;
+/** Length from which the bytes of a text are counted. */
+const LONG_TEXT = 64;
 
 const FRAME_CODES: Readonly<Record<Frame['kind'], number>> = {
   hello: 1,
@@ -62,7 +64,7 @@
 export function weigh(message: Message): number {
   let bytes = FIXED_BYTES;
   for (const field of Object.values(message) as unknown[]) {
-    if (typeof field === 'string') bytes += field.length * MAX_UTF8_BYTES;
+    if (typeof field === 'string') bytes += weighText(field);
     else if (field instanceof Uint8Array) bytes += field.byteLength;
     else if (Array.isArray(field)) bytes += weighList(field);
   }
@@ -225,7 +227,12 @@
   if (typeof item !== 'object' || item === null) return FIXED_BYTES / 16;
   let bytes = FIXED_BYTES / 8;
   for (const field of Object.values(item) as unknown[]) {
-    if (typeof field === 'string') bytes += field.length * MAX_UTF8_BYTES;
+    if (typeof field === 'string') bytes += weighText(field);
   }
   return bytes;
 }
+
+function weighText(text: string): number {
+  if (text.length < LONG_TEXT) return text.length * MAX_UTF8_BYTES;
+  return Buffer.byteLength(text);
+}
