--- a/packages/emulator/src/control/client.ts
+++ b/packages/emulator/src/control/client.ts
@@ -57,7 +57,7 @@
       {
         method,
         agent: false,
-        signal: AbortSignal.timeout(timeoutMs),
+        signal: AbortSignal.timeout(Math.ceil(timeoutMs)),
         headers: {
           'content-type': 'application/json',
           'content-length': Buffer.byteLength(body),
--- a/packages/emulator/src/demo/main.ts
+++ b/packages/emulator/src/demo/main.ts
@@ -47,6 +47,9 @@
 process.once('SIGINT', () => stop.abort());
 try {
   process.exitCode = await run(stop.signal);
+} catch (error) {
+  process.stderr.write(`${String(error)}\n`);
+  process.exitCode = 1;
 } finally {
   stop.abort();
 }
--- a/packages/emulator/src/deployment/definition.ts
+++ b/packages/emulator/src/deployment/definition.ts
@@ -2,6 +2,7 @@
 
 import type {Child, Cluster, ClusterPlan, Host, HostPlan} from './types.js';
 import type {Note} from '../server/types.js';
+import {setMaxListeners} from 'node:events';
 import {mkdtemp, rm, writeFile} from 'node:fs/promises';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
@@ -18,6 +19,8 @@
 const MAX_NOTES = 1_000_000;
 const PORTS_PER_HOST = 5;
 const NO_CONTENT = 204;
+const OK = 200;
+const MAX_LISTENERS = 200;
 
 /**
  * Starts platform, daemons, backend servers and relays.
@@ -31,6 +34,7 @@
   plan: ClusterPlan,
   signal: AbortSignal,
 ): Promise<Cluster> {
+  setMaxListeners(MAX_LISTENERS, signal);
   const folder = await mkdtemp(join(tmpdir(), 'jackdawfall-'));
   signal.addEventListener('abort', () => {
     void rm(folder, {recursive: true, force: true});
@@ -52,8 +56,11 @@
     deaths: [],
   };
   const address = `${LOOPBACK}:${platform.ports.port}`;
+  const ports = await freePorts(plan.hosts.length * PORTS_PER_HOST);
   for (const one of plan.hosts) {
-    hosts.set(one.host, await prepare(cluster, one, folder, address, signal));
+    const own = ports.splice(0, PORTS_PER_HOST);
+    const settings = {folder, platform: address, ports: own};
+    hosts.set(one.host, await prepare(cluster, one, settings, signal));
   }
   const daemons = [...hosts.values()];
   await Promise.all(daemons.map(host => startDaemon(host, signal)));
@@ -63,7 +70,7 @@
 }
 
 /**
- * Starts the daemon of a host and waits until it is ready.
+ * Starts the daemon of a host and waits until it answers operators.
  *
  * @param host - The host.
  * @param signal - Kills the daemon.
@@ -77,7 +84,7 @@
   const daemon = startChild({name, entry: DAEMON_ENTRY, args}, signal);
   host.daemon = daemon;
   const untilMs = performance.now() + READY_TIMEOUT_MS;
-  while (!(await isReady(host.operators))) {
+  while (!(await answers(host.operators))) {
     const late = performance.now() > untilMs;
     if (late || !daemon.isRunning()) {
       throw new StartError(`${name}: ${daemon.output.join('\n')}`);
@@ -173,14 +180,20 @@
   );
 }
 
+/** What the settings of one daemon are made from. */
+interface Given {
+  readonly folder: string;
+  readonly platform: string;
+  readonly ports: readonly number[];
+}
+
 async function prepare(
   cluster: Cluster,
   plan: HostPlan,
-  folder: string,
-  platform: string,
+  given: Given,
   signal: AbortSignal,
 ): Promise<Host> {
-  const ports = await freePorts(PORTS_PER_HOST);
+  const {folder, platform, ports} = given;
   const [callers, links, operators, serverPort, serverControl] = ports;
   const relay = cluster.plan.relays
     ? await startLinkRelay(plan.host, links, signal)
@@ -244,10 +257,11 @@
   notes.push(JSON.parse(line) as Note);
 }
 
-async function isReady(operators: string): Promise<boolean> {
+/** A daemon is ready only under a configuration, which comes later. */
+async function answers(operators: string): Promise<boolean> {
   try {
-    const reply = await get(`http://${operators}/ready`, PROBE_TIMEOUT_MS);
-    return reply.status < 300;
+    const reply = await get(`http://${operators}/status`, PROBE_TIMEOUT_MS);
+    return reply.status === OK;
   } catch {
     return false;
   }
