--- a/packages/core/src/logs/catalogue.ts
+++ b/packages/core/src/logs/catalogue.ts
@@ -16,9 +16,36 @@
 /** Every log event by name. */
 export const LOGS = {
   memberJoined: event(101, 'info', 'This daemon joined the workspace.'),
+  memberEnded: event(102, 'info', 'A member was ended.'),
+  leaseLost: event(103, 'warn', 'This daemon holds no lease any more.'),
+  leaseHeld: event(104, 'info', 'This daemon holds a lease.'),
+  grantorsChanged: event(105, 'info', 'This daemon changed its grantors.'),
+  memberRejoins: event(106, 'warn', 'This daemon was ended and joins anew.'),
+  coordinatorActs: event(201, 'info', 'This daemon acts as coordinator.'),
+  changeCommitted: event(202, 'info', 'A change was committed to the log.'),
+  drainLate: event(203, 'warn', 'A moving slice has work past its bound.'),
+  snapshotStored: event(204, 'info', 'A snapshot of the map was stored.'),
+  storeFailing: event(504, 'warn', 'A call to the platform failed.'),
+  configurationInForce: event(601, 'info', 'A configuration is in force.'),
+  requestFailed: event(301, 'debug', 'A caller was answered with an error.'),
+  requestRetried: event(302, 'debug', 'Another attempt was made.'),
+  requestHedged: event(
+    303,
+    'debug',
+    'A slow lookup was sent to a second server.',
+  ),
+  attemptInquired: event(304, 'info', 'A lost link left an attempt open.'),
+  limitFellBack: event(401, 'info', 'The limit of the backend server is 1.'),
+  limitReached: event(402, 'info', 'The backend server takes its full load.'),
+  serverLeaving: event(403, 'info', 'The backend server takes no new work.'),
+  runsSilent: event(404, 'warn', 'A silent run was aborted.'),
+  leaseLostRun: event(405, 'warn', 'A run was aborted: its slice is not held.'),
+  lateAttempt: event(406, 'info', 'A late attempt was refused.'),
   processStarted: event(501, 'info', 'The process accepts callers and links.'),
   processLeaving: event(502, 'info', 'The process has handed over and leaves.'),
   invariantBroken: event(503, 'error', 'An invariant broke; the process ends.'),
+  linkLost: event(510, 'warn', 'A link to another daemon was lost.'),
+  platformFailed: event(511, 'warn', 'A call to the platform got no reply.'),
 } as const;
 
 /** Name of a log event. */
