--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,8 +1,16 @@
 /** @fileoverview Public items of the core package. */
 
 export type * from './clock/types.js';
+export type * from './daemon/types.js';
+export {reduceDaemon, viewOfDaemon} from './daemon/logic.js';
+export {createDaemon} from './daemon/state.js';
+export {renderDaemon} from './daemon/view.js';
 export type * from './errors/types.js';
 export {ANSWERS, failure} from './errors/logic.js';
+export {EXECUTION} from './execution/definition.js';
+export {createExecution, workOf} from './execution/state.js';
+export type {Execution} from './execution/types.js';
+export {renderErrorPage} from './errors/view.js';
 export type * from './ids/types.js';
 export {
   NO_VERSION,
@@ -16,6 +24,7 @@
 export {hashKey, sliceOf} from './keys/logic.js';
 export type * from './logs/catalogue.js';
 export {LOGS} from './logs/catalogue.js';
+export {renderLogPage} from './logs/view.js';
 export type * from './loop/subject.js';
 export type * from './loop/types.js';
 export type * from './messages/types.js';
@@ -27,13 +36,21 @@
 export type {Ownership, OwnershipSettings, Rule} from './ownership/state.js';
 export {createOwnership} from './ownership/state.js';
 export {viewOf} from './ownership/view.js';
+export type * from './outcomes/types.js';
+export {placeOfReport, settle} from './outcomes/logic.js';
 export type * from './ownership/types.js';
+export {ROUTING} from './routing/definition.js';
+export {createRouting} from './routing/state.js';
+export type {Routing} from './routing/types.js';
 export type * from './settings/defaults.js';
 export {DEFAULTS} from './settings/defaults.js';
 export type * from './store/types.js';
 export type * from './workspace/types.js';
-export type {Fault, ParsedWorkspace} from './workspace/schema.js';
-export {MAX_SLICES, faultsOf, parseWorkspace} from './workspace/schema.js';
+export type * from './commands/types.js';
+export type * from './faults/types.js';
+export {describeFaults, readDocument, readValue} from './faults/logic.js';
+export type {ParsedWorkspace} from './workspace/schema.js';
+export {MAX_SLICES, parseWorkspace} from './workspace/schema.js';
 export {checkChange} from './workspace/logic.js';
 export type {HeaderMap, Match, Router} from './workspace/router.js';
 export {compileRoutes, matchRoute} from './workspace/router.js';
--- a/packages/wire/src/codec/logic.ts
+++ b/packages/wire/src/codec/logic.ts
@@ -15,16 +15,20 @@
 /** Largest frame, in bytes. */
 export const MAX_FRAME_BYTES = 4 * 1024 * 1024;
 /** Largest message, in bytes of `weigh`. */
-export const MAX_MESSAGE_BYTES = 1024 * 1024;
+export const MAX_MESSAGE_BYTES = 2 * 1024 * 1024;
 
 const FIXED_BYTES = 160;
 const MAX_UTF8_BYTES = 3;
+/** Length from which the bytes of a text are counted. */
+const LONG_TEXT = 64;
 
 const FRAME_CODES: Readonly<Record<Frame['kind'], number>> = {
   hello: 1,
   ping: 2,
   batch: 3,
   refusal: 4,
+  probe: 5,
+  farewell: 6,
 };
 
 interface Codec {
@@ -48,6 +52,8 @@
 const HELLO = recordType('hello', HELLO_SCHEMA);
 const REFUSAL = recordType('refusal', {reason: 'string'});
 const PING = Buffer.from([FRAME_CODES.ping]);
+const PROBE = Buffer.from([FRAME_CODES.probe]);
+const FAREWELL = Buffer.from([FRAME_CODES.farewell]);
 
 /**
  * Estimates a message's size from above without encoding it.
@@ -58,7 +64,7 @@
 export function weigh(message: Message): number {
   let bytes = FIXED_BYTES;
   for (const field of Object.values(message) as unknown[]) {
-    if (typeof field === 'string') bytes += field.length * MAX_UTF8_BYTES;
+    if (typeof field === 'string') bytes += weighText(field);
     else if (field instanceof Uint8Array) bytes += field.byteLength;
     else if (Array.isArray(field)) bytes += weighList(field);
   }
@@ -76,6 +82,10 @@
   switch (frame.kind) {
     case 'ping':
       return PING;
+    case 'probe':
+      return PROBE;
+    case 'farewell':
+      return FAREWELL;
     case 'hello':
       return encodeRecord(FRAME_CODES.hello, HELLO, frame);
     case 'refusal':
@@ -99,6 +109,10 @@
       return {kind: 'batch', messages: decodeBatch(bytes)};
     case FRAME_CODES.ping:
       return {kind: 'ping'};
+    case FRAME_CODES.probe:
+      return {kind: 'probe'};
+    case FRAME_CODES.farewell:
+      return {kind: 'farewell'};
     case FRAME_CODES.hello: {
       const record = decodeRecord<Hello>(HELLO, bytes);
       return {...record, kind: 'hello'};
@@ -213,7 +227,12 @@
   if (typeof item !== 'object' || item === null) return FIXED_BYTES / 16;
   let bytes = FIXED_BYTES / 8;
   for (const field of Object.values(item) as unknown[]) {
-    if (typeof field === 'string') bytes += field.length * MAX_UTF8_BYTES;
+    if (typeof field === 'string') bytes += weighText(field);
   }
   return bytes;
 }
+
+function weighText(text: string): number {
+  if (text.length < LONG_TEXT) return text.length * MAX_UTF8_BYTES;
+  return Buffer.byteLength(text);
+}
