--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -225,8 +225,9 @@
     if (hostOf(id) === settings.host) continue;
     const contact = lease.contacts.get(id);
     if (contact?.closed === true) closed = true;
-    else if (contact === undefined || contact.silentSince === null)
-      {return false;}
+    else if (contact === undefined || contact.silentSince === null) {
+      return false;
+    }
   }
   return closed;
 }
--- a/packages/core/src/membership/endings.ts
+++ b/packages/core/src/membership/endings.ts
@@ -88,8 +88,9 @@
     state.sync.needed = true;
     return;
   }
-  if (row.revision !== ending.row?.revision)
-    {learnRow(ending, row, at.monotonic);}
+  if (row.revision !== ending.row?.revision) {
+    learnRow(ending, row, at.monotonic);
+  }
 }
 
 /**
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -7,12 +7,6 @@
 /** Bound on a drain while no configuration says otherwise. */
 const DEFAULT_DRAIN_MS = 2000;
 
-/** A slice whose drain has passed its bound: its work is to be cancelled. */
-export interface OverdueSlice {
-  readonly service: ServiceName;
-  readonly slice: Slice;
-}
-
 /**
  * Notes which own slices move, and since when.
  *
@@ -60,22 +54,6 @@
   return {change: {kind: 'released', service, slices}, by: state.self};
 }
 
-/**
- * Lists slices whose drain has passed its bound.
- *
- * @param state - The state.
- * @param now - Monotonic time, in milliseconds.
- * @returns The slices whose work in flight is to be cancelled.
- */
-export function overdueSlices(state: Ownership, now: number): OverdueSlice[] {
-  const bound = drainMs(state);
-  const overdue: OverdueSlice[] = [];
-  for (const {service, slice, since} of state.drains.values()) {
-    if (now - since >= bound) overdue.push({service, slice});
-  }
-  return overdue;
-}
-
 function noteLate(context: Context, drain: Drain): void {
   const {state, at} = context;
   if (drain.late || at.monotonic - drain.since < drainMs(state)) return;
--- a/packages/core/src/ownership/types.ts
+++ b/packages/core/src/ownership/types.ts
@@ -59,10 +59,6 @@
   mayServe(at: Instant): Permission;
   /** Live servers of a service that take new work. */
   serversOf(service: ServiceName): readonly Server[];
-  /** Moving slices whose drain bound has passed: cancel their work (R6). */
-  overdue(
-    at: Instant,
-  ): ReadonlyArray<{readonly service: ServiceName; readonly slice: Slice}>;
 }
 
 /** What ownership asks of execution: work in flight at this daemon. */
--- a/packages/core/src/ownership/view.ts
+++ b/packages/core/src/ownership/view.ts
@@ -12,7 +12,6 @@
 import {standing} from '../leases/logic.js';
 import {memberAt, takesWork} from '../map/logic.js';
 import type {ServiceMap} from '../map/types.js';
-import {overdueSlices} from '../moves/logic.js';
 import type {Ownership} from './state.js';
 import {inForce} from './state.js';
 import type {OwnershipView, Permission, Placement, Server} from './types.js';
@@ -47,7 +46,6 @@
     mayDispatch: (service, slice, at) => mayDispatch(state, service, slice, at),
     mayServe: at => mayServe(state, at),
     serversOf: service => serversOf(state, service),
-    overdue: at => overdueSlices(state, at.monotonic),
   };
 }
 
--- a/packages/core/src/testing/ownership.ts
+++ b/packages/core/src/testing/ownership.ts
@@ -91,7 +91,6 @@
     mayDispatch: permission,
     mayServe: permission,
     serversOf: () => fixed.servers.map(serverOf),
-    overdue: () => [],
   };
 }
 
--- a/packages/emulator/src/dissemination/definition.ts
+++ b/packages/emulator/src/dissemination/definition.ts
@@ -209,8 +209,11 @@
 }
 
 function entryBytes(characters: number): number {
-  const entries = [{version: 100_000 as Version, text: 'x'.repeat(characters)}];
-  const messages = [{kind: 'entries', entries} as const];
+  const text = 'x'.repeat(characters);
+  const entries = [{version: 100_000 as Version, revision: 200_000, text}];
+  const messages = [
+    {kind: 'entries', entries, version: 100_000 as Version} as const,
+  ];
   return encodeFrame({kind: 'batch', messages}).length + HEADER_BYTES;
 }
 
--- a/packages/wire/src/links/liveness.ts
+++ b/packages/wire/src/links/liveness.ts
@@ -137,6 +137,8 @@
     case 'credit':
     case 'renewed':
     case 'closed':
+    case 'suspect':
+    case 'cleared':
       return 'plain';
   }
 }
