--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -326,7 +326,7 @@
     const wanted = this.uniform() * MOST_WORK_MS;
     const endsAt = this.now + Math.max(0, Math.min(wanted, left));
     this.checks.noteWork(this.now, node, slice, this.nodes);
-    node.begin({service: SERVICE, slice, endsAt});
+    node.begin(this.now, {service: SERVICE, slice, endsAt});
   }
 
   private deliver(node: Node, event: Event): void {
--- a/packages/emulator/src/soak/failover.spec.ts
+++ b/packages/emulator/src/soak/failover.spec.ts
@@ -2,53 +2,18 @@
 
 import test from 'ava';
 
-import type {Slice} from '@jackdawfall/core';
-
-import {Cluster, SERVICE} from './cluster.js';
-import {documentOf} from './document.js';
+import type {Cluster} from './cluster.js';
+import {formed, ownerOf, unservedOf} from './formed.js';
 import type {Node} from './node.js';
 
 /** The target: a key is served again within 3 s of its host's loss. */
 const FAILOVER_MS = 3000;
-const SLICES = 12;
-
-function formed(hosts: number, seed: number): Cluster {
-  const cluster = new Cluster({
-    seed,
-    hosts,
-    slices: SLICES,
-    rulesOff: new Set(),
-  });
-  for (let host = 0; host < hosts; host++) cluster.start(host);
-  cluster.run(1500);
-  cluster.command(cluster.nodes[0], {
-    kind: 'apply',
-    basedOn: 0,
-    document: documentOf(SLICES, 1),
-    by: 'test',
-  });
-  cluster.run(6000);
-  return cluster;
-}
-
-function ownerOf(cluster: Cluster, slice: number): Node | undefined {
-  return cluster.live().find(node => {
-    const at = node.instant(cluster.now);
-    const asked = node.view.mayDispatch(SERVICE, slice as Slice, at);
-    return asked.kind === 'granted' && cluster.now >= node.frozenUntil;
-  });
-}
-
-function unownedOf(cluster: Cluster): number[] {
-  const slices = Array.from({length: SLICES}, (_, slice) => slice);
-  return slices.filter(slice => ownerOf(cluster, slice) === undefined);
-}
 
 for (const hosts of [1, 2, 3, 5, 8]) {
   test(`${hosts} members join and own every slice`, t => {
     const cluster = formed(hosts, hosts);
     t.is(cluster.violation, null);
-    t.deepEqual(unownedOf(cluster), []);
+    t.deepEqual(unservedOf(cluster), []);
     for (const node of cluster.live()) {
       t.is(node.state.map.members.size, hosts);
       t.is(node.view.workspace?.version, 1);
@@ -70,10 +35,38 @@
       if (victim === undefined) return;
       lose(cluster, victim);
       cluster.run(FAILOVER_MS);
-      t.deepEqual(unownedOf(cluster), []);
+      t.deepEqual(unservedOf(cluster), []);
       cluster.run(20000);
       t.is(cluster.violation, null);
-      t.deepEqual(unownedOf(cluster), []);
+      t.deepEqual(unservedOf(cluster), []);
     });
   }
 }
+
+for (const hosts of [6, 8]) {
+  test(`every slice is served again after a zone of ${hosts} is lost`, t => {
+    const cluster = formed(hosts, 11);
+    for (const node of cluster.live()) {
+      if (node.host % 3 === 0) cluster.kill(node);
+    }
+    cluster.run(FAILOVER_MS);
+    t.deepEqual(unservedOf(cluster), []);
+    t.is(cluster.violation, null);
+  });
+}
+
+for (const seed of [1, 2, 3]) {
+  test(`a store outage costs nothing, a loss in it is mended, ${seed}`, t => {
+    const cluster = formed(6, seed);
+    cluster.setStore({kind: 'down'}, 60_000);
+    for (let second = 0; second < 50; second++) {
+      cluster.run(1000);
+      t.deepEqual(unservedOf(cluster), []);
+    }
+    const victim = ownerOf(cluster, 0);
+    if (victim !== undefined) cluster.kill(victim);
+    cluster.run(10_000 + FAILOVER_MS);
+    t.deepEqual(unservedOf(cluster), []);
+    t.is(cluster.violation, null);
+  });
+}
--- a/packages/emulator/src/soak/node.ts
+++ b/packages/emulator/src/soak/node.ts
@@ -31,6 +31,8 @@
   alive = true;
   serverUp = true;
   instance = 1;
+  /** Global time of the newest run on the backend server. */
+  lastWorkAt = 0;
   private work: Work[] = [];
   private waiting: Event[] = [];
   private clockAt = 0;
@@ -138,9 +140,11 @@
   /**
    * Notes a run on the backend server.
    *
+   * @param now - Global time.
    * @param work - The run.
    */
-  begin(work: Work): void {
+  begin(now: number, work: Work): void {
+    this.lastWorkAt = now;
     this.work.push(work);
   }
 
--- /dev/null
+++ b/packages/emulator/src/soak/operators.spec.ts
@@ -0,0 +1,181 @@
+/** @fileoverview Operators' actions over fakes: zones, stops, configuration. */
+
+import test from 'ava';
+
+import type {CommandResult, HostName} from '@jackdawfall/core';
+
+import type {Cluster} from './cluster.js';
+import {ZONES} from './cluster.js';
+import {documentOf} from './document.js';
+import {SLICES, formed, unservedOf} from './formed.js';
+import type {Node} from './node.js';
+
+/** The target: no new work this long after an action was accepted. */
+const NO_NEW_WORK_MS = 3000;
+/** The target: a configuration is in force everywhere. */
+const IN_FORCE_MS = 4000;
+
+function inZone(cluster: Cluster, zone: number): Node[] {
+  return cluster.live().filter(node => node.host % 3 === zone);
+}
+
+function apply(cluster: Cluster, node: Node, basedOn: number): number {
+  const document = documentOf(SLICES, basedOn + 1);
+  return cluster.command(node, {kind: 'apply', basedOn, document, by: 'ann'});
+}
+
+function kindsOf(
+  cluster: Cluster,
+  tokens: number[],
+): Array<string | undefined> {
+  return tokens.map(token => cluster.results.get(token)?.kind);
+}
+
+for (const hosts of [3, 6, 8]) {
+  test(`a zone of ${hosts} hosts goes out and comes back`, t => {
+    const cluster = formed(hosts, 21);
+    const zone = ZONES[0];
+    const [asked] = inZone(cluster, 1);
+    const order = {kind: 'zone', zone, by: 'ann'} as const;
+    const token = cluster.command(asked, {...order, out: true});
+    cluster.run(NO_NEW_WORK_MS);
+    t.is(cluster.results.get(token)?.kind, 'ok');
+    const accepted = cluster.now;
+    cluster.run(5000);
+    for (const node of inZone(cluster, 0)) t.true(node.lastWorkAt <= accepted);
+    t.deepEqual(unservedOf(cluster), []);
+    cluster.command(asked, {...order, out: false});
+    cluster.run(8000);
+    for (const node of inZone(cluster, 0)) t.true(node.lastWorkAt > accepted);
+    t.is(cluster.violation, null);
+  });
+}
+
+test('a stopped server gets no new work and its slices are served', t => {
+  const cluster = formed(6, 22);
+  const node = cluster.nodes[2];
+  const host = 'h2' as HostName;
+  cluster.command(cluster.nodes[0], {kind: 'stopServer', host, by: 'ann'});
+  cluster.run(NO_NEW_WORK_MS);
+  const limit = cluster.now;
+  cluster.run(5000);
+  t.true(node.lastWorkAt <= limit);
+  t.deepEqual(unservedOf(cluster), []);
+});
+
+test('a daemon that is asked to stop hands over and leaves', t => {
+  const cluster = formed(6, 23);
+  const node = cluster.nodes[1];
+  cluster.stop(node);
+  cluster.run(NO_NEW_WORK_MS);
+  t.deepEqual(unservedOf(cluster), []);
+  cluster.run(3000);
+  t.false(node.alive);
+  t.false(cluster.nodes[0].state.map.members.has(node.self));
+  t.is(cluster.violation, null);
+});
+
+test('the last daemon leaves, too', t => {
+  const cluster = formed(1, 24);
+  cluster.stop(cluster.nodes[0]);
+  cluster.run(30_000);
+  t.false(cluster.nodes[0].alive);
+});
+
+for (const seed of [1, 2, 3, 4]) {
+  test(`configuration reaches a daemon without the platform, ${seed}`, t => {
+    const cluster = formed(6, seed);
+    cluster.cutStore(4, 60_000);
+    cluster.run(2000);
+    const token = apply(cluster, cluster.nodes[0], 1);
+    cluster.run(IN_FORCE_MS);
+    t.is(cluster.results.get(token)?.kind, 'ok');
+    for (const node of cluster.live()) {
+      t.is(node.view.workspace?.version, 2);
+    }
+  });
+}
+
+test('of two racing operators one is told of the conflict', t => {
+  const cluster = formed(6, 25);
+  const tokens = [
+    apply(cluster, cluster.nodes[0], 1),
+    apply(cluster, cluster.nodes[3], 1),
+  ];
+  cluster.run(3000);
+  t.deepEqual(kindsOf(cluster, tokens).sort(), ['conflict', 'ok']);
+});
+
+test('a configuration outlives every process', t => {
+  const cluster = formed(3, 26);
+  apply(cluster, cluster.nodes[0], 1);
+  cluster.run(1000);
+  for (const node of cluster.live()) cluster.kill(node);
+  cluster.run(1000);
+  for (let host = 0; host < 3; host++) cluster.start(host);
+  cluster.run(3000);
+  for (const node of cluster.live()) t.is(node.view.workspace?.version, 2);
+});
+
+const REFUSED: ReadonlyArray<{
+  name: string;
+  document: string;
+  kind: CommandResult['kind'];
+}> = [
+  {name: 'no JSON', document: '{', kind: 'rejected'},
+  {name: 'another slicing', document: documentOf(7, 2), kind: 'rejected'},
+];
+
+for (const {name, document, kind} of REFUSED) {
+  test(`a document is refused: ${name}`, t => {
+    const cluster = formed(3, 27);
+    const command = {kind: 'apply', basedOn: 1, document, by: 'ann'} as const;
+    const token = cluster.command(cluster.nodes[0], command);
+    cluster.run(500);
+    t.is(cluster.results.get(token)?.kind, kind);
+    t.is(cluster.nodes[0].view.workspace?.version, 1);
+  });
+}
+
+test('the result of a command is unknown or unavailable in an outage', t => {
+  const cluster = formed(3, 28);
+  cluster.setStore({kind: 'silent'}, 30_000);
+  const unknown = apply(cluster, cluster.nodes[0], 1);
+  cluster.run(12_000);
+  cluster.setStore({kind: 'down'}, 30_000);
+  const down = apply(cluster, cluster.nodes[1], 1);
+  cluster.run(12_000);
+  t.deepEqual(kindsOf(cluster, [unknown, down]), ['unknown', 'unavailable']);
+});
+
+test('the audit tells who changed what', t => {
+  const cluster = formed(3, 29);
+  apply(cluster, cluster.nodes[0], 1);
+  cluster.run(1000);
+  const token = cluster.command(cluster.nodes[1], {kind: 'audit', limit: 20});
+  cluster.run(500);
+  const result = cluster.results.get(token);
+  t.is(result?.kind, 'ok');
+  if (result?.kind !== 'ok') return;
+  const {entries} = JSON.parse(result.body) as {
+    entries: Array<{by: string}>;
+  };
+  const changes = entries.filter(entry => entry.by === 'ann');
+  t.is(changes.length, 1);
+});
+
+test('a member that an operator vouches for is ended without closing', t => {
+  const cluster = formed(3, 30);
+  const [a, b, c] = cluster.nodes;
+  cluster.kill(a);
+  cluster.kill(b);
+  cluster.run(15_000);
+  for (const lost of [a, b]) {
+    const member = lost.self;
+    if (!c.state.map.members.has(member)) continue;
+    cluster.command(c, {kind: 'endMember', member, by: 'ann'});
+  }
+  cluster.run(6000);
+  t.is(c.state.map.members.size, 1);
+  t.deepEqual(unservedOf(cluster), []);
+});
