--- a/packages/core/src/journal/reader.ts
+++ b/packages/core/src/journal/reader.ts
@@ -26,8 +26,9 @@
   sync.inFlight = true;
   sync.begunAt = at.monotonic;
   if (sync.wantsSnapshot) {
-    const name = state.keys.snapshot;
-    callStore(context, {kind: 'loadSnapshot'}, {kind: 'getObject', name});
+    const key = state.keys.snapshot;
+    const query = {kind: 'row', key} as const;
+    callStore(context, {kind: 'loadPointer'}, {kind: 'read', query});
     return;
   }
   readTail(context);
--- /dev/null
+++ b/packages/core/src/leases/grantor.spec.ts
@@ -0,0 +1,50 @@
+/** @fileoverview Closing of members and the promises that forbid it. */
+
+import test from 'ava';
+
+import type {MemberId} from '../ids/types.js';
+import type {Ownership} from '../ownership/state.js';
+import {createOwnership} from '../ownership/state.js';
+import {DEFAULTS} from '../settings/defaults.js';
+import {clearWard, closeMember} from './grantor.js';
+import {createWard} from './state.js';
+
+const MEMBER = 'h1#1' as MemberId;
+
+function granting(promisedUntil: number): Ownership {
+  const state = createOwnership({
+    workspace: 'w' as never,
+    host: 'h0' as never,
+    zone: 'a' as never,
+    address: '127.0.0.1:1' as never,
+    incarnation: '1',
+    tuning: DEFAULTS,
+  });
+  const ward = createWard(0);
+  ward.promisedUntil = promisedUntil;
+  state.wards.set(MEMBER, ward);
+  return state;
+}
+
+const CASES = [
+  {name: 'a running promise', promisedUntil: 900, now: 899, closes: false},
+  {
+    name: 'a promise that has run out',
+    promisedUntil: 900,
+    now: 900,
+    closes: true,
+  },
+  {name: 'no promise', promisedUntil: 0, now: 1, closes: true},
+];
+
+for (const {name, promisedUntil, now, closes} of CASES) {
+  test(`with ${name}, closing is ${closes ? 'done' : 'refused'}`, t => {
+    t.is(closeMember(granting(promisedUntil), MEMBER, now), closes);
+  });
+
+  test(`with ${name}, clearing first changes nothing`, t => {
+    const state = granting(promisedUntil);
+    clearWard(state, MEMBER, now);
+    t.is(closeMember(state, MEMBER, now), closes);
+  });
+}
--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -355,7 +355,12 @@
   lease.writeAfter = Math.max(lease.writeAfter, until);
 }
 
-function readOwnRow(context: Context): void {
+/**
+ * Reads the own row.
+ *
+ * @param context - The step.
+ */
+export function readOwnRow(context: Context): void {
   const {state} = context;
   const key = state.keys.member(state.self);
   callStore(
--- a/packages/core/src/log/logic.ts
+++ b/packages/core/src/log/logic.ts
@@ -15,6 +15,7 @@
   readonly snapshot: string;
   readonly logEnd: string;
   readonly auditEnd: string;
+  snapshotObject(version: number): string;
   log(version: number): string;
   audit(version: number): string;
   member(member: MemberId): string;
@@ -32,6 +33,7 @@
     snapshot: `${workspace}/snapshot`,
     logEnd: `${workspace}/log/${AFTER_DIGITS}`,
     auditEnd: `${workspace}/audit/${AFTER_DIGITS}`,
+    snapshotObject: version => `${workspace}/snapshot/${digits(version)}`,
     log: version => `${workspace}/log/${digits(version)}`,
     audit: version => `${workspace}/audit/${digits(version)}`,
     member: member => `${workspace}/members/${member}`,
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -4,7 +4,7 @@
 import type {Change, Committed} from '../log/types.js';
 import type {Workspace} from '../workspace/types.js';
 import {NO_MEMBER, addMember, createService, removeMember} from './state.js';
-import type {ClusterMap, Member, ServiceMap} from './types.js';
+import type {ClusterMap, Configuration, Member, ServiceMap} from './types.js';
 
 /**
  * Applies the entry that follows the map's version.
@@ -48,6 +48,21 @@
   return map.byIndex[index] ?? null;
 }
 
+/**
+ * Reads an accepted document.
+ *
+ * @param number - Number of the configuration.
+ * @param document - JSON text, checked when it was accepted.
+ * @returns The configuration.
+ */
+export function configurationOf(
+  number: number,
+  document: string,
+): Configuration {
+  const parsed = JSON.parse(document) as Workspace;
+  return {number, document, workspace: {...parsed, version: number}};
+}
+
 function applyChange(map: ClusterMap, change: Change, now: number): void {
   switch (change.kind) {
     case 'joined':
@@ -195,14 +210,8 @@
   map: ClusterMap,
   change: Extract<Change, {kind: 'configured'}>,
 ): void {
-  const parsed = JSON.parse(change.document) as Workspace;
-  const workspace: Workspace = {...parsed, version: change.number};
-  map.configuration = {
-    number: change.number,
-    document: change.document,
-    workspace,
-  };
-  for (const service of workspace.services) {
+  map.configuration = configurationOf(change.number, change.document);
+  for (const service of map.configuration.workspace.services) {
     if (service.division.kind !== 'keyed') continue;
     if (map.services.has(service.name)) continue;
     const placement = createService(service.name, service.division.slices);
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -9,7 +9,6 @@
   compareVersion,
   keepEntry,
   pushEntry,
-  retryRead,
   takeEntries,
   takeTail,
 } from '../journal/reader.js';
@@ -22,6 +21,7 @@
 } from '../leases/grantor.js';
 import {
   noteHeard,
+  readOwnRow,
   settleRow,
   takeOwnRow,
   takeRenewed,
@@ -41,6 +41,13 @@
 } from '../membership/endings.js';
 import type {ControlMessage, Message} from '../messages/types.js';
 import type {CallId} from '../ids/types.js';
+import {
+  takeLoadPointer,
+  takePointed,
+  takePointer,
+  takeSnapshot,
+  takeStored,
+} from '../snapshots/keeper.js';
 import type {Row, StoreReply} from '../store/types.js';
 import {noteCommandDone, takeCommand} from './commands.js';
 import {doDuties, onMembershipChanged} from './duties.js';
@@ -199,6 +206,7 @@
   state.calls.delete(call);
   state.storeReachable = answer.kind !== 'refused' && answer.kind !== 'unknown';
   const {purpose} = pending;
+  const own = pending.self === state.self;
   switch (purpose.kind) {
     case 'append':
       takeAppended(
@@ -210,20 +218,29 @@
       );
       return;
     case 'rowWrite':
-      takeRowWritten(context, purpose.write, answer);
+      if (own) takeRowWritten(context, purpose.write, answer);
       return;
     case 'rowRead':
-      takeRowRead(context, answer);
+      if (own) takeRowRead(context, answer);
       return;
     case 'tail':
       takeTail(context, answer, each => apply(context, each));
       dropDoomed(context);
       return;
     case 'loadSnapshot':
-      takeSnapshot(context, answer);
+      takeLoaded(context, answer);
+      return;
+    case 'loadPointer':
+      takeLoadPointer(context, answer);
+      return;
+    case 'snapshotPointer':
+      takePointer(context, answer);
       return;
     case 'storeSnapshot':
-    case 'trim':
+      takeStored(context, purpose.version, answer);
+      return;
+    case 'pointSnapshot':
+      takePointed(context, purpose.pointer, answer);
       return;
     case 'endingRead':
       takeEndingRow(context, purpose.member, answer);
@@ -239,15 +256,21 @@
   if (context.state.lease.revision > 0) takeOwnRow(context, rows);
 }
 
-function takeSnapshot(context: Context, answer: StoreReply): void {
+function takeLoaded(context: Context, answer: StoreReply): void {
   const {state} = context;
-  if (answer.kind !== 'object') {
-    retryRead(context);
-    return;
+  if (!takeSnapshot(context, answer)) return;
+  state.dirty = true;
+  const {append} = state.journal;
+  if (append !== null && append.entry.version <= state.map.version) {
+    state.journal.append = null;
+  }
+  onMembershipChanged(context);
+  const listed = state.map.members.has(state.self);
+  if (state.phase !== 'joining' && !listed) onOwnEnd(context);
+  if (state.phase === 'joining' && listed) {
+    state.phase = 'joined';
+    readOwnRow(context);
   }
-  state.sync.inFlight = false;
-  state.sync.wantsSnapshot = false;
-  state.sync.needed = true;
 }
 
 /** Applies the next entry of the log; others are skipped. */
--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -16,6 +16,7 @@
 } from '../membership/endings.js';
 import {ranksOf} from '../membership/ring.js';
 import {trackDrains, wantedRelease} from '../moves/logic.js';
+import {storeIfDue} from '../snapshots/keeper.js';
 import {reviewCommands, wantedByOperators} from './commands.js';
 import {log, send} from './effects.js';
 import type {Context, Ownership, Wanted} from './state.js';
@@ -50,6 +51,7 @@
     grantServer(context);
     watchDeputies(context);
     reviewOwnEnd(context);
+    if (state.actsAsCoordinator) storeIfDue(context);
   }
   appendNext(context);
 }
--- a/packages/core/src/ownership/effects.ts
+++ b/packages/core/src/ownership/effects.ts
@@ -38,10 +38,10 @@
   purpose: CallPurpose,
   request: StoreCall,
 ): CallId {
-  const {state, at, effects} = context;
+  const {state, effects} = context;
   const call = state.nextCall as CallId;
   state.nextCall += 1;
-  state.calls.set(call, {purpose, sentAt: at});
+  state.calls.set(call, {purpose, self: state.self});
   const timeoutMs = state.settings.tuning.store.timeoutMs;
   effects.push({kind: 'callStore', call, request, timeoutMs});
   return call;
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -29,6 +29,8 @@
 import {EMPTY_RING, ringOf} from '../membership/ring.js';
 import type {Ending} from '../membership/types.js';
 import type {Tuning} from '../settings/defaults.js';
+import {createSnapshots} from '../snapshots/state.js';
+import type {SnapshotPointer, Snapshots} from '../snapshots/types.js';
 import type {WorkView} from './types.js';
 
 /** A rule of the ownership protocol; see docs/design/ownership.md. */
@@ -68,8 +70,10 @@
   | {readonly kind: 'rowRead'}
   | {readonly kind: 'tail'}
   | {readonly kind: 'loadSnapshot'}
+  | {readonly kind: 'loadPointer'}
+  | {readonly kind: 'snapshotPointer'}
   | {readonly kind: 'storeSnapshot'; readonly version: Version}
-  | {readonly kind: 'trim'}
+  | {readonly kind: 'pointSnapshot'; readonly pointer: SnapshotPointer}
   | {readonly kind: 'endingRead'; readonly member: MemberId}
   | {
       readonly kind: 'audit';
@@ -80,7 +84,8 @@
 /** A call without a reply yet. */
 export interface PendingCall {
   readonly purpose: CallPurpose;
-  readonly sentAt: Instant;
+  /** Incarnation that made the call. */
+  readonly self: MemberId;
 }
 
 /** An operator's command that waits for its entry. */
@@ -148,10 +153,8 @@
   grantAt: number;
   /** Monotonic time of the next look at the ranks before this member. */
   watchAt: number;
-  /** What the coordinator last heard of loads. */
   actsAsCoordinator: boolean;
-  snapshotVersion: Version;
-  snapshotAt: number;
+  snapshots: Snapshots;
 }
 
 /** What one step works with. */
@@ -210,8 +213,7 @@
     grantAt: 0,
     watchAt: 0,
     actsAsCoordinator: false,
-    snapshotVersion: 0 as Version,
-    snapshotAt: 0,
+    snapshots: createSnapshots(),
   };
 }
 
--- /dev/null
+++ b/packages/core/src/snapshots/state.ts
@@ -0,0 +1,12 @@
+/** @fileoverview Initial state of snapshots. */
+
+import type {Snapshots} from './types.js';
+
+/**
+ * Creates the state of a daemon that knows of no snapshot.
+ *
+ * @returns The state.
+ */
+export function createSnapshots(): Snapshots {
+  return {version: 0, revision: 0, trimmedTo: 1, busy: false, notBefore: 0};
+}
--- a/packages/emulator/src/soak/run.ts
+++ b/packages/emulator/src/soak/run.ts
@@ -1,6 +1,7 @@
 /** @fileoverview One randomised run: faults, then time to recover. */
 
-import type {HostName, Rule} from '@jackdawfall/core';
+import type {HostName, Rule, Tuning} from '@jackdawfall/core';
+import {DEFAULTS} from '@jackdawfall/core';
 
 import {Cluster, ZONES} from './cluster.js';
 import {documentOf} from './document.js';
@@ -16,6 +17,12 @@
 /** Time within which every live member holds a lease by its grantors. */
 const RECOVERY_MS = 10_000;
 
+/** Snapshots and trimming come often, catching up takes several reads. */
+const TUNING: Tuning = {
+  ...DEFAULTS,
+  log: {...DEFAULTS.log, keptEntries: 6, snapshotEntries: 8, batchEntries: 4},
+};
+
 /** What one run is made of. */
 export interface RunSettings {
   readonly seed: number;
@@ -42,7 +49,7 @@
   settings: RunSettings,
   steps: readonly Step[],
 ): RunResult {
-  const cluster = new Cluster({...settings, slices: SLICES});
+  const cluster = new Cluster({...settings, slices: SLICES, tuning: TUNING});
   for (let host = 0; host < settings.hosts; host++) cluster.start(host);
   cluster.run(FORM_MS);
   applyDocument(cluster, cluster.nodes[0]);
--- a/packages/emulator/src/soak/table.ts
+++ b/packages/emulator/src/soak/table.ts
@@ -41,6 +41,16 @@
     }
   }
 
+  /**
+   * Lists the keys that begin in a certain way.
+   *
+   * @param prefix - How they begin.
+   * @returns The keys.
+   */
+  keysFrom(prefix: string): string[] {
+    return [...this.rows.keys()].filter(key => key.startsWith(prefix));
+  }
+
   private commit(transaction: Transaction): StoreReply {
     const failed = transaction.checks.filter(
       check => (this.rows.get(check.key)?.revision ?? 0) !== check.revision,
