--- /dev/null
+++ b/packages/emulator/src/bench/links/renewals.ts
@@ -0,0 +1,93 @@
+/**
+ * @fileoverview What lease renewals cost: bytes on one link, processor time
+ * of the member and of the grantor over many links.
+ */
+
+import {setTimeout as sleep} from 'node:timers/promises';
+import {DEFAULTS} from '@jackdawfall/core';
+import {progress} from '../progress.js';
+import type {Figures} from '../types.js';
+import {startWorker} from '../workers.js';
+import type {Usage, Worker} from '../workers.js';
+import {startByteCounter} from './byte_counter.js';
+import {WORKER} from './types.js';
+import type {Peer} from './types.js';
+
+const LINKS = 400;
+const SETTLE_MS = 2000;
+const COUNT_MS = 10_000;
+
+/**
+ * Measures renewals.
+ *
+ * @param signal - Stops early.
+ * @returns Bytes for each link, both directions, and CPU for each renewal.
+ */
+export async function measureRenewals(signal: AbortSignal): Promise<Figures> {
+  progress('  renewals: bytes on one link');
+  const bytes = await bytesOfOne(signal);
+  progress(`  renewals over ${LINKS} links`);
+  const {memberUs, grantorUs} = await processorTime(signal);
+  return {
+    renewMs: DEFAULTS.leases.renewMs,
+    payloadBytesPerLinkAndSecond: bytes,
+    memberCpuUsPerRenewal: memberUs,
+    grantorCpuUsPerRenewal: grantorUs,
+  };
+}
+
+async function bytesOfOne(signal: AbortSignal): Promise<number> {
+  const stop = new AbortController();
+  const both = AbortSignal.any([signal, stop.signal]);
+  const {member, grantor, to} = await openPair(signal);
+  const port = Number(to.address.split(':')[1]);
+  const counter = await startByteCounter(port, both);
+  const peers = [{...to, address: `127.0.0.1:${counter.port}`}];
+  await member.call('renew', {peers, periodMs: DEFAULTS.leases.renewMs});
+  await sleep(SETTLE_MS);
+  const before = counter.bytes();
+  await sleep(COUNT_MS);
+  const bytes = counter.bytes() - before;
+  stop.abort();
+  await Promise.all([member.stop(), grantor.stop()]);
+  return Math.round((bytes * 1000) / COUNT_MS);
+}
+
+/** One member renews with many; then many renew with one grantor. */
+async function processorTime(
+  signal: AbortSignal,
+): Promise<{memberUs: number; grantorUs: number}> {
+  const member = startWorker(WORKER, signal);
+  const grantors = startWorker(WORKER, signal);
+  await member.call('open', {member: 'm#1'});
+  const peers = await grantors.call<Peer[]>('village', {count: LINKS});
+  await grantors.call('grant');
+  await member.call('visit', peers);
+  const periodMs = DEFAULTS.leases.renewMs;
+  await member.call('renew', {peers, periodMs});
+  await sleep(SETTLE_MS);
+  const renewals = (LINKS * COUNT_MS) / periodMs;
+  const [memberUs, grantorUs] = await Promise.all(
+    [member, grantors].map(worker => spent(worker, renewals)),
+  );
+  await Promise.all([member.stop(), grantors.stop()]);
+  return {memberUs: memberUs ?? 0, grantorUs: grantorUs ?? 0};
+}
+
+async function spent(worker: Worker, renewals: number): Promise<number> {
+  const before = await worker.call<Usage>('usage');
+  await sleep(COUNT_MS);
+  const after = await worker.call<Usage>('usage');
+  return Math.round(((after.cpuUs - before.cpuUs) / renewals) * 10) / 10;
+}
+
+async function openPair(
+  signal: AbortSignal,
+): Promise<{member: Worker; grantor: Worker; to: Peer}> {
+  const member = startWorker(WORKER, signal);
+  const grantor = startWorker(WORKER, signal);
+  await member.call('open', {member: 'm#1'});
+  const to = await grantor.call<Peer>('open', {member: 'g#1'});
+  await grantor.call('grant');
+  return {member, grantor, to};
+}
--- a/packages/emulator/src/bench/links/types.ts
+++ b/packages/emulator/src/bench/links/types.ts
@@ -1,5 +1,8 @@
 /** @fileoverview What the links bench and its workers tell each other. */
 
+/** The module of the worker processes. */
+export const WORKER = new URL('./worker.js', import.meta.url);
+
 /** A member and where it accepts links. */
 export interface Peer {
   readonly member: string;
--- a/packages/emulator/src/bench/links/worker.ts
+++ b/packages/emulator/src/bench/links/worker.ts
@@ -29,7 +29,9 @@
 } as const;
 
 let batchBytes = DEFAULTS.links.batchBytes;
-let handle: (from: MemberId, message: Message) => void = () => {};
+type Handler = (own: Links, from: MemberId, message: Message) => void;
+
+let handle: Handler = () => {};
 let links: Links | null = null;
 let losses = 0;
 
@@ -66,6 +68,12 @@
       if (n % 50 === 0) await pause(20);
     }
   },
+  /** Renews with each peer, as a member does with its grantors. */
+  renew: ({peers, periodMs}: {peers: readonly Peer[]; periodMs: number}) => {
+    setInterval(() => peers.forEach(renew), periodMs);
+  },
+  /** Answers renewals, as a grantor does. */
+  grant: () => grant(),
   size: () => links?.size ?? 0,
   losses: () => losses,
   usage: () => usage(),
@@ -73,7 +81,7 @@
 });
 
 function makeLinks(member: string, address: string, port = 0): Links {
-  return new Links({
+  const own = new Links({
     self: {
       member: member as MemberId,
       address: address as Address,
@@ -83,11 +91,12 @@
     tuning: {...DEFAULTS.links, connectTimeoutMs: 10_000, batchBytes},
     signal: new AbortController().signal,
     on: {
-      message: (from, message) => handle(from, message),
+      message: (from, message) => handle(own, from, message),
       opened: () => {},
       lost: () => (losses += 1),
     },
   });
+  return own;
 }
 
 async function openLinks(member: string): Promise<{links: Links; peer: Peer}> {
@@ -103,20 +112,44 @@
   });
 }
 
+function renew(to: Peer): void {
+  links?.send(to.member as MemberId, to.address as Address, {
+    kind: 'renew',
+    member: 'host-0123.a.example#0123456789abcdef' as MemberId,
+    round: 123_456,
+    version: 98_765 as Version,
+    configuration: 4321,
+  });
+}
+
+function grant(): void {
+  handle = (own, from, message) => {
+    if (message.kind !== 'renew') return;
+    own.send(from, '127.0.0.1:1' as Address, {
+      kind: 'renewed',
+      round: message.round,
+      granted: true,
+      reason: '',
+      version: message.version,
+      configuration: message.configuration,
+    });
+  };
+}
+
 /** Answers each dispatch of a peer as a backend server's daemon would. */
 function echo(to: Peer): void {
   const address = to.address as Address;
-  handle = (from, message) => {
+  handle = (own, from, message) => {
     if (message.kind !== 'dispatch') return;
     const {attempt, body} = message;
-    links?.send(from, address, {
+    own.send(from, address, {
       kind: 'head',
       attempt,
       status: 200,
       headers: HEADERS,
     });
-    links?.send(from, address, {kind: 'data', attempt, bytes: body});
-    links?.send(from, address, {kind: 'end', attempt, outstanding: 1});
+    own.send(from, address, {kind: 'data', attempt, bytes: body});
+    own.send(from, address, {kind: 'end', attempt, outstanding: 1});
   };
 }
 
@@ -133,7 +166,7 @@
     sendDispatch(order.to, String(sent));
   };
   return new Promise(resolve => {
-    handle = (_, message) => {
+    handle = (_own, _from, message) => {
       if (message.kind !== 'end') return;
       const at = begun.get(message.attempt) ?? 0;
       begun.delete(message.attempt);
