--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -52,6 +52,8 @@
 /** An operator's command, given to any daemon. */
 export type Command =
   | {readonly kind: 'status'}
+  /** How far the asked daemon is; small, for repeated questions. */
+  | {readonly kind: 'progress'}
   | {readonly kind: 'map'; readonly service: ServiceName}
   | {
       readonly kind: 'apply';
@@ -125,7 +127,8 @@
   | {readonly kind: 'answered'; readonly request: RequestId}
   /**
    * The runner is about to write the attempt's first byte to a connection of
-   * the backend server; reported before the write.
+   * the backend server. It writes only after this event was handled and no
+   * `cancelRun` for the attempt came out of it.
    */
   | {readonly kind: 'runWritten'; readonly attempt: AttemptId}
   /** The backend server's status and headers arrived. */
@@ -228,7 +231,8 @@
    * `links.windowBytes`, then stop reading). Abort when `budgetMs` has passed
    * (`runFailed`); the header `x-jackdawfall-deadline-ms` carries it. A
    * connection attempt that takes longer than `links.silenceMs` fails as
-   * `not-run`. A connection that failed or was aborted is never reused.
+   * `not-run`. A connection that failed or was aborted is never reused. Unless
+   * `keep` is set, free everything once `end` was sent.
    */
   | {
       readonly kind: 'run';
