--- a/packages/emulator/src/deployment/operations.ts
+++ b/packages/emulator/src/deployment/operations.ts
@@ -18,7 +18,8 @@
 const TEMPLATES = new URL('../../../../templates/', import.meta.url);
 const STEP_MS = 50;
 const COMMAND_TIMEOUT_MS = 5000;
-const LOOKUP_TIMEOUT_MS = 2000;
+/** Pause between two lookups of a key that is not served yet. */
+const PROBE_STEP_MS = 100;
 const STATUS_TIMEOUT_MS = 1000;
 const OK = 200;
 /** Longer than any route's own timeout, so that an answer always comes. */
@@ -205,25 +206,34 @@
   return readFile(new URL(name, TEMPLATES), 'utf8');
 }
 
+/** Asks again and again, without giving up the requests still open. */
 async function untilAnswered(
   host: Host,
   path: string,
   untilMs: number,
 ): Promise<void> {
-  let last = 'no answer';
-  for (;;) {
+  const probe = {answered: false, last: 'no answer'};
+  while (!probe.answered) {
     const leftMs = untilMs - performance.now();
     if (leftMs <= 0) {
-      throw new ExpectationError(`${path} via ${host.plan.host}: ${last}`);
-    }
-    try {
-      const url = `http://${host.callers}${path}`;
-      const reply = await get(url, Math.min(leftMs, LOOKUP_TIMEOUT_MS));
-      if (reply.status === OK) return;
-      last = reply.body;
-    } catch (error) {
-      last = String(error);
+      const place = `${path} via ${host.plan.host}`;
+      throw new ExpectationError(`${place}: ${probe.last}`);
     }
-    await sleep(STEP_MS);
+    void ask(`http://${host.callers}${path}`, leftMs, probe);
+    await sleep(Math.min(leftMs, PROBE_STEP_MS));
+  }
+}
+
+async function ask(
+  url: string,
+  timeoutMs: number,
+  probe: {answered: boolean; last: string},
+): Promise<void> {
+  try {
+    const reply = await get(url, timeoutMs);
+    if (reply.status === OK) probe.answered = true;
+    else probe.last = reply.body;
+  } catch (error) {
+    probe.last = String(error);
   }
 }
--- a/packages/emulator/src/load/definition.ts
+++ b/packages/emulator/src/load/definition.ts
@@ -2,6 +2,7 @@
 
 import type {Call} from './client.js';
 import type {CallRecord, LoadOptions, LoadRoute} from './types.js';
+import {setMaxListeners} from 'node:events';
 import {Agent} from 'node:http';
 
 import {seededRandom, sleep} from '../control/logic.js';
@@ -59,6 +60,7 @@
   };
   const stopping = new AbortController();
   const until = AbortSignal.any([signal, stopping.signal]);
+  setMaxListeners(MAX_RECORDS, until);
   return {
     records: generator.records,
     sent: () => generator.sent,
--- a/packages/emulator/src/relay/definition.ts
+++ b/packages/emulator/src/relay/definition.ts
@@ -12,7 +12,8 @@
 
 /** One relayed connection: a caller's socket and one to the target. */
 interface Pair {
-  readonly peer: string | null;
+  /** Name of the process that opened it; null while unknown. */
+  peer: string | null;
   readonly near: Socket;
   readonly far: Socket;
   readonly openedMs: number;
@@ -65,6 +66,7 @@
 function obey(relay: Relay, order: RelayOrder): void {
   if (order.kind === 'peers') {
     relay.pids = order.pids;
+    for (const pair of relay.pairs) name(relay, pair);
     return;
   }
   const sinceMs = performance.now();
@@ -73,6 +75,13 @@
   for (const pair of relay.pairs) apply(relay, pair);
 }
 
+/** Connections may be older than the names of those who opened them. */
+function name(relay: Relay, pair: Pair): void {
+  const {remotePort} = pair.near;
+  if (remotePort === undefined) return;
+  pair.peer ??= peerOf(remotePort, relay.pids);
+}
+
 function open(relay: Relay, near: Socket): void {
   const peer = peerOf(near.remotePort ?? 0, relay.pids);
   relay.ledger.opened++;
