--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -120,6 +120,8 @@
     case 'woken':
     case 'unsent':
     case 'linkOpened':
+    case 'unsent':
+    case 'woken':
     case 'taken':
     case 'hungUp':
     case 'answered':
