--- a/packages/core/src/choice/logic.ts
+++ b/packages/core/src/choice/logic.ts
@@ -15,6 +15,8 @@
 const LEAST_LATENCY_MS = 0.1;
 /** Most that lost hedges raise an expected latency to, as a multiple. */
 const MAX_SLOWNESS = 64;
+/** Latency weighs more than load, so that load alone never favours a straggler. */
+const LATENCY_POWER = 2;
 const MEAN_WEIGHT = 0.02;
 const LATENCY_WEIGHT = 0.2;
 /** Samples needed before a percentile is used. */
@@ -94,6 +96,7 @@
  * @param service - The service.
  * @param latencyMs - From sending to the head of the answer.
  * @param now - Monotonic time, in milliseconds.
+ * @param halfLifeMs - Time after which an earlier latency counts half.
  */
 export function noteLatency(
   choice: Choice,
@@ -101,14 +104,15 @@
   service: ServiceName,
   latencyMs: number,
   now: number,
+  halfLifeMs: number,
 ): void {
   const server = observed(choice, member);
-  const known = server.latencyMs;
+  const all = seen(choice, service);
+  const known = fadedMs(server, all.meanMs, now, halfLifeMs);
   const rises = latencyMs > known;
   const weight = rises ? 1 : LATENCY_WEIGHT;
   server.latencyMs = known + (latencyMs - known) * weight;
   server.latencyAt = now;
-  const all = seen(choice, service);
   all.window.add(latencyMs);
   const meanWeight = all.meanMs === 0 ? 1 : MEAN_WEIGHT;
   all.meanMs += (latencyMs - all.meanMs) * meanWeight;
@@ -245,17 +249,34 @@
   const reported = known.reported * 0.5 ** halfLives;
   const load = 1 + Math.max(known.outstanding.size, reported);
   const refused = known.refusedUntil > at.now ? REFUSED_FACTOR : 1;
-  return latencyMs * load * distance * refused;
+  return latencyMs ** LATENCY_POWER * load * distance * refused;
 }
 
-/** Latency above the mean fades; an attempt without an answer counts by age. */
+/**
+ * An attempt without an answer counts by its age. While there is one, nothing
+ * fades, so that a slow server is tried again by one request at a time.
+ */
 function expectedMs(known: Observed, meanMs: number, at: Situation): number {
-  const halfLives = (at.now - known.latencyAt) / at.policy.latencyHalfLifeMs;
-  const latest = known.latencyMs === 0 ? meanMs : known.latencyMs;
-  const fadedMs = meanMs + (latest - meanMs) * 0.5 ** halfLives;
+  const {now, policy} = at;
   const [oldest] = known.outstanding.values();
-  const ageMs = oldest === undefined ? 0 : at.now - oldest;
-  return Math.max(LEAST_LATENCY_MS, fadedMs, ageMs);
+  if (oldest !== undefined) {
+    const latestMs = known.latencyMs === 0 ? meanMs : known.latencyMs;
+    return Math.max(LEAST_LATENCY_MS, latestMs, now - oldest);
+  }
+  const faded = fadedMs(known, meanMs, now, policy.latencyHalfLifeMs);
+  return Math.max(LEAST_LATENCY_MS, faded);
+}
+
+/** A latency moves towards the mean of the service as it ages. */
+function fadedMs(
+  {latencyMs, latencyAt}: Observed,
+  meanMs: number,
+  now: number,
+  halfLifeMs: number,
+): number {
+  if (latencyMs === 0) return meanMs;
+  const halfLives = (now - latencyAt) / halfLifeMs;
+  return meanMs + (latencyMs - meanMs) * 0.5 ** halfLives;
 }
 
 function observed(choice: Choice, member: MemberId): Observed {
--- a/packages/core/src/routing/answers.ts
+++ b/packages/core/src/routing/answers.ts
@@ -19,7 +19,9 @@
   if (pending === undefined || pending.relayed !== null) return;
   const {request, service} = pending.taken;
   const latencyMs = now - attempt.sentAt;
-  noteLatency(state.choice, attempt.to, service, latencyMs, now);
+  const {latencyHalfLifeMs} = state.settings.routing;
+  const {to} = attempt;
+  noteLatency(state.choice, to, service, latencyMs, now, latencyHalfLifeMs);
   attempt.progress = 'relayed';
   pending.relayed = attempt.id;
   effects.push({kind: 'relay', request, attempt: attempt.id});
