--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -7,10 +7,10 @@
 export {renderDaemon} from './daemon/view.js';
 export type * from './errors/types.js';
 export {ANSWERS, failure} from './errors/logic.js';
-export {renderErrorPage} from './errors/view.js';
 export {EXECUTION} from './execution/definition.js';
 export {createExecution, workOf} from './execution/state.js';
 export type {Execution} from './execution/types.js';
+export {renderErrorPage} from './errors/view.js';
 export type * from './ids/types.js';
 export {
   NO_VERSION,
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -24,8 +24,10 @@
   membership: {
     /** Own-row writes a second that the whole workspace may need. */
     touchesPerSecond: 200,
-    /** Time for which a silent grantor is passed over. */
-    passOverMs: 5000,
+    /** Time between two questions to a silent member. */
+    probeMs: 2000,
+    /** Time without a promise after which a closed member ends itself. */
+    closedOutMs: 1500,
     /** Time a member waits before it follows a changed ring. */
     followRingMs: 3000,
     /** Longest time a planned stop may take. */
@@ -56,10 +58,12 @@
     ttlMs: 2000,
   },
   links: {
-    /** Time between two heartbeats. */
+    /** Time between two looks at a link; heartbeats fall on them. */
     heartbeatMs: 250,
-    /** Silence after which a link is dropped. */
+    /** Silence, while something is awaited, after which a link is lost. */
     silenceMs: 1000,
+    /** Time after which an unused link is closed. */
+    unusedMs: 30000,
     /** Bytes in flight for one body before the sender waits. */
     windowBytes: 262144,
     /** Time a new link may take to open. */
