A wait asks each member for a short time only; quantiles and members in order

Change: a question of a wait lasts 2 s at most and no longer than what is left; quantiles are written as text; members are listed by zone and name.

--- a/packages/cli/src/client/logic.ts
+++ b/packages/cli/src/client/logic.ts
@@ -24,12 +24,17 @@
   const ask = async <T>(
     command: Command,
     schema: z.ZodType<T>,
-    daemons = settings.daemons,
-  ): Promise<Reply<T>> =>
-    readBody(await askInTurn(daemons, command, settings), schema);
+    asked: ClientSettings = settings,
+  ): Promise<Reply<T>> => readBody(await askInTurn(command, asked), schema);
   return {
-    status: () => ask({kind: 'status'}, statusSchema),
-    progressOf: daemon => ask({kind: 'progress'}, progressSchema, [daemon]),
+    status: (timeoutMs = settings.timeoutMs) =>
+      ask({kind: 'status'}, statusSchema, {...settings, timeoutMs}),
+    progressOf: (daemon, timeoutMs) =>
+      ask({kind: 'progress'}, progressSchema, {
+        ...settings,
+        daemons: [daemon],
+        timeoutMs,
+      }),
     map: service => ask({kind: 'map', service: service as never}, mapSchema),
     audit: limit => ask({kind: 'audit', limit}, auditSchema),
     change: command => ask(command, acceptedSchema),
@@ -38,12 +43,11 @@
 
 /** A change whose fate is unknown is never sent to a second daemon. */
 async function askInTurn(
-  daemons: readonly string[],
   command: Command,
   settings: ClientSettings,
 ): Promise<CommandResult> {
   const details: string[] = [];
-  for (const daemon of daemons) {
+  for (const daemon of settings.daemons) {
     const result = await exchange(daemon, command, settings);
     switch (result.kind) {
       case 'ok':
--- a/packages/cli/src/client/types.ts
+++ b/packages/cli/src/client/types.ts
@@ -23,13 +23,19 @@
 
 /** Talks to the daemons of one workspace. */
 export interface Client {
-  status(): Promise<Reply<Status>>;
+  /**
+   * Asks the daemons in turn.
+   *
+   * @param timeoutMs - Longest wait for each; left out, that of the settings.
+   */
+  status(timeoutMs?: number): Promise<Reply<Status>>;
   /**
    * Asks one daemon only.
    *
    * @param daemon - Its operators port as `ip:port`.
+   * @param timeoutMs - Longest wait for its answer, in milliseconds.
    */
-  progressOf(daemon: string): Promise<Reply<Progress>>;
+  progressOf(daemon: string, timeoutMs: number): Promise<Reply<Progress>>;
   map(service: string): Promise<Reply<MapView>>;
   audit(limit: number): Promise<Reply<AuditPage>>;
   change(command: Change): Promise<Reply<Accepted>>;
--- a/packages/cli/src/client/wait.ts
+++ b/packages/cli/src/client/wait.ts
@@ -8,6 +8,10 @@
 
 /** Members that are asked at the same time. */
 const MAX_CONCURRENT = 32;
+/** Longest wait for one answer. */
+const ANSWER_MS = 2000;
+/** Shortest wait for one answer, also at the end of the whole wait. */
+const LEAST_ANSWER_MS = 200;
 /** Time between two rounds of questions. */
 const ROUND_MS = 200;
 
@@ -41,7 +45,9 @@
   const deadline = performance.now() + limitMs;
   const done = new Set<string>();
   for (;;) {
-    const waited = await askAll(client, accepted, done);
+    const leftMs = deadline - performance.now();
+    const answerMs = Math.max(LEAST_ANSWER_MS, Math.min(ANSWER_MS, leftMs));
+    const waited = await askAll(client, accepted, done, answerMs);
     const isOver = performance.now() + ROUND_MS > deadline;
     if (waited.lagging.length === 0 || isOver) return waited;
     await sleep(ROUND_MS);
@@ -52,8 +58,9 @@
   client: Client,
   accepted: Accepted,
   done: Set<string>,
+  answerMs: number,
 ): Promise<Waited> {
-  const reply = await client.status();
+  const reply = await client.status(answerMs);
   if (reply.kind !== 'ok') {
     const laggard = {member: 'every member', seen: reply.detail};
     return {members: 0, lagging: [laggard]};
@@ -68,7 +75,7 @@
   for (let at = 0; at < open.length; at += MAX_CONCURRENT) {
     const batch = open.slice(at, at + MAX_CONCURRENT);
     const seen = await Promise.all(
-      batch.map(member => askOne(client, accepted, member)),
+      batch.map(member => askOne(client, accepted, member, answerMs)),
     );
     batch.forEach(({member}, index) => {
       const text = seen[index];
@@ -84,9 +91,10 @@
   client: Client,
   accepted: Accepted,
   {member, operators}: MemberStatus,
+  answerMs: number,
 ): Promise<string | null> {
   if (operators === null) return 'its operators port is not known';
-  const reply = await client.progressOf(operators);
+  const reply = await client.progressOf(operators, answerMs);
   if (reply.kind !== 'ok') return reply.detail;
   if (reply.value.member !== member) {
     return `${operators} is ${reply.value.member ?? 'no member'} now`;
--- a/packages/cli/src/program.spec.ts
+++ b/packages/cli/src/program.spec.ts
@@ -286,6 +286,23 @@
     says: /h1#1 +log version 7/,
     asked: ['zone', 'status', 'progress'],
   },
+  {
+    what: 'a wait for a member that stays silent',
+    args: ['zone', 'out', 'a', '--wait', '1'],
+    script: (command, port) => {
+      if (command.kind === 'zone') return ACCEPTED;
+      if (command.kind === 'progress') return 'stay silent';
+      return ok({
+        ...STATUS,
+        version: 8,
+        configuration: 1,
+        members: [self(port)],
+      });
+    },
+    exit: 6,
+    says: /h1#1 +127\.0\.0\.1:\d+: no answer within/,
+    asked: ['zone', 'status', 'progress'],
+  },
   {
     what: 'a map',
     args: ['map', 'finder'],
--- a/packages/cli/src/status/view.ts
+++ b/packages/cli/src/status/view.ts
@@ -1,6 +1,7 @@
 /** @fileoverview Rendering of the status for people. */
 
 import type {MemberStatus, Status} from '@jackdawfall/core';
+import {compareIds} from '@jackdawfall/core';
 
 import {renderPairs, renderTable} from '../output/view.js';
 
@@ -27,7 +28,9 @@
   ]);
   const members = renderTable(
     ['MEMBER', 'ZONE', 'SERVICE', 'SLOTS', 'OWNED', 'STANDBY', 'STATE'],
-    status.members.map(member => memberRow(member, status)),
+    [...status.members]
+      .sort(byZoneAndName)
+      .map(member => memberRow(member, status)),
   );
   const services = renderTable(
     ['SERVICE', 'SLICES', 'UNOWNED', 'NO STANDBY', 'MOVING'],
@@ -42,6 +45,10 @@
   return [pairs, members, services].join('\n\n');
 }
 
+function byZoneAndName(a: MemberStatus, b: MemberStatus): number {
+  return compareIds(a.zone, b.zone) || compareIds(a.member, b.member);
+}
+
 function memberRow(member: MemberStatus, status: Status): string[] {
   const {server} = member;
   return [
--- a/packages/daemon/src/metrics/logic.spec.ts
+++ b/packages/daemon/src/metrics/logic.spec.ts
@@ -12,6 +12,7 @@
   {what: 'its sum', line: /^jackdawfall_run_seconds_sum 5\.05$/m},
   {what: 'its median', line: /_run_seconds\{quantile="0\.5"\} 0\.05\d*$/m},
   {what: 'its tail', line: /_run_seconds\{quantile="0\.99"\} 0\.099\d*$/m},
+  {what: 'its far tail', line: /_run_seconds\{quantile="0\.999"\} 0\.1\d*$/m},
   {what: 'its longest', line: /^jackdawfall_run_seconds_max 0\.1\d*$/m},
   {what: 'a bounded latency', line: /^jackdawfall_store_seconds_sum 600$/m},
   {what: 'an empty latency', line: /^jackdawfall_queue_seconds_count 0$/m},
--- a/packages/daemon/src/metrics/view.ts
+++ b/packages/daemon/src/metrics/view.ts
@@ -5,7 +5,13 @@
 
 const PREFIX = 'jackdawfall';
 const US_PER_S = 1_000_000;
-const PERCENTILES = [50, 90, 99, 99.9] as const;
+/** Quantiles as they are written, with their percentiles. */
+const QUANTILES = [
+  {quantile: '0.5', percentile: 50},
+  {quantile: '0.9', percentile: 90},
+  {quantile: '0.99', percentile: 99},
+  {quantile: '0.999', percentile: 99.9},
+] as const;
 
 /** What a counter means and the name of its label; empty for none. */
 export interface CounterText {
@@ -29,11 +35,11 @@
   const {distribution, sumUs} = latency;
   const full = `${PREFIX}_${snakeCase(name)}_seconds`;
   const seconds = (us: number): string => String(us / US_PER_S);
-  const lines = PERCENTILES.map(percentile => {
-    const value = seconds(distribution.getValueAtPercentile(percentile));
-    return `${full}{quantile="${percentile / 100}"} ${value}`;
-  });
   const max = distribution.totalCount > 0 ? distribution.maxValue : 0;
+  const lines = QUANTILES.map(({quantile, percentile}) => {
+    const us = distribution.getValueAtPercentile(percentile);
+    return `${full}{quantile="${quantile}"} ${seconds(Math.min(us, max))}`;
+  });
   return joinLines([
     ...headOf(full, help, 'summary'),
     ...lines,
