--- a/packages/daemon/src/process/logic.ts
+++ b/packages/daemon/src/process/logic.ts
@@ -8,7 +8,7 @@
 import type {Server} from 'node:http';
 
 import {createDaemon, memberOf, renderDaemon} from '@jackdawfall/core';
-import type {Daemon} from '@jackdawfall/core';
+import type {Address, Daemon} from '@jackdawfall/core';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
@@ -63,6 +63,7 @@
     host: settings.host,
     zone: settings.zone,
     address: addressOf(settings),
+    ...operatorsAddress(settings),
     incarnation,
     tuning: settings.tuning,
   });
@@ -155,6 +156,12 @@
   process.exit(EXIT_FAILURE);
 }
 
+/** A port that the system chooses can't be named beforehand. */
+function operatorsAddress({operators}: Settings): {operators?: Address} {
+  if (operators.port === 0) return {};
+  return {operators: place(operators) as Address};
+}
+
 function place(endpoint: Endpoint): string {
   return `${endpoint.ip}:${endpoint.port}`;
 }
