Scenarios: a process that ended with an error fails the scenario

Cause: a daemon that stops loudly on a broken invariant could go unseen when its keys moved on; the ledger alone does not show it. Change: the runner lists daemons and servers with a non-zero exit code. Ruled out: a crash as cause of ECONNREFUSED in cold_start and kill_host (no daemon failed; the expectation asks the killed host).

--- a/packages/emulator/src/deployment/child.ts
+++ b/packages/emulator/src/deployment/child.ts
@@ -45,13 +45,16 @@
   });
   const isRunning = (): boolean =>
     child.exitCode === null && child.signalCode === null;
+  const hasFailed = (): boolean =>
+    child.exitCode !== null && child.exitCode !== 0;
   const kill = (name: NodeJS.Signals): void => {
     if (isRunning()) child.kill(name);
   };
   signal.addEventListener('abort', () => kill('SIGKILL'), {once: true});
   if (signal.aborted) kill('SIGKILL');
   const pid = child.pid ?? 0;
-  return {name: program.name, pid, output, exited, isRunning, kill};
+  const {name} = program;
+  return {name, pid, output, exited, isRunning, hasFailed, kill};
 }
 
 /**
--- a/packages/emulator/src/deployment/types.ts
+++ b/packages/emulator/src/deployment/types.ts
@@ -12,6 +12,8 @@
   /** Resolves with the exit code or signal. */
   readonly exited: Promise<string>;
   readonly isRunning: () => boolean;
+  /** True once it ended with an error and without a signal of this tool. */
+  readonly hasFailed: () => boolean;
   readonly kill: (signal: NodeJS.Signals) => void;
 }
 
--- a/packages/emulator/src/scenario/runner.ts
+++ b/packages/emulator/src/scenario/runner.ts
@@ -53,6 +53,7 @@
   } catch (error) {
     stage.faults.push(error instanceof Error ? error.message : String(error));
   } finally {
+    stage.faults.push(...failedProcesses(stage));
     ending.abort();
   }
   return {
@@ -64,6 +65,16 @@
   };
 }
 
+/** A process that ended with an error, such as a broken invariant. */
+function failedProcesses(stage: Stage): string[] {
+  const hosts = [...(stage.cluster?.hosts.values() ?? [])];
+  return hosts
+    .flatMap(({daemon, server}) => [daemon, server])
+    .filter(child => child !== null)
+    .filter(child => child.hasFailed())
+    .map(({name, output}) => `${name} failed: ${output.slice(-3).join(' ')}`);
+}
+
 async function perform(stage: Stage): Promise<void> {
   for (const [index, step] of stage.scenario.steps.entries()) {
     stage.signal.throwIfAborted();
