--- a/packages/daemon/src/operators/logic.ts
+++ b/packages/daemon/src/operators/logic.ts
@@ -23,6 +23,7 @@
 
 const COMMAND = z.discriminatedUnion('kind', [
   z.object({kind: z.literal('status')}),
+  z.object({kind: z.literal('progress')}),
   z.object({kind: z.literal('map'), service: z.string()}),
   z.object({
     kind: z.literal('apply'),
