Balancing by load: owners report, the coordinator moves few slices

Change: an owner smooths dispatches by slice and reports its hottest and its total when that changed by 15% or 20 s passed; the coordinator moves the slices that lower the hottest member most, least disturbing first, under the churn budget, with hysteresis at 1.25 times the mean and a stay of 30 s. Ring, ranks and placement are looked at once for each change of the map.

--- /dev/null
+++ b/packages/core/src/balance/keeper.ts
@@ -0,0 +1,202 @@
+/** @fileoverview Measuring own load, reporting it, and moving for load. */
+
+import type {MemberId, ServiceName, Slice} from '../ids/types.js';
+import type {Change, Move} from '../log/types.js';
+import {memberAt} from '../map/logic.js';
+import type {Member, ServiceMap} from '../map/types.js';
+import type {ControlMessage} from '../messages/types.js';
+import {send} from '../ownership/effects.js';
+import type {Context, Ownership} from '../ownership/state.js';
+import {currentRanks} from '../ownership/state.js';
+import {planMoves} from './logic.js';
+import type {MemberLoad, Meter} from './types.js';
+
+/** Length of a window of measurement. */
+const WINDOW_MS = 2000;
+/** Longest time between two reports. */
+const REPORT_MS = 20_000;
+/** A total that differs this much is reported at once. */
+const NEWS_SHARE = 0.15;
+/** Hottest slices in a report. */
+const REPORTED_SLICES = 16;
+/** Smoothed rate below which a slice is forgotten, in dispatches a second. */
+const LEAST_RATE = 0.05;
+/** Time between two rounds of moves, so that reports catch up. */
+const ROUND_MS = 5000;
+/** Time between two looks while nothing is to be moved. */
+const LOOK_MS = 1000;
+/** Time for which a slice that was moved for its load stays. */
+const STAY_MS = 30_000;
+/** Age at which a report counts no more. */
+const OLD_MS = 60_000;
+/** Reported work below which the number of slices decides. */
+const LEAST_TOTAL = 1;
+
+/**
+ * Counts a dispatch that this daemon was asked for as owner.
+ *
+ * @param meter - The meter.
+ * @param service - The service.
+ * @param slice - The slice.
+ */
+export function countDispatch(
+  meter: Meter,
+  service: ServiceName,
+  slice: Slice,
+): void {
+  meter.service = service;
+  meter.counts.set(slice, (meter.counts.get(slice) ?? 0) + 1);
+}
+
+/**
+ * Ends windows and reports to the coordinator.
+ *
+ * @param context - The step.
+ */
+export function reportLoad(context: Context): void {
+  const {state, at} = context;
+  const {meter} = state.balance;
+  const elapsed = at.monotonic - meter.windowAt;
+  if (elapsed < WINDOW_MS || meter.service === null) return;
+  closeWindow(state, elapsed);
+  meter.windowAt = at.monotonic;
+  const total = sum(meter.rates);
+  const changed =
+    Math.abs(total - meter.reportedTotal) > NEWS_SHARE * meter.reportedTotal;
+  const due = at.monotonic - meter.reportedAt > REPORT_MS;
+  if (!changed && !due) return;
+  meter.reportedTotal = total;
+  meter.reportedAt = at.monotonic;
+  const hottest = [...meter.rates].sort((a, b) => b[1] - a[1]);
+  const top = hottest.slice(0, REPORTED_SLICES);
+  const message: ControlMessage = {
+    kind: 'load',
+    service: meter.service,
+    slices: top.map(([slice]) => slice),
+    rates: top.map(([, rate]) => rate),
+    total,
+  };
+  const coordinator = currentRanks(state)[0];
+  if (coordinator === state.self) takeLoad(context, state.self, message);
+  else if (coordinator !== undefined) send(context, coordinator, message);
+}
+
+/**
+ * Takes an owner's report.
+ *
+ * @param context - The step.
+ * @param from - The owner.
+ * @param message - The report.
+ */
+export function takeLoad(
+  context: Context,
+  from: MemberId,
+  message: Extract<ControlMessage, {kind: 'load'}>,
+): void {
+  const {balance, map} = context.state;
+  const rates = new Map(
+    message.slices.map((slice, index) => [slice, message.rates[index]]),
+  );
+  const {service, total} = message;
+  const at = context.at.monotonic;
+  balance.reports.set(from, {service, total, rates, at});
+  for (const id of balance.reports.keys()) {
+    if (!map.members.has(id)) balance.reports.delete(id);
+  }
+}
+
+/**
+ * Tells whether reports say enough for moves by load.
+ *
+ * @param state - The state.
+ * @param service - The service.
+ * @returns Whether there is work that is worth balancing.
+ */
+export function isLoadKnown(state: Ownership, service: ServiceName): boolean {
+  let total = 0;
+  for (const report of state.balance.reports.values()) {
+    if (report.service === service) total += report.total;
+  }
+  return total >= LEAST_TOTAL;
+}
+
+/**
+ * Plans moves of one service by load.
+ *
+ * @param context - The step.
+ * @param service - The service's placement.
+ * @param candidates - Members that take its work.
+ * @returns The change, or null.
+ */
+export function wantedLoadMoves(
+  context: Context,
+  service: ServiceMap,
+  candidates: readonly Member[],
+): Change | null {
+  const {state, at} = context;
+  const {balance, map} = state;
+  if (at.monotonic < balance.notBefore || service.moves.size > 0) return null;
+  const budget = map.configuration?.workspace.limits.maxMovingSlices ?? 0;
+  const loads = candidates.map(member => loadOf(context, service, member));
+  const planned = planMoves(loads, budget);
+  balance.notBefore = at.monotonic + LOOK_MS;
+  if (planned.length === 0) return null;
+  balance.notBefore = at.monotonic + ROUND_MS;
+  const moves: Move[] = planned.map(({slice, to}) => {
+    balance.moved.set(`${service.name}/${slice}`, at.monotonic);
+    return {first: slice, count: 1, to};
+  });
+  forgetMoved(context);
+  return {kind: 'moving', service: service.name, moves};
+}
+
+function loadOf(
+  context: Context,
+  service: ServiceMap,
+  member: Member,
+): MemberLoad {
+  const {balance, map} = context.state;
+  const now = context.at.monotonic;
+  const report = balance.reports.get(member.id);
+  const fresh =
+    report !== undefined &&
+    report.service === service.name &&
+    now - report.at < OLD_MS;
+  const slices = new Map<Slice, number>();
+  for (const [slice, rate] of fresh ? report.rates : []) {
+    const owner = memberAt(map, service.owner[slice]);
+    const movedAt = balance.moved.get(`${service.name}/${slice}`);
+    const stays = movedAt !== undefined && now - movedAt < STAY_MS;
+    if (owner?.id === member.id && !stays) slices.set(slice, rate);
+  }
+  const total = fresh ? report.total : 0;
+  const capacity = Math.max(1, member.offer?.slots ?? 1);
+  return {member: member.id, capacity, total, slices};
+}
+
+function forgetMoved(context: Context): void {
+  const {moved} = context.state.balance;
+  for (const [key, movedAt] of moved) {
+    if (context.at.monotonic - movedAt >= STAY_MS) moved.delete(key);
+  }
+}
+
+function closeWindow(state: Ownership, elapsedMs: number): void {
+  const {meter} = state.balance;
+  const seen = new Set([...meter.counts.keys(), ...meter.rates.keys()]);
+  for (const slice of seen) {
+    const count = meter.counts.get(slice) ?? 0;
+    const rate = (count * 1000) / elapsedMs;
+    const known = meter.rates.get(slice) ?? rate;
+    const smoothed = (known + rate) / 2;
+    if (smoothed < LEAST_RATE) meter.rates.delete(slice);
+    else meter.rates.set(slice, smoothed);
+  }
+  meter.counts.clear();
+}
+
+function sum(rates: ReadonlyMap<Slice, number>): number {
+  let total = 0;
+  for (const rate of rates.values()) total += rate;
+  return total;
+}
--- /dev/null
+++ b/packages/core/src/balance/logic.spec.ts
@@ -0,0 +1,101 @@
+/** @fileoverview Tests of the choice of slices to move. */
+
+import test from 'ava';
+
+import type {MemberId, Slice} from '../ids/types.js';
+import {imbalanceOf, planMoves} from './logic.js';
+import type {MemberLoad} from './types.js';
+
+/** Loads from rates by slice; slices are numbered through. */
+function loadsOf(rates: readonly number[][], capacity = 1): MemberLoad[] {
+  let next = 0;
+  return rates.map((own, index) => ({
+    member: `h${index}#1` as MemberId,
+    capacity,
+    total: own.reduce((a, b) => a + b, 0),
+    slices: new Map(own.map(rate => [next++ as Slice, rate])),
+  }));
+}
+
+const CASES: ReadonlyArray<{
+  name: string;
+  rates: readonly number[][];
+  budget: number;
+  /** Slices that move, in order. */
+  moved: readonly number[];
+}> = [
+  {
+    name: 'even load',
+    rates: [
+      [5, 5],
+      [5, 5],
+    ],
+    budget: 4,
+    moved: [],
+  },
+  {name: 'no load', rates: [[0, 0], []], budget: 4, moved: []},
+  {
+    name: 'a little uneven',
+    rates: [
+      [5, 6],
+      [5, 5],
+    ],
+    budget: 4,
+    moved: [],
+  },
+  {name: 'one big step', rates: [[10, 10], []], budget: 4, moved: [0]},
+  {
+    name: 'the fewest moves',
+    rates: [[1, 1, 1, 9, 8], []],
+    budget: 8,
+    moved: [3],
+  },
+  {
+    name: 'a hot slice stays',
+    rates: [[50, 5, 5], [5], [5]],
+    budget: 8,
+    moved: [1, 2],
+  },
+  {name: 'nothing helps', rates: [[50], [5], [5]], budget: 8, moved: []},
+  {
+    name: 'the budget',
+    rates: [[4, 4, 4, 4, 4, 4], []],
+    budget: 2,
+    moved: [0, 1],
+  },
+  {name: 'one member', rates: [[9, 9]], budget: 2, moved: []},
+];
+
+for (const {name, rates, budget, moved} of CASES) {
+  test(`moves for load: ${name}`, t => {
+    const moves = planMoves(loadsOf(rates), budget);
+    t.deepEqual(
+      moves.map(move => Number(move.slice)),
+      [...moved],
+    );
+  });
+}
+
+test('capacity counts', t => {
+  const [small, large] = loadsOf([
+    [4, 4],
+    [8, 8],
+  ]);
+  const loads = [small, {...large, capacity: 2}];
+  t.deepEqual(planMoves(loads, 8), []);
+  t.is(imbalanceOf(loads), 1);
+});
+
+test('moves never make the hottest hotter', t => {
+  const rates = [[30, 20, 9, 3], [8, 1], [2], [1, 1]];
+  const loads = loadsOf(rates);
+  const before = imbalanceOf(loads);
+  for (const {slice, from, to} of planMoves(loads, 8)) {
+    const source = loads.findIndex(load => load.member === from);
+    const target = loads.findIndex(load => load.member === to);
+    const rate = loads[source].slices.get(slice) ?? 0;
+    loads[source] = {...loads[source], total: loads[source].total - rate};
+    loads[target] = {...loads[target], total: loads[target].total + rate};
+  }
+  t.true(imbalanceOf(loads) < before);
+});
--- /dev/null
+++ b/packages/core/src/balance/types.ts
@@ -0,0 +1,56 @@
+/** @fileoverview Load of slices and members, as measured and reported. */
+
+import type {MemberId, ServiceName, Slice} from '../ids/types.js';
+
+/** An owner's count of its own work. */
+export interface Meter {
+  /** Dispatches since the last window, by slice. */
+  readonly counts: Map<Slice, number>;
+  /** Smoothed dispatches a second, by slice. */
+  readonly rates: Map<Slice, number>;
+  service: ServiceName | null;
+  /** Monotonic time at which the current window began. */
+  windowAt: number;
+  /** Total of the newest report. */
+  reportedTotal: number;
+  /** Monotonic time of the newest report. */
+  reportedAt: number;
+}
+
+/** What one owner reported. */
+export interface Report {
+  readonly service: ServiceName;
+  /** All its work, in dispatches a second. */
+  readonly total: number;
+  /** Its hottest slices. */
+  readonly rates: ReadonlyMap<Slice, number>;
+  /** Monotonic time of arrival. */
+  readonly at: number;
+}
+
+/** What the coordinator knows of loads. */
+export interface Balance {
+  readonly meter: Meter;
+  readonly reports: Map<MemberId, Report>;
+  /** Monotonic time at which slices were last moved for their load. */
+  readonly moved: Map<string, number>;
+  /** Monotonic time before which nothing is moved for load. */
+  notBefore: number;
+}
+
+/** A slice that is better served elsewhere. */
+export interface LoadMove {
+  readonly slice: Slice;
+  readonly from: MemberId;
+  readonly to: MemberId;
+}
+
+/** Load of one member as the planner sees it. */
+export interface MemberLoad {
+  readonly member: MemberId;
+  /** Relative capacity, for example its slots. */
+  readonly capacity: number;
+  readonly total: number;
+  /** Its hottest movable slices. */
+  readonly slices: ReadonlyMap<Slice, number>;
+}
--- a/packages/core/src/commands/view.ts
+++ b/packages/core/src/commands/view.ts
@@ -2,12 +2,12 @@
 
 import type {Instant} from '../clock/types.js';
 import type {ServiceName} from '../ids/types.js';
+import {currentRanks} from '../ownership/state.js';
 import {standing} from '../leases/logic.js';
 import type {Change} from '../log/types.js';
 import {memberAt} from '../map/logic.js';
 import {NO_MEMBER} from '../map/state.js';
 import type {ClusterMap, Member, ServiceMap} from '../map/types.js';
-import {ranksOf} from '../membership/ring.js';
 import type {Ownership} from '../ownership/state.js';
 import type {
   Accepted,
@@ -36,7 +36,7 @@
     phase: state.phase,
     ...renderProgress(state),
     document: map.configuration?.document ?? null,
-    coordinator: ranksOf(map)[0] ?? null,
+    coordinator: currentRanks(state)[0] ?? null,
     lease: {
       held: at !== null && standing(state, at).source !== 'none',
       grantors: lease.grantors,
--- a/packages/core/src/coordinator/logic.ts
+++ b/packages/core/src/coordinator/logic.ts
@@ -16,10 +16,8 @@
  * @returns The change, or null when nothing is to be done.
  */
 export function nextPlacement(map: ClusterMap): Change | null {
-  const services = [...map.services.values()].filter(service =>
-    isConfigured(map, service.name),
-  );
-  for (const step of [placeUnowned, moveAway, placeStandbys, spread]) {
+  const services = configuredServices(map);
+  for (const step of [placeUnowned, moveAway, placeStandbys]) {
     for (const service of services) {
       const candidates = candidatesOf(map, service.name);
       if (candidates.length === 0) continue;
@@ -46,9 +44,16 @@
   return found.sort((a, b) => (a.id < b.id ? -1 : 1));
 }
 
-function isConfigured(map: ClusterMap, name: ServiceName): boolean {
-  const services = map.configuration?.workspace.services ?? [];
-  return services.some(service => service.name === name);
+/**
+ * Lists the keyed services of the configuration in force.
+ *
+ * @param map - The map.
+ * @returns Their placements.
+ */
+export function configuredServices(map: ClusterMap): ServiceMap[] {
+  const named = map.configuration?.workspace.services ?? [];
+  const placements = named.map(({name}) => map.services.get(name));
+  return placements.filter(each => each !== undefined);
 }
 
 /** Gives slices without an owner to the members with the fewest. */
@@ -125,8 +130,15 @@
   return {kind: 'placed', service: service.name, runs: runs.list};
 }
 
-/** Evens out the number of slices, a few moves at a time. */
-function spread(
+/**
+ * Evens out the number of slices, a few moves at a time.
+ *
+ * @param map - The map.
+ * @param service - The service.
+ * @param candidates - Members that take its work.
+ * @returns The change, or null.
+ */
+export function spreadSlices(
   map: ClusterMap,
   service: ServiceMap,
   candidates: readonly Member[],
--- a/packages/core/src/leases/grantor.ts
+++ b/packages/core/src/leases/grantor.ts
@@ -2,10 +2,10 @@
 
 import type {MemberId} from '../ids/types.js';
 import type {ControlMessage} from '../messages/types.js';
-import {chooseGrantors, ranksOf} from '../membership/ring.js';
+import {chooseGrantors} from '../membership/ring.js';
 import {send} from '../ownership/effects.js';
 import type {Context, Ownership} from '../ownership/state.js';
-import {currentRing, inForce} from '../ownership/state.js';
+import {currentRanks, currentRing, inForce} from '../ownership/state.js';
 import {standing} from './logic.js';
 import {createWard} from './state.js';
 import type {Ward} from './types.js';
@@ -151,7 +151,7 @@
   reports: number,
 ): MemberId {
   if (reports >= REPORTS_TO_OTHERS && reports % 2 === 0) return state.self;
-  const ranks = ranksOf(state.map).filter(id => id !== silent);
+  const ranks = currentRanks(state).filter(id => id !== silent);
   return ranks[reports % Math.min(REPORTED_RANKS, ranks.length)] ?? state.self;
 }
 
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -165,6 +165,8 @@
       readonly slices: readonly Slice[];
       /** Requests per second, in the order of `slices`. */
       readonly rates: readonly number[];
+      /** Requests per second of all slices of the sender. */
+      readonly total: number;
     };
 
 /** Everything a link carries between two daemons. */
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -2,6 +2,7 @@
 
 import {takeAudit} from '../commands/audit.js';
 import {renderStatus} from '../commands/view.js';
+import {countDispatch, takeLoad} from '../balance/keeper.js';
 import type {MemberId} from '../ids/types.js';
 import {memberOf} from '../ids/logic.js';
 import {
@@ -50,7 +51,7 @@
 } from '../snapshots/keeper.js';
 import type {Row, StoreReply} from '../store/types.js';
 import {noteCommandDone, takeCommand} from './commands.js';
-import {doDuties, onMembershipChanged} from './duties.js';
+import {doDuties} from './duties.js';
 import {log, send, violate} from './effects.js';
 import type {Context, Ownership} from './state.js';
 import type {WorkView} from './types.js';
@@ -175,7 +176,13 @@
       takeEntries(context, from, message, each => apply(context, each));
       return;
     case 'load':
+      takeLoad(context, from, message);
+      return;
     case 'dispatch':
+      if (message.slice !== null) {
+        countDispatch(state.balance.meter, message.service, message.slice);
+      }
+      return;
     case 'body':
     case 'head':
     case 'data':
@@ -264,7 +271,6 @@
   if (append !== null && append.entry.version <= state.map.version) {
     state.journal.append = null;
   }
-  onMembershipChanged(context);
   const listed = state.map.members.has(state.self);
   if (state.phase !== 'joining' && !listed) onOwnEnd(context);
   if (state.phase === 'joining' && listed) {
@@ -278,7 +284,6 @@
   const {state, at} = context;
   const {entry} = committed;
   if (entry.version !== state.map.version + 1) return;
-  const changes = state.map.membershipChanges;
   applyEntry(state.map, committed, at.monotonic);
   keepEntry(state, committed);
   pushEntry(context, committed);
@@ -286,7 +291,6 @@
   noteCommandDone(context, entry.writeId, entry.version);
   noteOwnChange(context, committed);
   noteApplied(context, committed);
-  if (state.map.membershipChanges !== changes) onMembershipChanged(context);
 }
 
 function noteOwnChange(context: Context, committed: Committed): void {
--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -8,19 +8,25 @@
 import {standing} from '../leases/logic.js';
 import {reportSilent, watchRing} from '../leases/grantor.js';
 import {takesWork} from '../map/logic.js';
-import {nextPlacement} from '../coordinator/logic.js';
+import {isLoadKnown, reportLoad, wantedLoadMoves} from '../balance/keeper.js';
+import {
+  candidatesOf,
+  configuredServices,
+  nextPlacement,
+  spreadSlices,
+} from '../coordinator/logic.js';
+import type {Change} from '../log/types.js';
 import {
   pursueEndings,
   suspectMember,
   wantedEnd,
 } from '../membership/endings.js';
-import {ranksOf} from '../membership/ring.js';
 import {trackDrains, wantedRelease} from '../moves/logic.js';
 import {storeIfDue} from '../snapshots/keeper.js';
 import {reviewCommands, wantedByOperators} from './commands.js';
 import {log, send} from './effects.js';
 import type {Context, Ownership, Wanted} from './state.js';
-import {inForce} from './state.js';
+import {currentRanks, inForce} from './state.js';
 
 /** Time between two grants to the backend server. */
 const GRANT_GAP_MS = 500;
@@ -41,6 +47,10 @@
   retryAppend(context);
   reviewCommands(context);
   keepLease(context);
+  if (state.watchedChanges !== state.map.membershipChanges) {
+    state.watchedChanges = state.map.membershipChanges;
+    watchRing(context);
+  }
   if (state.phase !== 'joining') {
     reportSilent(context, (member, reporter) =>
       suspectMember(context, member, reporter),
@@ -49,6 +59,7 @@
     trackDrains(context);
     noteHeldBack(context);
     grantServer(context);
+    reportLoad(context);
     watchDeputies(context);
     reviewOwnEnd(context);
     if (state.actsAsCoordinator) storeIfDue(context);
@@ -56,15 +67,6 @@
   appendNext(context);
 }
 
-/**
- * Reacts to a changed set of members.
- *
- * @param context - The step.
- */
-export function onMembershipChanged(context: Context): void {
-  watchRing(context);
-}
-
 function appendNext(context: Context): void {
   const {state, at} = context;
   const {journal, sync} = state;
@@ -158,16 +160,48 @@
 function wantedPlacement(context: Context): Wanted | null {
   const {state} = context;
   if (!state.actsAsCoordinator) return null;
-  const change = nextPlacement(state.map);
+  const change = settledPlacement(state) ?? wantedLoadSpread(context);
   return change === null ? null : {change, by: state.self};
 }
 
+/** Placement follows from the map alone: one look at each version. */
+function settledPlacement(state: Ownership): Change | null {
+  const {map} = state;
+  if (state.settledVersion === map.version) return null;
+  const change = nextPlacement(map) ?? spreadByCount(state);
+  if (change === null) state.settledVersion = map.version;
+  return change;
+}
+
+function spreadByCount(state: Ownership): Change | null {
+  for (const service of configuredServices(state.map)) {
+    if (isLoadKnown(state, service.name)) continue;
+    const candidates = candidatesOf(state.map, service.name);
+    if (candidates.length < 2) continue;
+    const change = spreadSlices(state.map, service, candidates);
+    if (change !== null) return change;
+  }
+  return null;
+}
+
+function wantedLoadSpread(context: Context): Change | null {
+  const {state, at} = context;
+  if (at.monotonic < state.balance.notBefore) return null;
+  for (const service of configuredServices(state.map)) {
+    if (!isLoadKnown(state, service.name)) continue;
+    const candidates = candidatesOf(state.map, service.name);
+    const change = wantedLoadMoves(context, service, candidates);
+    if (change !== null) return change;
+  }
+  return null;
+}
+
 /** The first rank acts; the next ones when those before them are silent. */
 function watchDeputies(context: Context): void {
   const {state, at} = context;
   if (at.monotonic < state.watchAt) return;
   state.watchAt = at.monotonic + state.settings.tuning.leases.renewMs;
-  const ranks = ranksOf(state.map).slice(0, DEPUTY_RANKS);
+  const ranks = currentRanks(state).slice(0, DEPUTY_RANKS);
   const rank = ranks.indexOf(state.self);
   const before = rank < 0 ? [] : ranks.slice(0, rank);
   const silent = (id: MemberId): boolean =>
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -15,6 +15,8 @@
   WriteId,
   ZoneName,
 } from '../ids/types.js';
+import {createBalance} from '../balance/state.js';
+import type {Balance} from '../balance/types.js';
 import {memberOf} from '../ids/logic.js';
 import type {Journal, Sync} from '../journal/types.js';
 import {createJournal, createSync} from '../journal/state.js';
@@ -26,7 +28,7 @@
 import type {ClusterMap} from '../map/types.js';
 import {createMap} from '../map/state.js';
 import type {Ring} from '../membership/ring.js';
-import {EMPTY_RING, ringOf} from '../membership/ring.js';
+import {EMPTY_RING, ranksOf, ringOf} from '../membership/ring.js';
 import type {Ending} from '../membership/types.js';
 import type {Tuning} from '../settings/defaults.js';
 import {createSnapshots} from '../snapshots/state.js';
@@ -149,12 +151,17 @@
   /** Monotonic time at which each peer was last heard. */
   heard: Map<MemberId, number>;
   /** Cached ring with the membership change it belongs to. */
-  ring: {changes: number; ring: Ring};
+  ring: {changes: number; ring: Ring; ranks: readonly MemberId[]};
+  /** Membership change up to which the ring is watched. */
+  watchedChanges: number;
+  /** Version at which the coordinator found nothing to place. */
+  settledVersion: number;
   grantAt: number;
   /** Monotonic time of the next look at the ranks before this member. */
   watchAt: number;
   actsAsCoordinator: boolean;
   snapshots: Snapshots;
+  readonly balance: Balance;
 }
 
 /** What one step works with. */
@@ -209,11 +216,14 @@
     storeReachable: false,
     dirty: true,
     heard: new Map(),
-    ring: {changes: -1, ring: EMPTY_RING},
+    ring: {changes: -1, ring: EMPTY_RING, ranks: []},
+    watchedChanges: -1,
+    settledVersion: -1,
     grantAt: 0,
     watchAt: 0,
     actsAsCoordinator: false,
     snapshots: createSnapshots(),
+    balance: createBalance(),
   };
 }
 
@@ -235,9 +245,24 @@
  * @returns The ring of the map as it stands.
  */
 export function currentRing(state: Ownership): Ring {
-  const changes = state.map.membershipChanges;
-  if (state.ring.changes !== changes) {
-    state.ring = {changes, ring: ringOf(state.map)};
-  }
+  refreshRing(state);
   return state.ring.ring;
 }
+
+/**
+ * Finds the ranks of the live members; the first is the coordinator.
+ *
+ * @param state - The state; caches the ranks.
+ * @returns The ranks of the map as it stands.
+ */
+export function currentRanks(state: Ownership): readonly MemberId[] {
+  refreshRing(state);
+  return state.ring.ranks;
+}
+
+function refreshRing(state: Ownership): void {
+  const changes = state.map.membershipChanges;
+  if (state.ring.changes === changes) return;
+  const {map} = state;
+  state.ring = {changes, ring: ringOf(map), ranks: ranksOf(map)};
+}
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -175,6 +175,7 @@
       service: 'string',
       slices: LOGICAL.integers,
       rates: LOGICAL.doubles,
+      total: 'double',
     },
   },
   suspect: {code: 18, fields: {member: 'string'}},
