--- a/packages/emulator/src/bench/definitions.ts
+++ b/packages/emulator/src/bench/definitions.ts
@@ -2,7 +2,12 @@
 
 import {disseminationBench} from '../dissemination/definition.js';
 import {linksBench} from './links/definition.js';
+import {pathBench} from './path/definition.js';
 import type {Bench} from './types.js';
 
 /** All benches. */
-export const BENCHES: readonly Bench[] = [linksBench, disseminationBench];
+export const BENCHES: readonly Bench[] = [
+  linksBench,
+  pathBench,
+  disseminationBench,
+];
