--- a/packages/core/src/logs/catalogue.ts
+++ b/packages/core/src/logs/catalogue.ts
@@ -25,7 +25,6 @@
   changeCommitted: event(202, 'info', 'A change was committed to the log.'),
   drainLate: event(203, 'warn', 'A moving slice has work past its bound.'),
   snapshotStored: event(204, 'info', 'A snapshot of the map was stored.'),
-  storeFailing: event(504, 'warn', 'A call to the platform failed.'),
   configurationInForce: event(601, 'info', 'A configuration is in force.'),
   requestFailed: event(301, 'debug', 'A caller was answered with an error.'),
   requestRetried: event(302, 'debug', 'Another attempt was made.'),
@@ -45,7 +44,8 @@
   processLeaving: event(502, 'info', 'The process has handed over and leaves.'),
   invariantBroken: event(503, 'error', 'An invariant broke; the process ends.'),
   linkLost: event(510, 'warn', 'A link to another daemon was lost.'),
-  platformFailed: event(511, 'warn', 'A call to the platform got no reply.'),
+  platformFailed: event(511, 'warn', 'The platform does not answer.'),
+  platformAnswers: event(512, 'info', 'The platform answers again.'),
 } as const;
 
 /** Name of a log event. */
--- a/packages/daemon/src/operators/logic.ts
+++ b/packages/daemon/src/operators/logic.ts
@@ -48,8 +48,8 @@
   command(command: Command): Promise<CommandResult>;
   status(): unknown;
   metrics(): string;
-  /** True once this daemon has joined its workspace. */
-  ready(): boolean;
+  /** Why this daemon has not joined its workspace, or null. */
+  obstacle(): string | null;
 }
 
 /**
@@ -91,7 +91,7 @@
       outgoing.end(actions.metrics());
       return;
     case 'GET /ready':
-      answer(outgoing, actions.ready() ? 204 : 503, null);
+      answerReady(outgoing, actions.obstacle());
       return;
     default:
       answer(outgoing, 404, {
@@ -128,6 +128,11 @@
   return checked as unknown as Command;
 }
 
+function answerReady(outgoing: ServerResponse, obstacle: string | null): void {
+  if (obstacle === null) answer(outgoing, 204, null);
+  else answer(outgoing, 503, {kind: 'unavailable', detail: obstacle});
+}
+
 function answer(outgoing: ServerResponse, status: number, body: unknown): void {
   if (outgoing.headersSent) return;
   if (body === null) {
--- a/packages/daemon/src/process/logic.ts
+++ b/packages/daemon/src/process/logic.ts
@@ -112,7 +112,7 @@
     command: command => runner.command(command),
     status: () => renderDaemon(daemon),
     metrics: () => runner.renderMetrics(),
-    ready: () => runner.ready(),
+    obstacle: () => runner.obstacle(),
   });
 }
 
--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -14,6 +14,7 @@
   MemberId,
   Message,
   StoreCall,
+  StoreReply,
   CallId,
 } from '@jackdawfall/core';
 import {Links} from '@jackdawfall/wire';
@@ -62,6 +63,7 @@
   private configuration: Configuration | null = null;
   private announcement: Announcement | null = null;
   private announcedMs = 0;
+  private platformFails = false;
   private tokens = 0;
 
   /** @param parts - Settings, state and the process around the runner. */
@@ -128,9 +130,12 @@
     this.loop.emit({kind: 'stopRequested'});
   }
 
-  /** @returns True once this daemon has joined its workspace. */
-  ready(): boolean {
-    return viewOfDaemon(this.parts.daemon).self !== null;
+  /** @returns Why this daemon has not joined its workspace, or null. */
+  obstacle(): string | null {
+    if (viewOfDaemon(this.parts.daemon).self !== null) return null;
+    return this.platformFails
+      ? 'not joined: the platform does not answer'
+      : 'not joined yet';
   }
 
   /**
@@ -263,16 +268,22 @@
     const reply = await this.platform.call(request, timeoutMs);
     this.parts.metrics.record('store', performance.now() - started);
     this.parts.metrics.count('storeCalls', `${request.kind}-${reply.kind}`);
-    if (reply.kind === 'refused' || reply.kind === 'unknown') {
-      this.parts.logger.log('platformFailed', {
-        call: request.kind,
-        reply: reply.kind,
-        detail: reply.detail,
-      });
-    }
+    this.notePlatform(reply);
     this.loop.emit({kind: 'storeReplied', call, reply});
   }
 
+  private notePlatform(reply: StoreReply): void {
+    const failed = reply.kind === 'refused' || reply.kind === 'unknown';
+    if (failed && !this.platformFails) {
+      const {kind, detail} = reply;
+      this.parts.logger.log('platformFailed', {reply: kind, detail});
+    }
+    if (!failed && this.platformFails) {
+      this.parts.logger.log('platformAnswers', {});
+    }
+    this.platformFails = failed;
+  }
+
   /** @returns Counters, gauges and latencies as text. */
   renderMetrics(): string {
     return this.parts.metrics.render([]);
