Less work for each request: one view, one write, no abort signal a run

Cause: a CPU profile of a daemon that takes 1,000 requests/s shows the view of ownership made anew for each event (170 ms of 6.4 s busy), an abort signal for each run (about 150 ms with its listeners), and two writes for an answer. Change: the views live in the daemon's state; a run's deadline is kept by the watch that runs each tick; a whole answer goes out in one write. The spec of runs now calls the watch, as the process does. Ruled out: Buffer or string bodies (10.5 us apart at most in a microbench).

--- a/packages/core/src/daemon/logic.ts
+++ b/packages/core/src/daemon/logic.ts
@@ -4,11 +4,8 @@
  */
 
 import {EXECUTION} from '../execution/definition.js';
-import {workOf} from '../execution/state.js';
 import type {Effect, Input} from '../loop/types.js';
 import {OWNERSHIP} from '../ownership/definition.js';
-import {viewOf} from '../ownership/view.js';
-import type {OwnershipView} from '../ownership/types.js';
 import {ROUTING} from '../routing/definition.js';
 import type {Daemon} from './types.js';
 
@@ -20,21 +17,9 @@
  * @returns Effects for the runner, in order.
  */
 export function reduceDaemon(daemon: Daemon, input: Input): Effect[] {
-  const {ownership, execution, routing} = daemon;
-  const work = workOf(execution);
+  const {ownership, execution, routing, view, work} = daemon;
   const effects = OWNERSHIP.reduce(ownership, input, {work});
-  const peers = {ownership: viewOf(ownership)};
-  effects.push(...EXECUTION.reduce(execution, input, peers));
-  effects.push(...ROUTING.reduce(routing, input, peers));
+  effects.push(...EXECUTION.reduce(execution, input, {ownership: view}));
+  effects.push(...ROUTING.reduce(routing, input, {ownership: view}));
   return effects;
 }
-
-/**
- * Gives the questions that may be asked of ownership.
- *
- * @param daemon - The daemon's state.
- * @returns A view that follows the state.
- */
-export function viewOfDaemon(daemon: Daemon): OwnershipView {
-  return viewOf(daemon.ownership);
-}
--- a/packages/core/src/daemon/types.ts
+++ b/packages/core/src/daemon/types.ts
@@ -2,6 +2,7 @@
 
 import type {Execution} from '../execution/types.js';
 import type {Ownership} from '../ownership/state.js';
+import type {OwnershipView, WorkView} from '../ownership/types.js';
 import type {Routing} from '../routing/types.js';
 
 /** State of every subject of a daemon. */
@@ -9,4 +10,8 @@
   readonly ownership: Ownership;
   readonly routing: Routing;
   readonly execution: Execution;
+  /** What other subjects may ask of ownership; follows its state. */
+  readonly view: OwnershipView;
+  /** What ownership may ask of execution; follows its state. */
+  readonly work: WorkView;
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,7 +2,7 @@
 
 export type * from './clock/types.js';
 export type * from './daemon/types.js';
-export {reduceDaemon, viewOfDaemon} from './daemon/logic.js';
+export {reduceDaemon} from './daemon/logic.js';
 export {createDaemon} from './daemon/state.js';
 export {renderDaemon} from './daemon/view.js';
 export type * from './errors/types.js';
--- a/packages/daemon/src/callers/answers.ts
+++ b/packages/daemon/src/callers/answers.ts
@@ -111,6 +111,10 @@
     if (outgoing.destroyed || incoming.head === null) return;
     if (!incoming.ended && incoming.received <= HELD_BACK_BYTES) return;
     if (!outgoing.headersSent) writeHead(pending, incoming.head);
+    if (incoming.ended && incoming.handed === 0) {
+      this.finish(incoming, pending, Buffer.concat(incoming.parts));
+      return;
+    }
     while (incoming.parts.length > 0 && !outgoing.writableNeedDrain) {
       const part = incoming.parts.shift() as Uint8Array;
       outgoing.write(part);
@@ -118,9 +122,16 @@
       this.giveBack(incoming, part.length);
     }
     if (incoming.parts.length > 0 || !incoming.ended) return;
+    this.finish(incoming, pending, Buffer.alloc(0));
+  }
+
+  private finish(incoming: Incoming, pending: Pending, last: Buffer): void {
+    const {outgoing, request} = pending;
     if (outgoing.writableEnded) return;
-    outgoing.end();
-    this.events.answered(pending.request);
+    incoming.parts.length = 0;
+    incoming.handed += last.length;
+    outgoing.end(last);
+    this.events.answered(request);
   }
 
   private giveBack(incoming: Incoming, bytes: number): void {
--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -3,7 +3,7 @@
  * sockets and timers to the loop as events.
  */
 
-import {compileRoutes, reduceDaemon, viewOfDaemon} from '@jackdawfall/core';
+import {compileRoutes, reduceDaemon} from '@jackdawfall/core';
 import type {
   Announcement,
   Command,
@@ -132,7 +132,7 @@
 
   /** @returns Why this daemon has not joined its workspace, or null. */
   obstacle(): string | null {
-    if (viewOfDaemon(this.parts.daemon).self !== null) return null;
+    if (this.parts.daemon.view.self !== null) return null;
     return this.platformFails
       ? 'not joined: the platform does not answer'
       : 'not joined yet';
@@ -235,7 +235,7 @@
       this.receive(to, message);
       return;
     }
-    const view = viewOfDaemon(this.parts.daemon);
+    const {view} = this.parts.daemon;
     this.outbox.send(to, view.addressOf(to), message);
   }
 
@@ -293,7 +293,7 @@
   watch(): void {
     this.runs.watch();
     this.watchAnnouncement();
-    const {self} = viewOfDaemon(this.parts.daemon);
+    const {self} = this.parts.daemon.view;
     if (self === null || self === this.self) return;
     this.self = self;
     this.links.setSelf(self);
@@ -312,7 +312,7 @@
   }
 
   private currentConfiguration(): Configuration | null {
-    const {workspace} = viewOfDaemon(this.parts.daemon);
+    const {workspace} = this.parts.daemon.view;
     if (workspace === null) return null;
     if (this.configuration?.workspace !== workspace) {
       this.configuration = {workspace, router: compileRoutes(workspace)};
--- a/packages/daemon/src/runs/logic.spec.ts
+++ b/packages/daemon/src/runs/logic.spec.ts
@@ -187,7 +187,11 @@
     events,
     start: (keep: boolean) => startRun(runs, keep),
     kinds: (attempt: AttemptId = ATTEMPT) => folded(messages, attempt),
-    settled: (count: number) => until(() => events.length >= count),
+    settled: (count: number) =>
+      until(() => {
+        runs.watch();
+        return events.length >= count;
+      }),
   };
 }
 
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -116,7 +116,6 @@
       method: arrival.dispatch.method,
       path: arrival.dispatch.path,
       headers: headersOf(arrival.dispatch, effect),
-      signal: AbortSignal.timeout(Math.max(1, Math.ceil(budgetMs))),
     });
     const run: Run = {
       outgoing,
@@ -124,6 +123,7 @@
       written: false,
       settled: false,
       heardMs: performance.now(),
+      untilMs: performance.now() + budgetMs,
     };
     arrival.run = run;
     this.active.add(arrival);
@@ -182,16 +182,18 @@
     this.arrivals.delete(attempt);
   }
 
-  /** Looks for connections that have gone silent, and replaces them. */
+  /** Ends runs whose time is over and replaces silent connections. */
   watch(): void {
     const now = performance.now();
-    for (const {run} of this.active) {
+    let silent = false;
+    for (const {run} of [...this.active]) {
       if (run === null) continue;
+      if (now >= run.untilMs) run.outgoing.destroy(new Error('time is over'));
       if (now - run.heardMs < this.context.silenceMs) continue;
       run.heardMs = now;
-      this.connections?.replace();
-      return;
+      silent = true;
     }
+    if (silent) this.connections?.replace();
   }
 
   /**
@@ -258,16 +260,14 @@
   private writeBody(arrival: Arrival): void {
     const {run, parts, attempt} = arrival;
     if (run === null || run.settled || run.outgoing.writableEnded) return;
-    let bytes = 0;
-    for (const part of parts) {
-      bytes += part.length;
-      run.outgoing.write(part);
-    }
+    const taken = Buffer.concat(parts);
     parts.length = 0;
     if (arrival.bodyEnded) {
-      run.outgoing.end();
-    } else if (bytes > 0) {
+      run.outgoing.end(taken);
+    } else if (taken.length > 0) {
+      run.outgoing.write(taken);
       const to = originOf(attempt);
+      const bytes = taken.length;
       this.context.transmit(to, {kind: 'credit', attempt, bytes});
     }
   }
--- a/packages/daemon/src/runs/types.ts
+++ b/packages/daemon/src/runs/types.ts
@@ -37,6 +37,8 @@
   settled: boolean;
   /** Time of the last sign of life, monotonic, in milliseconds. */
   heardMs: number;
+  /** Time at which it is aborted, monotonic, in milliseconds. */
+  readonly untilMs: number;
 }
 
 /** The head of an answer. */
