Scenarios print why requests were not done; a lost host is lost whole

Cause: cold_start and kill_host asked the killed daemon: its exit was not awaited. Change: kill waits for both processes; the reasons of failed requests are counted beside the faults.

--- a/packages/emulator/src/load/client.ts
+++ b/packages/emulator/src/load/client.ts
@@ -10,6 +10,7 @@
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const OK = 200;
 const SERVER_ERROR = 500;
+const MAX_DETAIL = 400;
 const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'PUT', 'DELETE']);
 
 /** A request to send. */
@@ -118,10 +119,10 @@
   if (status === OK) return judgeBody(call, status, text);
   const run = response.headers['x-run'];
   if (run === 'not-run' || run === 'unknown') {
-    return {outcome: run, status, detail: text.slice(0, 200)};
+    return {outcome: run, status, detail: text.slice(0, MAX_DETAIL)};
   }
   const outcome = status >= SERVER_ERROR ? 'unknown' : 'wrong-answer';
-  return {outcome, status, detail: text.slice(0, 200)};
+  return {outcome, status, detail: text.slice(0, MAX_DETAIL)};
 }
 
 function judgeBody(call: Call, status: number, text: string): Result {
@@ -131,7 +132,7 @@
     answer.key === call.key &&
     answer.checksum === checksum(call.body);
   if (own) return {outcome: 'done', status, detail: ''};
-  return {outcome: 'wrong-answer', status, detail: text.slice(0, 200)};
+  return {outcome: 'wrong-answer', status, detail: text.slice(0, MAX_DETAIL)};
 }
 
 function parse(text: string): Record<string, unknown> {
--- a/packages/emulator/src/load/logic.ts
+++ b/packages/emulator/src/load/logic.ts
@@ -81,6 +81,31 @@
   };
 }
 
+/**
+ * Counts why requests were not done.
+ *
+ * @param records - What callers saw.
+ * @returns One line for each reason, the most frequent first.
+ */
+export function reasonsOf(records: readonly CallRecord[]): string[] {
+  const counts = new Map<string, number>();
+  for (const record of records) {
+    if (record.outcome === 'done') continue;
+    const reason = `${record.outcome}, ${record.route}: ${causeOf(record)}`;
+    counts.set(reason, (counts.get(reason) ?? 0) + 1);
+  }
+  const ordered = [...counts].sort(([, a], [, b]) => b - a);
+  return ordered.map(([reason, count]) => `${count} x ${reason}`);
+}
+
+/** The parts of an error that are the same for many requests. */
+function causeOf(record: CallRecord): string {
+  const kind = /"kind":"([^"]*)"/.exec(record.detail)?.[1];
+  const detail = /"detail":"([^"]*)"/.exec(record.detail)?.[1];
+  if (kind === undefined) return record.detail;
+  return detail === undefined ? kind : `${kind}, ${detail}`;
+}
+
 function unservedByKey(
   records: readonly CallRecord[],
   service: string | undefined,
--- a/packages/emulator/src/scenario/expectations.ts
+++ b/packages/emulator/src/scenario/expectations.ts
@@ -66,7 +66,13 @@
   return judge(recordsOf(stage), notes, deaths, {hung, relapseMs: relapse});
 }
 
-function recordsOf(stage: Stage): CallRecord[] {
+/**
+ * Lists what callers saw so far.
+ *
+ * @param stage - The scenario.
+ * @returns Records of all its loads.
+ */
+export function recordsOf(stage: Stage): CallRecord[] {
   return stage.loads.flatMap(load => load.records);
 }
 
--- a/packages/emulator/src/scenario/runner.ts
+++ b/packages/emulator/src/scenario/runner.ts
@@ -4,7 +4,8 @@
 import type {Result, Scenario, Step} from './types.js';
 
 import {sleep} from '../control/logic.js';
-import {expect, ledgerOf} from './expectations.js';
+import {expect, ledgerOf, recordsOf} from './expectations.js';
+import {reasonsOf} from '../load/logic.js';
 import {emptyStage} from './state.js';
 import * as steps from './steps.js';
 
@@ -61,6 +62,7 @@
     verdict: stage.faults.length === 0 ? 'passed' : 'failed',
     tookMs: performance.now() - startMs,
     faults: stage.faults,
+    reasons: reasonsOf(recordsOf(stage)),
     ledger,
   };
 }
--- a/packages/emulator/src/scenario/steps.ts
+++ b/packages/emulator/src/scenario/steps.ts
@@ -101,7 +101,7 @@
   const host = hostOf(stage, nameOf(says));
   if (!('server' in says)) {
     host.daemon?.kill('SIGKILL');
-    if ('daemon' in says) await host.daemon?.exited;
+    await host.daemon?.exited;
   }
   if (!('daemon' in says)) await killBackend(clusterOf(stage), host);
 }
--- a/packages/emulator/src/scenario/types.ts
+++ b/packages/emulator/src/scenario/types.ts
@@ -183,5 +183,7 @@
   readonly tookMs: number;
   /** Expectations that were not met; empty when it passed. */
   readonly faults: readonly string[];
+  /** Why requests were not done, the most frequent first. */
+  readonly reasons: readonly string[];
   readonly ledger: Verdict | null;
 }
--- a/packages/emulator/src/scenario/view.ts
+++ b/packages/emulator/src/scenario/view.ts
@@ -40,8 +40,9 @@
 export function renderFaults(result: Result): string {
   const shown = result.faults.slice(0, MAX_FAULTS);
   const rest = result.faults.length - shown.length;
-  const more = rest > 0 ? [`  and ${rest} more`] : [];
-  return [...shown.map(fault => `  ${fault}`), ...more].join('\n');
+  const more = rest > 0 ? [`and ${rest} more`] : [];
+  const reasons = result.reasons.slice(0, MAX_FAULTS);
+  return [...shown, ...more, ...reasons].map(line => `  ${line}`).join('\n');
 }
 
 function renderRow(result: Result): string {
