The audit trail names the operator who ended a member

Cause: 'member end' was recorded under the member that wrote the entry. Change: an ending that an operator vouched for is an entry of its own, by that operator. A test with six members loses a cycle of three grantors: all three stay members for 15 s, and one 'member end' lets the other two follow by rule. The earlier test of 'member end' passes without the command being given, since three members form no lost cycle; it stays, the new one is stricter.

--- a/packages/core/src/membership/endings.ts
+++ b/packages/core/src/membership/endings.ts
@@ -27,19 +27,19 @@
  * @param context - The step.
  * @param member - The silent member.
  * @param reporter - Who reported it.
- * @param confirmed - Whether an operator vouches that it has stopped.
+ * @param confirmedBy - The operator who vouches that it has stopped, or null.
  */
 export function suspectMember(
   context: Context,
   member: MemberId,
   reporter: MemberId,
-  confirmed = false,
+  confirmedBy: string | null = null,
 ): void {
   const {state, at} = context;
   if (!state.map.members.has(member) || member === state.self) return;
   let ending = state.endings.get(member);
-  if (ending === undefined || (confirmed && !ending.confirmed)) {
-    ending = newEnding(member, at.monotonic, confirmed);
+  if (ending === undefined || (confirmedBy && !ending.confirmedBy)) {
+    ending = newEnding(member, at.monotonic, confirmedBy);
     state.endings.set(member, ending);
   }
   ending.reporters.add(reporter);
@@ -125,7 +125,12 @@
   for (const [member, ending] of state.endings) {
     if (ending.row === null || ends.length >= MOST_ENDED_AT_ONCE) continue;
     if (!mayEnd(state, ending, at.monotonic)) continue;
-    ends.push({member, revision: ending.row.revision});
+    const end = {member, revision: ending.row.revision};
+    if (ending.confirmedBy !== null) {
+      const change = {kind: 'ended', members: [member]} as const;
+      return {change, by: ending.confirmedBy, ends: [end]};
+    }
+    ends.push(end);
   }
   if (ends.length === 0) return null;
   const members = ends.map(each => each.member);
@@ -154,7 +159,7 @@
   const {leaseMs, marginMs} = state.settings.tuning.leases;
   const waitMs = leaseMs + marginMs;
   if (inForce(state, 'R8') && now - row.since < waitMs) return false;
-  if (ending.confirmed) return true;
+  if (ending.confirmedBy !== null) return true;
   if (!inForce(state, 'R2')) {
     return row.grantors.some(id => ending.closedBy.has(id));
   }
@@ -192,7 +197,7 @@
 
 function askGrantors(context: Context, ending: Ending): void {
   const {state, at} = context;
-  if (ending.row === null || ending.confirmed) return;
+  if (ending.row === null || ending.confirmedBy !== null) return;
   if (!isNearlyQuiet(state, ending.row, at.monotonic)) return;
   for (const grantor of ending.row.grantors) {
     if (ending.closedBy.has(grantor)) continue;
@@ -236,14 +241,18 @@
 }
 
 function isOver(ending: Ending, now: number): boolean {
-  return !ending.confirmed && now - ending.reportedAt > GIVE_UP_MS;
+  return ending.confirmedBy === null && now - ending.reportedAt > GIVE_UP_MS;
 }
 
-function newEnding(member: MemberId, now: number, confirmed: boolean): Ending {
+function newEnding(
+  member: MemberId,
+  now: number,
+  confirmedBy: string | null,
+): Ending {
   return {
     member,
     begun: now,
-    confirmed,
+    confirmedBy,
     row: null,
     reading: false,
     askAt: now,
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -14,8 +14,8 @@
 export interface Ending {
   readonly member: MemberId;
   readonly begun: number;
-  /** An operator vouches that it stopped; grantors are not asked. */
-  readonly confirmed: boolean;
+  /** The operator who vouches that it stopped; grantors are then not asked. */
+  readonly confirmedBy: string | null;
   row: KnownRow | null;
   reading: boolean;
   /** Monotonic time of the next read or request to close. */
--- a/packages/core/src/ownership/commands.ts
+++ b/packages/core/src/ownership/commands.ts
@@ -10,7 +10,7 @@
 import {describeFaults} from '../faults/logic.js';
 import type {Fault} from '../faults/types.js';
 import {hostOf} from '../ids/logic.js';
-import type {MemberId, ServiceName, ZoneName} from '../ids/types.js';
+import type {ServiceName, ZoneName} from '../ids/types.js';
 import type {Change} from '../log/types.js';
 import type {Command, CommandResult} from '../loop/types.js';
 import {suspectMember} from '../membership/endings.js';
@@ -125,7 +125,7 @@
     case 'stopServer':
       return stopOutcome(state, command.host);
     case 'endMember':
-      return endOutcome(context, command.member);
+      return endOutcome(context, command);
     case 'status':
     case 'progress':
     case 'map':
@@ -186,8 +186,12 @@
 }
 
 /** Ends by way of the endings, which read the member's row first. */
-function endOutcome(context: Context, member: MemberId): Outcome | null {
+function endOutcome(
+  context: Context,
+  command: Extract<Command, {kind: 'endMember'}>,
+): Outcome | null {
   const {state} = context;
+  const {member, by} = command;
   if (state.map.ended.has(member)) {
     return {result: accepted(state, state.map.version)};
   }
@@ -195,7 +199,7 @@
     const detail = `${member} is not another live member`;
     return {result: {kind: 'rejected', detail}};
   }
-  suspectMember(context, member, state.self, true);
+  suspectMember(context, member, state.self, by);
   return null;
 }
 
--- a/packages/emulator/src/soak/operators.spec.ts
+++ b/packages/emulator/src/soak/operators.spec.ts
@@ -179,3 +179,44 @@
   t.is(c.state.map.members.size, 1);
   t.deepEqual(unservedOf(cluster), []);
 });
+
+/** Three members of which each has one of the others as a grantor. */
+function cycleOf(cluster: Cluster): Node[] {
+  const live = cluster.live();
+  for (const first of live) {
+    for (const second of live) {
+      for (const third of live) {
+        const cycle = [first, second, third];
+        const names = cycle.map(node => node.self);
+        const isCycle = cycle.every((node, at) =>
+          node.state.lease.grantors.includes(names[(at + 1) % 3]),
+        );
+        if (isCycle && new Set(names).size === 3) return cycle;
+      }
+    }
+  }
+  return [];
+}
+
+test('a lost cycle of grantors waits for an operator, and for one end only', t => {
+  const cluster = formed(6, 31);
+  const cycle = cycleOf(cluster);
+  t.is(cycle.length, 3);
+  for (const node of cycle) cluster.kill(node);
+  cluster.run(15_000);
+  const [asked] = cluster.live();
+  const {members} = asked.state.map;
+  for (const node of cycle) t.true(members.has(node.self));
+  const member = cycle[0].self;
+  cluster.command(asked, {kind: 'endMember', member, by: 'ann'});
+  cluster.run(10_000);
+  t.is(members.size, 3);
+  t.deepEqual(unservedOf(cluster), []);
+  t.is(cluster.violation, null);
+  const ends = asked.state.recent.flatMap(({entry}) =>
+    entry.change.kind === 'ended' && entry.by === 'ann'
+      ? entry.change.members
+      : [],
+  );
+  t.deepEqual(ends, [member]);
+});
