--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -3,7 +3,7 @@
  * sockets and timers to the loop as events.
  */
 
-import {compileRoutes, reduceDaemon, viewOfDaemon} from '@jackdawfall/core';
+import {compileRoutes, reduceDaemon} from '@jackdawfall/core';
 import type {
   Announcement,
   Command,
@@ -14,6 +14,7 @@
   MemberId,
   Message,
   StoreCall,
+  StoreReply,
   CallId,
 } from '@jackdawfall/core';
 import {Links} from '@jackdawfall/wire';
@@ -62,6 +63,7 @@
   private configuration: Configuration | null = null;
   private announcement: Announcement | null = null;
   private announcedMs = 0;
+  private platformFails = false;
   private tokens = 0;
 
   /** @param parts - Settings, state and the process around the runner. */
@@ -128,9 +130,12 @@
     this.loop.emit({kind: 'stopRequested'});
   }
 
-  /** @returns True once this daemon has joined its workspace. */
-  ready(): boolean {
-    return viewOfDaemon(this.parts.daemon).self !== null;
+  /** @returns Why this daemon has not joined its workspace, or null. */
+  obstacle(): string | null {
+    if (this.parts.daemon.view.self !== null) return null;
+    return this.platformFails
+      ? 'not joined: the platform does not answer'
+      : 'not joined yet';
   }
 
   /**
@@ -230,7 +235,7 @@
       this.receive(to, message);
       return;
     }
-    const view = viewOfDaemon(this.parts.daemon);
+    const {view} = this.parts.daemon;
     this.outbox.send(to, view.addressOf(to), message);
   }
 
@@ -263,16 +268,22 @@
     const reply = await this.platform.call(request, timeoutMs);
     this.parts.metrics.record('store', performance.now() - started);
     this.parts.metrics.count('storeCalls', `${request.kind}-${reply.kind}`);
-    if (reply.kind === 'refused' || reply.kind === 'unknown') {
-      this.parts.logger.log('platformFailed', {
-        call: request.kind,
-        reply: reply.kind,
-        detail: reply.detail,
-      });
-    }
+    this.notePlatform(reply);
     this.loop.emit({kind: 'storeReplied', call, reply});
   }
 
+  private notePlatform(reply: StoreReply): void {
+    const failed = reply.kind === 'refused' || reply.kind === 'unknown';
+    if (failed && !this.platformFails) {
+      const {kind, detail} = reply;
+      this.parts.logger.log('platformFailed', {reply: kind, detail});
+    }
+    if (!failed && this.platformFails) {
+      this.parts.logger.log('platformAnswers', {});
+    }
+    this.platformFails = failed;
+  }
+
   /** @returns Counters, gauges and latencies as text. */
   renderMetrics(): string {
     return this.parts.metrics.render([]);
@@ -282,7 +293,7 @@
   watch(): void {
     this.runs.watch();
     this.watchAnnouncement();
-    const {self} = viewOfDaemon(this.parts.daemon);
+    const {self} = this.parts.daemon.view;
     if (self === null || self === this.self) return;
     this.self = self;
     this.links.setSelf(self);
@@ -301,7 +312,7 @@
   }
 
   private currentConfiguration(): Configuration | null {
-    const {workspace} = viewOfDaemon(this.parts.daemon);
+    const {workspace} = this.parts.daemon.view;
     if (workspace === null) return null;
     if (this.configuration?.workspace !== workspace) {
       this.configuration = {workspace, router: compileRoutes(workspace)};
