Faster endings, promises seen to lapse stay lapsed, benches of ownership

Change: renewals carry the revision of the sender's row; a grantor passes on for how long it has known it, and R2's wait counts from there when the row read still has that revision. Lapsed promises are dropped when seen.

--- a/packages/core/src/leases/grantor.ts
+++ b/packages/core/src/leases/grantor.ts
@@ -7,6 +7,7 @@
 import type {Context, Ownership} from '../ownership/state.js';
 import {currentRanks, currentRing, inForce} from '../ownership/state.js';
 import {standing} from './logic.js';
+import type {RowHint} from '../membership/types.js';
 import {createWard} from './state.js';
 import type {Ward} from './types.js';
 
@@ -94,7 +95,7 @@
  */
 export function reportSilent(
   context: Context,
-  suspectHere: (member: MemberId, reporter: MemberId) => void,
+  suspectHere: (member: MemberId, reporter: MemberId, hint: RowHint) => void,
 ): void {
   const {state, at} = context;
   const now = at.monotonic;
@@ -104,8 +105,9 @@
     ward.suspectAt = now + REPORT_GAP_MS;
     const target = reportTarget(state, id, ward.reports);
     ward.reports += 1;
-    if (target === state.self) suspectHere(id, state.self);
-    else send(context, target, {kind: 'suspect', member: id});
+    const hint = {row: ward.row, quietMs: Math.max(0, now - ward.rowSince)};
+    if (target === state.self) suspectHere(id, state.self, hint);
+    else send(context, target, {kind: 'suspect', member: id, ...hint});
   }
 }
 
@@ -167,6 +169,10 @@
   ward.heard = at.monotonic;
   ward.reports = 0;
   ward.version = message.version;
+  if (message.row > ward.row) {
+    ward.row = message.row;
+    ward.rowSince = at.monotonic;
+  }
   if (state.closed.has(member)) return 'closed';
   if (inForce(state, 'R4') && standing(state, at).source === 'none') {
     return 'no-lease';
--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -9,7 +9,7 @@
 import type {Context, Ownership} from '../ownership/state.js';
 import {currentRing} from '../ownership/state.js';
 import type {Row, StoreReply} from '../store/types.js';
-import {possibleGrantors, standing} from './logic.js';
+import {possibleGrantors, standing, stillHolds} from './logic.js';
 import type {Contact, Lease, MemberRow, RowWrite} from './types.js';
 
 /** Renewal rounds that are remembered. */
@@ -31,6 +31,7 @@
 export function keepLease(context: Context): void {
   const {state, at} = context;
   if (state.lease.revision === 0) return;
+  dropLapsed(state, at);
   noteStanding(context);
   if (state.phase === 'left' || state.phase === 'ending') return;
   if (at.monotonic >= state.lease.renewAt) renew(context);
@@ -145,6 +146,22 @@
   log(context, 'grantorsChanged', {grantors: grantors.join(' ')});
 }
 
+/**
+ * Forgets promises that were seen to lapse: after a freeze in which the
+ * monotonic clock stood still, the wall clock may yet jump back.
+ */
+function dropLapsed(state: Ownership, at: Instant): void {
+  const {lease} = state;
+  const {leaseMs} = state.settings.tuning.leases;
+  for (const [grantor, sent] of lease.promises) {
+    if (!stillHolds(sent, at, leaseMs)) lease.promises.delete(grantor);
+  }
+  const {touched} = lease;
+  if (touched !== null && !stillHolds(touched, at, leaseMs)) {
+    lease.touched = null;
+  }
+}
+
 function noteStanding(context: Context): void {
   const {state, at} = context;
   const {source} = standing(state, at);
@@ -168,6 +185,7 @@
       kind: 'renew',
       member: state.self,
       round,
+      row: lease.revision,
       version: map.version,
       configuration: map.configuration?.number ?? 0,
     });
--- a/packages/core/src/leases/state.ts
+++ b/packages/core/src/leases/state.ts
@@ -42,5 +42,7 @@
     behindSince: null,
     version: 0,
     configuration: 0,
+    row: 0,
+    rowSince: now,
   };
 }
--- a/packages/core/src/leases/types.ts
+++ b/packages/core/src/leases/types.ts
@@ -81,4 +81,8 @@
   behindSince: number | null;
   version: number;
   configuration: number;
+  /** Revision of its row as it was last told; 0 for none. */
+  row: number;
+  /** Monotonic time at which this revision was first told. */
+  rowSince: number;
 }
--- a/packages/core/src/membership/endings.ts
+++ b/packages/core/src/membership/endings.ts
@@ -8,7 +8,7 @@
 import type {Context, Ownership, Wanted} from '../ownership/state.js';
 import {inForce} from '../ownership/state.js';
 import type {Row, StoreReply} from '../store/types.js';
-import type {Ending, KnownRow} from './types.js';
+import type {Ending, KnownRow, RowHint} from './types.js';
 
 /** Time between two requests to close, and between two reads of a row. */
 const ASK_GAP_MS = 100;
@@ -27,12 +27,14 @@
  * @param context - The step.
  * @param member - The silent member.
  * @param reporter - Who reported it.
+ * @param hint - What the reporter was told of the member's row.
  * @param confirmedBy - The operator who vouches that it has stopped, or null.
  */
 export function suspectMember(
   context: Context,
   member: MemberId,
   reporter: MemberId,
+  hint: RowHint,
   confirmedBy: string | null = null,
 ): void {
   const {state, at} = context;
@@ -44,6 +46,7 @@
   }
   ending.reporters.add(reporter);
   ending.reportedAt = at.monotonic;
+  takeHint(ending, hint, at.monotonic);
 }
 
 /**
@@ -180,9 +183,21 @@
   return now - seen >= waitMs;
 }
 
+/** The grantor's knowledge of a row counts from when it was told. */
+function takeHint(ending: Ending, hint: RowHint, now: number): void {
+  if (hint.row === 0) return;
+  const since = now - hint.quietMs;
+  const known = ending.told.get(hint.row) ?? since;
+  ending.told.set(hint.row, Math.min(known, since));
+  const {row} = ending;
+  if (row === null || row.revision !== hint.row) return;
+  ending.row = {...row, since: Math.min(row.since, since)};
+}
+
 function learnRow(ending: Ending, row: Row, now: number): void {
   const {grantors} = JSON.parse(row.value) as MemberRow;
-  ending.row = {revision: row.revision, grantors, since: now};
+  const since = ending.told.get(row.revision) ?? now;
+  ending.row = {revision: row.revision, grantors, since};
   ending.askAt = now;
 }
 
@@ -254,6 +269,7 @@
     begun: now,
     confirmedBy,
     row: null,
+    told: new Map(),
     reading: false,
     askAt: now,
     closedBy: new Set(),
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -10,6 +10,14 @@
   readonly since: number;
 }
 
+/** What a member's grantor was told of its row. */
+export interface RowHint {
+  /** Revision, or 0 when nothing was told. */
+  readonly row: number;
+  /** Time for which the grantor has known it, in milliseconds. */
+  readonly quietMs: number;
+}
+
 /** An attempt to end one member. */
 export interface Ending {
   readonly member: MemberId;
@@ -17,6 +25,8 @@
   /** The operator who vouches that it stopped; grantors are then not asked. */
   readonly confirmedBy: string | null;
   row: KnownRow | null;
+  /** Revisions that grantors were told, with the earliest time. */
+  readonly told: Map<number, number>;
   reading: boolean;
   /** Monotonic time of the next read or request to close. */
   askAt: number;
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -126,6 +126,8 @@
       readonly kind: 'renew';
       readonly member: MemberId;
       readonly round: number;
+      /** Revision of the sender's row. */
+      readonly row: number;
       readonly version: Version;
       readonly configuration: number;
     }
@@ -147,7 +149,14 @@
       readonly closed: boolean;
     }
   /** The sender has not heard this member; please end it (R2). */
-  | {readonly kind: 'suspect'; readonly member: MemberId}
+  | {
+      readonly kind: 'suspect';
+      readonly member: MemberId;
+      /** Revision of its row as it was last told, or 0. */
+      readonly row: number;
+      /** Time for which the sender has known this, in milliseconds. */
+      readonly quietMs: number;
+    }
   /** The member is alive: another member grants its lease. */
   | {readonly kind: 'cleared'; readonly member: MemberId}
   /** Answered by `entries`, also when there are none. */
--- a/packages/core/src/ownership/commands.ts
+++ b/packages/core/src/ownership/commands.ts
@@ -199,7 +199,7 @@
     const detail = `${member} is not another live member`;
     return {result: {kind: 'rejected', detail}};
   }
-  suspectMember(context, member, state.self, by);
+  suspectMember(context, member, state.self, {row: 0, quietMs: 0}, by);
   return null;
 }
 
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -156,7 +156,7 @@
       return;
     case 'suspect':
       if (state.phase !== 'joining') {
-        suspectMember(context, message.member, from);
+        suspectMember(context, message.member, from, message);
       }
       return;
     case 'cleared':
--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -52,8 +52,8 @@
     watchRing(context);
   }
   if (state.phase !== 'joining') {
-    reportSilent(context, (member, reporter) =>
-      suspectMember(context, member, reporter),
+    reportSilent(context, (member, reporter, hint) =>
+      suspectMember(context, member, reporter, hint),
     );
     pursueEndings(context);
     trackDrains(context);
--- a/packages/emulator/src/bench/definitions.ts
+++ b/packages/emulator/src/bench/definitions.ts
@@ -1,6 +1,10 @@
 /** @fileoverview Every bench, in the order in which they run. */
 
 import {disseminationBench} from '../dissemination/definition.js';
+import {balanceBench} from '../soak/benches/balance.js';
+import {churnBench} from '../soak/benches/churn.js';
+import {controlBench} from '../soak/benches/control.js';
+import {failoverBench} from '../soak/benches/failover.js';
 import {linksBench} from './links/definition.js';
 import {pathBench} from './path/definition.js';
 import type {Bench} from './types.js';
@@ -10,4 +14,8 @@
   linksBench,
   pathBench,
   disseminationBench,
+  failoverBench,
+  churnBench,
+  balanceBench,
+  controlBench,
 ];
--- a/packages/emulator/src/bench/links/worker.ts
+++ b/packages/emulator/src/bench/links/worker.ts
@@ -117,6 +117,7 @@
     kind: 'renew',
     member: 'host-0123.a.example#0123456789abcdef' as MemberId,
     round: 123_456,
+    row: 1_234_567,
     version: 98_765 as Version,
     configuration: 4321,
   });
--- /dev/null
+++ b/packages/emulator/src/soak/benches/control.ts
@@ -0,0 +1,49 @@
+/** @fileoverview The control bench: what ownership costs in a quiet cluster. */
+
+import type {Bench, Figure, Figures} from '../../bench/types.js';
+import {formCluster} from './shared.js';
+
+const HOSTS = [4, 8, 16, 32, 64];
+const SLICES_PER_HOST = 24;
+const QUIET_MS = 60_000;
+
+/** Store calls, bytes and processor time of daemons that only hold leases. */
+export const controlBench: Bench = {
+  name: 'control',
+  text: 'store calls, bytes and CPU a second for each daemon, by size',
+  run: signal => {
+    const sizes: Figure[] = [];
+    for (const hosts of HOSTS) {
+      if (signal.aborted) break;
+      sizes.push(measure(hosts));
+    }
+    return Promise.resolve({sizes});
+  },
+};
+
+function measure(hosts: number): Figures {
+  const slices = hosts * SLICES_PER_HOST;
+  const cluster = formCluster({hosts, slices, seed: hosts});
+  cluster.run(QUIET_MS / 2);
+  const {table, traffic} = cluster;
+  const before = {
+    reads: table.reads,
+    writes: table.writes,
+    bytes: traffic.bytes,
+    messages: traffic.messages,
+    reduceMs: cluster.reduceMs(),
+  };
+  cluster.run(QUIET_MS);
+  const seconds = QUIET_MS / 1000;
+  const each = (amount: number): number =>
+    Number((amount / seconds / hosts).toFixed(4));
+  return {
+    daemons: hosts,
+    slices,
+    storeReadsPerSecond: (table.reads - before.reads) / seconds,
+    storeWritesPerSecond: (table.writes - before.writes) / seconds,
+    messagesPerDaemonSecond: each(traffic.messages - before.messages),
+    payloadBytesPerDaemonSecond: each(traffic.bytes - before.bytes),
+    reducerCpuShareOfCore: each((cluster.reduceMs() - before.reduceMs) / 1000),
+  };
+}
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -53,6 +53,10 @@
   readonly slices: number;
   readonly rulesOff: ReadonlySet<Rule>;
   readonly tuning?: Tuning;
+  /** Size of a message on the wire, in bytes; not counted when absent. */
+  readonly sizeOf?: (message: Message) => number;
+  /** Whether owners are compared after every event; true when absent. */
+  readonly checked?: boolean;
 }
 
 /** Counts of what went over links. */
@@ -237,6 +241,16 @@
     else this.agenda.add(this.now + LAPSE_MS, () => this.lapse(node));
   }
 
+  /**
+   * Gives a process one message as if a peer had sent it.
+   *
+   * @param node - The process.
+   * @param message - The message.
+   */
+  receive(node: Node, message: Message): void {
+    this.deliver(node, {kind: 'received', from: node.self, message});
+  }
+
   /** Ends every fault that lasts. */
   heal(): void {
     this.cuts.clear();
@@ -284,6 +298,15 @@
     return this.hash.copy().digest('hex');
   }
 
+  /**
+   * Sums the real time that all reducers took.
+   *
+   * @returns Time, in milliseconds.
+   */
+  reduceMs(): number {
+    return this.nodes.reduce((total, node) => total + node.reduceMs, 0);
+  }
+
   /**
    * Draws a random number.
    *
@@ -325,7 +348,9 @@
     const left = permission.until.monotonic - at.monotonic;
     const wanted = this.uniform() * MOST_WORK_MS;
     const endsAt = this.now + Math.max(0, Math.min(wanted, left));
-    this.checks.noteWork(this.now, node, slice, this.nodes);
+    if (this.settings.checked !== false) {
+      this.checks.noteWork(this.now, node, slice, this.nodes);
+    }
     node.begin(this.now, {service: SERVICE, slice, endsAt});
   }
 
@@ -333,7 +358,7 @@
     if (!node.alive) return;
     const effects = node.handle(this.now, event, this.uniform());
     for (const effect of effects) this.carryOut(node, effect);
-    if (event.kind !== 'announced') {
+    if (event.kind !== 'announced' && this.settings.checked !== false) {
       this.checks.look(this.now, this.nodes, node, effects.length > 0);
     }
   }
@@ -379,7 +404,7 @@
 
   private send(node: Node, to: MemberId, message: Message): void {
     this.traffic.messages += 1;
-    this.traffic.bytes += sizeOf(message);
+    this.traffic.bytes += this.settings.sizeOf?.(message) ?? 0;
     const host = Number(hostOf(to).slice(1));
     const from = node.self;
     const path = `${node.host}>${host}`;
@@ -475,7 +500,3 @@
     return this.checks.violation;
   }
 }
-
-function sizeOf(message: Message): number {
-  return JSON.stringify(message).length;
-}
--- a/packages/emulator/src/soak/node.ts
+++ b/packages/emulator/src/soak/node.ts
@@ -33,6 +33,8 @@
   instance = 1;
   /** Global time of the newest run on the backend server. */
   lastWorkAt = 0;
+  /** Real time spent in the reducer, in milliseconds. */
+  reduceMs = 0;
   private work: Work[] = [];
   private waiting: Event[] = [];
   private clockAt = 0;
@@ -119,11 +121,12 @@
       if (event.kind !== 'ticked') this.waiting.push(event);
       return [];
     }
-    return OWNERSHIP.reduce(
-      this.state,
-      {at: this.instant(now), random, event},
-      {work: this.workView(now)},
-    );
+    const input = {at: this.instant(now), random, event};
+    const peers = {work: this.workView(now)};
+    const begun = performance.now();
+    const effects = OWNERSHIP.reduce(this.state, input, peers);
+    this.reduceMs += performance.now() - begun;
+    return effects;
   }
 
   /**
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -145,6 +145,7 @@
     fields: {
       member: 'string',
       round: LOGICAL.count,
+      row: LOGICAL.count,
       version: LOGICAL.count,
       configuration: LOGICAL.count,
     },
@@ -178,7 +179,10 @@
       total: 'double',
     },
   },
-  suspect: {code: 18, fields: {member: 'string'}},
+  suspect: {
+    code: 18,
+    fields: {member: 'string', row: LOGICAL.count, quietMs: 'double'},
+  },
   cleared: {code: 19, fields: {member: 'string'}},
 };
 
