--- a/packages/core/src/membership/endings.ts
+++ b/packages/core/src/membership/endings.ts
@@ -12,6 +12,11 @@
 
 /** Time between two requests to close, and between two reads of a row. */
 const ASK_GAP_MS = 100;
+/** The same for a member that has resisted for long. */
+const SLOW_ASK_GAP_MS = 1000;
+/** Bounds of the time between two reads of a row. */
+const LEAST_REREAD_MS = 1500;
+const MOST_REREAD_MS = 30_000;
 /** Time before a row has been quiet for long at which closing begins. */
 const CLOSE_AHEAD_MS = 300;
 /** Time without a new report after which an ending is given up. */
@@ -63,9 +68,10 @@
       continue;
     }
     if (now < ending.askAt) continue;
-    ending.askAt = now + ASK_GAP_MS;
-    if (ending.row === null) readRow(context, ending);
-    else askGrantors(context, ending);
+    const age = now - ending.begun;
+    ending.askAt = now + (age > CLEAR_MS ? SLOW_ASK_GAP_MS : ASK_GAP_MS);
+    if (ending.row === null || now >= ending.readAt) readRow(context, ending);
+    if (ending.row !== null) askGrantors(context, ending);
     if (now - ending.begun > CLEAR_MS) clearReporters(context, ending);
   }
 }
@@ -230,7 +236,9 @@
 
 function readRow(context: Context, ending: Ending): void {
   if (ending.reading) return;
+  const now = context.at.monotonic;
   ending.reading = true;
+  ending.readAt = now + rereadMs(now - ending.begun);
   const {member} = ending;
   const key = context.state.keys.member(member);
   callStore(
@@ -240,6 +248,11 @@
   );
 }
 
+/** A member that can't be ended for long is looked at less often. */
+function rereadMs(ageMs: number): number {
+  return Math.min(MOST_REREAD_MS, Math.max(LEAST_REREAD_MS, ageMs / 2));
+}
+
 function clearReporters(context: Context, ending: Ending): void {
   const {state} = context;
   const now = context.at.monotonic;
@@ -271,6 +284,7 @@
     row: null,
     told: new Map(),
     reading: false,
+    readAt: now,
     askAt: now,
     closedBy: new Set(),
     reporters: new Set(),
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -28,6 +28,8 @@
   /** Revisions that grantors were told, with the earliest time. */
   readonly told: Map<number, number>;
   reading: boolean;
+  /** Monotonic time of the next read of the row. */
+  readAt: number;
   /** Monotonic time of the next read or request to close. */
   askAt: number;
   /** Grantors that have closed it. */
