--- a/packages/core/src/routing/definition.spec.ts
+++ b/packages/core/src/routing/definition.spec.ts
@@ -381,6 +381,23 @@
   t.deepEqual(gist(origin.head(32, winner)), ['relay', 'cancel']);
 });
 
+test('events while a retry is due soon ask for one wake, not one each', t => {
+  const origin = new Origin();
+  const wakesOf = (effects: Effect[]) =>
+    effects.filter(({kind}) => kind === 'wake').length;
+  for (const request of ['r1', 'r2']) {
+    origin.take({idempotent: true, request: request as never});
+    origin.failed(origin.state.sequence);
+    origin.now += 0.3;
+  }
+  origin.now = origin.state.wakeAt;
+  let wakes = wakesOf(origin.feed({kind: 'woken'}));
+  for (let i = 0; i < 20; i++) {
+    wakes += wakesOf(origin.feed({kind: 'linkOpened', peer: OTHER}));
+  }
+  t.is(wakes, 1);
+});
+
 test('the number of requests held is bounded', t => {
   const origin = new Origin();
   const {maxRequests} = DEFAULTS.routing;
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -102,8 +102,8 @@
  */
 export function wakeForTimers(turn: Turn): void {
   const {state, now, effects} = turn;
-  const at = state.timers.next;
+  const at = Math.max(state.timers.next, now + LEAST_WAKE_MS);
   if (at >= state.wakeAt) return;
-  state.wakeAt = Math.max(at, now + LEAST_WAKE_MS);
+  state.wakeAt = at;
   effects.push({kind: 'wake', afterMs: state.wakeAt - now});
 }
--- a/packages/emulator/src/requests/load.ts
+++ b/packages/emulator/src/requests/load.ts
@@ -33,14 +33,18 @@
   slowness(server: number, now: number): number;
 }
 
+/** What came of one request. */
+export interface Sample {
+  readonly at: number;
+  readonly latencyMs: number;
+  readonly answered: boolean;
+  /** Time of its run on a server, in milliseconds; 0 without one. */
+  readonly runMs: number;
+}
+
 /** What came of a run. */
 export interface Result {
-  /** When each request was sent, its latency, and whether it was answered. */
-  readonly samples: ReadonlyArray<{
-    readonly at: number;
-    readonly latencyMs: number;
-    readonly answered: boolean;
-  }>;
+  readonly samples: readonly Sample[];
   /** Runs on servers, and runs at the same time on one server. */
   readonly runs: number;
   readonly mostRunning: number;
@@ -125,10 +129,11 @@
 }
 
 function resultOf(cluster: Cluster): Result {
-  const samples = [...cluster.calls.values()].map(({at, told}) => ({
+  const samples = [...cluster.calls.values()].map(({taken, at, told}) => ({
     at,
     latencyMs: (told[0]?.at ?? Infinity) - at,
     answered: told[0]?.failure === null,
+    runMs: runMsOf(cluster, taken.request),
   }));
   let runs = 0;
   let mostRunning = 0;
@@ -138,3 +143,8 @@
   }
   return {samples, runs, mostRunning};
 }
+
+function runMsOf({servers}: Cluster, request: RequestId): number {
+  const times = servers.map(({runMs}) => runMs.get(request) ?? 0);
+  return Math.max(...times);
+}
--- a/packages/emulator/src/requests/server.ts
+++ b/packages/emulator/src/requests/server.ts
@@ -15,11 +15,11 @@
 /** A backend server; `ran` counts the runs of each request. */
 export class Server {
   readonly ran = new Map<RequestId, number>();
+  /** Time of the latest run of each request, in milliseconds. */
+  readonly runMs = new Map<RequestId, number>();
   running = 0;
   mostRunning = 0;
   refused = 0;
-  /** Sum of the time spent on runs, in milliseconds. */
-  busyMs = 0;
   /** True while it accepts connections and never answers. */
   silent = false;
 
@@ -53,7 +53,7 @@
       if (isOver) return;
       isOver = true;
       this.running -= 1;
-      this.busyMs += this.schedule.now - began;
+      this.runMs.set(request, this.schedule.now - began);
     };
     const finish = () => {
       if (isOver) return;
--- a/packages/emulator/src/requests/tail.ts
+++ b/packages/emulator/src/requests/tail.ts
@@ -8,7 +8,7 @@
 
 import type {Baseline} from './baselines.js';
 import {BaselineServers} from './baselines.js';
-import type {Load} from './load.js';
+import type {Load, Sample} from './load.js';
 import {
   LINK_DELAY_MS,
   SLOTS,
@@ -17,6 +17,7 @@
   drawServiceMs,
   runLoad,
 } from './load.js';
+import {percentile} from './overload.js';
 import {Schedule} from './schedule.js';
 
 const SERVERS = 4;
@@ -39,12 +40,6 @@
   readonly extraWork: number;
 }
 
-interface Sample {
-  readonly at: number;
-  readonly latencyMs: number;
-  readonly answered: boolean;
-}
-
 /**
  * Measures every policy, with and without the slow server.
  *
@@ -117,7 +112,7 @@
     servers.call(() => {
       const latencyMs = schedule.now - at + 2 * LINK_DELAY_MS;
       const isInTime = latencyMs <= TIMEOUT_MS;
-      samples.push({at, latencyMs, answered: isInTime});
+      samples.push({at, latencyMs, answered: isInTime, runMs: 0});
     });
   });
   schedule.run(DURATION_MS * 100);
@@ -134,19 +129,15 @@
   const until = SLOW_FROM_MS + SLOW_MS;
   const during = samples.filter(({at}) => at >= SLOW_FROM_MS && at < until);
   const unanswered = during.filter(sample => !sample.answered).length;
-  const latencies = during
-    .map(({latencyMs, answered}) => (answered ? latencyMs : TIMEOUT_MS))
-    .sort((a, b) => a - b);
-  const at = (share: number) =>
-    latencies[
-      Math.min(latencies.length - 1, Math.floor(latencies.length * share))
-    ];
+  const latencies = during.map(({latencyMs, answered}) =>
+    answered ? latencyMs : TIMEOUT_MS,
+  );
   return {
     requests: during.length,
     unanswered,
-    p50Ms: at(0.5),
-    p99Ms: at(0.99),
-    p999Ms: at(0.999),
+    p50Ms: percentile(latencies, 0.5),
+    p99Ms: percentile(latencies, 0.99),
+    p999Ms: percentile(latencies, 0.999),
     extraWork,
   };
 }
