Admission: refuse at once what would wait in vain; keyed work told when busy

Cause: requests waited 10 ms in vain, backed off and waited again. A refusal now comes before the wait, a busy owner is not asked again, and once every server was busy the caller is told. Two tests changed: one named 10 ms in place of the setting; the bound on places is now tested apart from the new bound on the expected wait.

--- a/packages/core/src/admission/logic.spec.ts
+++ b/packages/core/src/admission/logic.spec.ts
@@ -167,13 +167,26 @@
   offer(gate, 'a' as AttemptId, 'interactive', 0, 1000);
   offer(gate, 'b' as AttemptId, 'interactive', 5, 1000);
   offer(gate, 'c' as AttemptId, 'interactive', 5, 7);
-  t.deepEqual(takeExpired(gate, 9), ['c']);
+  t.deepEqual(takeExpired(gate, POLICY.queueMs - 1), ['c']);
   t.deepEqual(takeExpired(gate, POLICY.queueMs), ['a']);
 });
 
-test('the queue has room for a bounded number', t => {
+test('what would wait in vain is refused at once', t => {
   const gate = warmGate();
   for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
+  let waiting = 0;
+  while (offer(gate, 'a' as AttemptId, 'interactive', 0, 1000) === 'wait') {
+    waiting += 1;
+  }
+  const servedInTime = (POLICY.queueMs / 6) * SLOTS;
+  t.true(waiting >= Math.floor(servedInTime));
+  t.true(waiting <= Math.ceil(servedInTime) + 1);
+});
+
+test('the queue has room for a bounded number, however fast runs end', t => {
+  const gate = warmGate();
+  gate.meanMs = 0.01;
+  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
   const room = SLOTS * POLICY.queueFactor;
   for (let i = 0; i < room; i++) {
     t.is(offer(gate, `${i}` as AttemptId, 'interactive', 0, 1000), 'wait');
--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -22,6 +22,8 @@
 const MIN_WINDOW = 16;
 /** Weight of a sample that is above the baseline. */
 const BASELINE_RISE = 0.01;
+/** Weight of a sample in the mean. */
+const MEAN_WEIGHT = 0.05;
 /** Weight of a sample that is below the baseline. */
 const BASELINE_FALL = 0.02;
 
@@ -45,6 +47,7 @@
     relapsedAt: -Infinity,
     ratioSum: 0,
     ratios: 0,
+    meanMs: 0,
     baselines: new Map(),
     queues: {interactive: [], deferrable: []},
   };
@@ -103,7 +106,9 @@
   const queue = gate.queues[priority];
   if (queue.length === 0 && hasSlot(gate, priority)) return 'start';
   if (queue.length >= gate.ceiling * gate.policy.queueFactor) return 'refuse';
-  const until = Math.min(deadline, now + queueTimeMs(gate, priority));
+  const queueMs = queueTimeMs(gate, priority);
+  if (expectedWaitMs(gate, priority) > queueMs) return 'refuse';
+  const until = Math.min(deadline, now + queueMs);
   queue.push({attempt, since: now, until});
   return 'wait';
 }
@@ -231,7 +236,10 @@
   const busy = gate.running * 2 >= gate.limit;
   release(gate, run.priority);
   if (run.startedAt < gate.relapsedAt) return null;
-  learn(gate, run.label, now - run.startedAt);
+  const latencyMs = now - run.startedAt;
+  const weight = gate.meanMs === 0 ? 1 : MEAN_WEIGHT;
+  gate.meanMs += (latencyMs - gate.meanMs) * weight;
+  learn(gate, run.label, latencyMs);
   if (busy) gate.completions += 1;
   const window = Math.max(MIN_WINDOW, gate.limit);
   if (gate.ratios < window) return null;
@@ -316,6 +324,13 @@
   return gate.runningDeferrable < Math.max(1, share);
 }
 
+/** What would wait in vain is refused at once, so that others may take it. */
+function expectedWaitMs(gate: Admission, priority: Priority): number {
+  if (gate.limit === 0) return 0;
+  const ahead = gate.queues[priority].length;
+  return (ahead * gate.meanMs) / gate.limit;
+}
+
 function queueTimeMs(gate: Admission, priority: Priority): number {
   const {policy} = gate;
   if (priority === 'deferrable') return policy.deferrableQueueMs;
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -47,6 +47,8 @@
   /** Sum of latency ratios in the current window, and their number. */
   ratioSum: number;
   ratios: number;
+  /** Mean time of a run; 0 before the first. */
+  meanMs: number;
   readonly baselines: Map<string, Baseline>;
   readonly queues: Record<Priority, Waiting[]>;
 }
--- a/packages/core/src/routing/faults.ts
+++ b/packages/core/src/routing/faults.ts
@@ -99,7 +99,7 @@
   state.retries += 1;
   const fields = {request, error: failed.kind};
   effects.push({kind: 'log', event: 'requestRetried', fields});
-  if (slice === null) retryElsewhere(turn, pending, from);
+  if (slice === null) retryElsewhere(turn, pending, failed, from);
   else if (pending.hint !== null) place(turn, pending);
   else retryLater(turn, pending);
 }
@@ -114,8 +114,9 @@
       return pending.mayHaveRun ? 'retry' : 'redirect';
     case 'server-lost':
     case 'server-refused':
-    case 'overloaded':
       return 'retry';
+    case 'overloaded':
+      return pending.taken.slice === null ? 'retry' : 'tell';
     case 'bad-request':
     case 'unknown-service':
     case 'key-missing':
@@ -139,8 +140,16 @@
   return true;
 }
 
-/** When every server has refused, all are open again after a wait. */
-function retryElsewhere(turn: Turn, pending: Pending, from: MemberId): void {
+/**
+ * When no server is left, all are open again after a wait; but if the last one
+ * was busy, more attempts would only add to the load.
+ */
+function retryElsewhere(
+  turn: Turn,
+  pending: Pending,
+  failed: Failure,
+  from: MemberId,
+): void {
   const {ownership} = turn;
   pending.avoid.push(from);
   const servers = ownership.serversOf(pending.taken.service);
@@ -150,7 +159,8 @@
     return;
   }
   pending.avoid = [];
-  retryLater(turn, pending);
+  if (failed.kind === 'overloaded') tell(turn, pending, failed);
+  else retryLater(turn, pending);
 }
 
 function retryLater(turn: Turn, pending: Pending): void {
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -87,7 +87,7 @@
     /** Factor on the limit when latency is above `slowRatio`. */
     decrease: 0.8,
     /** Longest wait in the queue of interactive work. */
-    queueMs: 10,
+    queueMs: 8,
     /** The same while the limit still grows after a start. */
     rampQueueMs: 250,
     /** Longest wait in the queue of deferrable work. */
