--- /dev/null
+++ b/packages/core/src/daemon/logic.ts
@@ -0,0 +1,25 @@
+/**
+ * @fileoverview The one reducer of a daemon: every input goes to each subject
+ * in a fixed order.
+ */
+
+import {EXECUTION} from '../execution/definition.js';
+import type {Effect, Input} from '../loop/types.js';
+import {OWNERSHIP} from '../ownership/definition.js';
+import {ROUTING} from '../routing/definition.js';
+import type {Daemon} from './types.js';
+
+/**
+ * Handles one input.
+ *
+ * @param daemon - The daemon's state; updated in place.
+ * @param input - Event, moment and randomness.
+ * @returns Effects for the runner, in order.
+ */
+export function reduceDaemon(daemon: Daemon, input: Input): Effect[] {
+  const {ownership, execution, routing, view, work} = daemon;
+  const effects = OWNERSHIP.reduce(ownership, input, {work});
+  effects.push(...EXECUTION.reduce(execution, input, {ownership: view}));
+  effects.push(...ROUTING.reduce(routing, input, {ownership: view}));
+  return effects;
+}
--- /dev/null
+++ b/packages/core/src/daemon/state.ts
@@ -0,0 +1,26 @@
+/** @fileoverview The state of a daemon at its start. */
+
+import {createExecution, workOf} from '../execution/state.js';
+import {createOwnership} from '../ownership/state.js';
+import type {OwnershipSettings} from '../ownership/state.js';
+import {viewOf} from '../ownership/view.js';
+import {createRouting} from '../routing/state.js';
+import type {Daemon} from './types.js';
+
+/**
+ * Makes the state of a daemon that has not joined yet.
+ *
+ * @param settings - Who the daemon is, and its tuning.
+ * @returns The state; the reducer updates it in place.
+ */
+export function createDaemon(settings: OwnershipSettings): Daemon {
+  const ownership = createOwnership(settings);
+  const execution = createExecution(settings.tuning);
+  return {
+    ownership,
+    execution,
+    routing: createRouting(settings.tuning),
+    view: viewOf(ownership),
+    work: workOf(execution),
+  };
+}
--- /dev/null
+++ b/packages/core/src/ownership/commands.ts
@@ -0,0 +1,239 @@
+/** @fileoverview Operators' commands. */
+
+import {beginAudit} from '../commands/audit.js';
+import {
+  renderAccepted,
+  renderMap,
+  renderProgress,
+  renderStatus,
+} from '../commands/view.js';
+import {describeFaults} from '../faults/logic.js';
+import type {Fault} from '../faults/types.js';
+import {hostOf} from '../ids/logic.js';
+import type {ServiceName, ZoneName} from '../ids/types.js';
+import type {Change} from '../log/types.js';
+import type {Command, CommandResult} from '../loop/types.js';
+import {suspectMember} from '../membership/endings.js';
+import {checkChange} from '../workspace/logic.js';
+import {parseWorkspace} from '../workspace/schema.js';
+import {reply} from './effects.js';
+import type {Context, Ownership, PendingCommand, Wanted} from './state.js';
+
+/**
+ * Takes a command.
+ *
+ * @param context - The step.
+ * @param command - The command.
+ * @param token - Names the answer.
+ */
+export function takeCommand(
+  context: Context,
+  command: Command,
+  token: number,
+): void {
+  const {state} = context;
+  switch (command.kind) {
+    case 'status':
+      reply(context, token, ok(renderStatus(state, context.at)));
+      return;
+    case 'progress':
+      reply(context, token, ok(renderProgress(state)));
+      return;
+    case 'map':
+      reply(context, token, mapResult(state, command.service));
+      return;
+    case 'audit':
+      beginAudit(context, command.limit, token);
+      return;
+    case 'apply':
+    case 'zone':
+    case 'stopServer':
+    case 'endMember':
+      queueCommand(context, command, token);
+      return;
+  }
+}
+
+/**
+ * Finds the next change that an operator asked for; answers commands that
+ * can't be carried out.
+ *
+ * @param context - The step.
+ * @returns The change, or null.
+ */
+export function wantedByOperators(context: Context): Wanted | null {
+  const {state} = context;
+  for (const pending of [...state.commands]) {
+    if (pending.writeId !== null) continue;
+    const outcome = changeOf(context, pending.command);
+    if (outcome === null) continue;
+    if ('result' in outcome) {
+      finish(context, pending, outcome.result);
+      continue;
+    }
+    const by = operatorOf(pending.command);
+    return {change: outcome.change, by, command: pending};
+  }
+  return null;
+}
+
+/**
+ * Answers the command whose entry was applied.
+ *
+ * @param context - The step.
+ * @param writeId - Write id of the entry.
+ * @param version - Its version.
+ */
+export function noteCommandDone(
+  context: Context,
+  writeId: string,
+  version: number,
+): void {
+  const pending = context.state.commands.find(each => each.writeId === writeId);
+  if (pending === undefined) return;
+  finish(context, pending, accepted(context.state, version));
+}
+
+/**
+ * Lets commands be tried anew whose entry lost its version to another, and
+ * ends those that took too long.
+ *
+ * @param context - The step.
+ */
+export function reviewCommands(context: Context): void {
+  const {state, at} = context;
+  const current = state.journal.append?.entry.writeId ?? null;
+  for (const pending of [...state.commands]) {
+    const written = pending.writeId;
+    if (written !== null && written !== current) pending.writeId = null;
+    if (at.monotonic < pending.expiresAt) continue;
+    const open = pending.writeId !== null && state.journal.append?.unresolved;
+    const detail = 'the platform did not answer in time';
+    finish(context, pending, {kind: open ? 'unknown' : 'unavailable', detail});
+  }
+}
+
+type Outcome = {readonly change: Change} | {readonly result: CommandResult};
+
+function changeOf(context: Context, command: Command): Outcome | null {
+  const {state} = context;
+  switch (command.kind) {
+    case 'apply':
+      return applyOutcome(state, command);
+    case 'zone':
+      return zoneOutcome(state, command.zone as ZoneName, command.out);
+    case 'stopServer':
+      return stopOutcome(state, command.host);
+    case 'endMember':
+      return endOutcome(context, command);
+    case 'status':
+    case 'progress':
+    case 'map':
+    case 'audit':
+      return null;
+  }
+}
+
+function applyOutcome(
+  state: Ownership,
+  command: Extract<Command, {kind: 'apply'}>,
+): Outcome {
+  const current = state.map.configuration?.number ?? 0;
+  if (command.basedOn !== current) {
+    const detail = `based on version ${command.basedOn}, current is ${current}`;
+    return {result: {kind: 'conflict', detail}};
+  }
+  const parsed = parseWorkspace(command.document);
+  if (parsed.kind === 'invalid') return rejected(parsed.faults);
+  const before = state.map.configuration?.workspace;
+  const faults = before ? checkChange(before, parsed.workspace) : [];
+  if (faults.length > 0) return rejected(faults);
+  const number = current + 1;
+  const document = JSON.stringify({...parsed.workspace, version: number});
+  return {change: {kind: 'configured', number, document}};
+}
+
+function rejected(faults: readonly Fault[]): Outcome {
+  const detail = `the document is not valid:\n${describeFaults(faults)}`;
+  return {result: {kind: 'rejected', detail}};
+}
+
+function zoneOutcome(state: Ownership, zone: ZoneName, out: boolean): Outcome {
+  const zones = state.map.configuration?.workspace.zones ?? [];
+  if (!zones.includes(zone)) {
+    const detail = `no availability zone ${zone}`;
+    return {result: {kind: 'rejected', detail}};
+  }
+  if (state.map.zonesOut.has(zone) === out) {
+    return {result: accepted(state, state.map.version)};
+  }
+  return {change: {kind: 'zone', zone, out}};
+}
+
+function stopOutcome(state: Ownership, host: string): Outcome {
+  // The newest: an older incarnation on the host is on its way out.
+  const member = [...state.map.members.values()]
+    .reverse()
+    .find(each => hostOf(each.id) === host);
+  if (member === undefined) {
+    const detail = `no live member on host ${host}`;
+    return {result: {kind: 'rejected', detail}};
+  }
+  if (member.draining) {
+    return {result: accepted(state, state.map.version)};
+  }
+  return {change: {kind: 'draining', member: member.id}};
+}
+
+/** Ends by way of the endings, which read the member's row first. */
+function endOutcome(
+  context: Context,
+  command: Extract<Command, {kind: 'endMember'}>,
+): Outcome | null {
+  const {state} = context;
+  const {member, by} = command;
+  if (state.map.ended.has(member)) {
+    return {result: accepted(state, state.map.version)};
+  }
+  if (!state.map.members.has(member) || member === state.self) {
+    const detail = `${member} is not another live member`;
+    return {result: {kind: 'rejected', detail}};
+  }
+  suspectMember(context, member, state.self, by);
+  return null;
+}
+
+function queueCommand(context: Context, command: Command, token: number): void {
+  const {state, at} = context;
+  const expiresAt = at.monotonic + state.settings.tuning.log.commandMs;
+  state.commands.push({command, token, expiresAt, writeId: null});
+  state.dirty = true;
+}
+
+function finish(
+  context: Context,
+  pending: PendingCommand,
+  result: CommandResult,
+): void {
+  const {state} = context;
+  state.commands = state.commands.filter(each => each !== pending);
+  reply(context, pending.token, result);
+}
+
+function operatorOf(command: Command): string {
+  return 'by' in command ? command.by : '';
+}
+
+function mapResult(state: Ownership, service: ServiceName): CommandResult {
+  const view = renderMap(state.map, service);
+  if (view !== null) return ok(view);
+  return {kind: 'rejected', detail: `no keyed service ${service}`};
+}
+
+function accepted(state: Ownership, version: number): CommandResult {
+  return ok(renderAccepted(state, version));
+}
+
+function ok(body: unknown): CommandResult {
+  return {kind: 'ok', body: JSON.stringify(body)};
+}
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -16,6 +16,36 @@
     leaseMs: 1500,
     /** Allowance for clocks that run at different rates. */
     marginMs: 150,
+    /** Silence of a member after which its grantor suspects it. */
+    suspectMs: 800,
+    /** Longest time a member may stay behind its grantor's configuration. */
+    behindMs: 2000,
+  },
+  membership: {
+    /** Own-row writes a second that the whole workspace may need. */
+    touchesPerSecond: 200,
+    /** Time between two questions to a silent member. */
+    probeMs: 2000,
+    /** Time without a promise after which a closed member ends itself. */
+    closedOutMs: 1500,
+    /** Time a member waits before it follows a changed ring. */
+    followRingMs: 3000,
+    /** Longest time a planned stop may take. */
+    stopMs: 20000,
+    /** Time after which a member that takes no work dispatches none. */
+    drainGraceMs: 2500,
+  },
+  log: {
+    /** Newest entries kept in memory for other members. */
+    keptEntries: 512,
+    /** Entries between two snapshots. */
+    snapshotEntries: 256,
+    /** Most entries in one message or read. */
+    batchEntries: 128,
+    /** Silence of all peers after which the table is read. */
+    pollMs: 2000,
+    /** Time a command may take before its result is called unknown. */
+    commandMs: 8000,
   },
   store: {
     /** Time after which a call counts as unanswered. */
@@ -28,14 +58,18 @@
     ttlMs: 2000,
   },
   links: {
-    /** Time between two heartbeats. */
+    /** Time between two looks at a link; heartbeats fall on them. */
     heartbeatMs: 250,
-    /** Silence after which a link is dropped. */
+    /** Silence, while something is awaited, after which a link is lost. */
     silenceMs: 1000,
+    /** Time after which an unused link is closed. */
+    unusedMs: 30000,
     /** Bytes in flight for one body before the sender waits. */
     windowBytes: 262144,
     /** Time a new link may take to open. */
     connectTimeoutMs: 1000,
+    /** Estimated size at which a frame is closed and another begins. */
+    batchBytes: 262144,
     /** Bytes waiting for one peer at which its link is dropped. */
     queueBytes: 16777216,
   },
