Metrics: what is counted is counted, and once

Cause: requests and log events were never counted, the latency of a request was recorded twice (by the reducer and by the callers' side), renewals never; 'unserved' and the bytes of links had no source at all. Change: the reducer alone measures a request; renewals are measured; requests by service and log events by name are counted; gauges for memory, processor time, lease, versions, members, open requests and attempts. 'unserved' and the bytes of links are left out until something can measure them.

--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -54,6 +54,7 @@
   const round = lease.rounds.get(message.round);
   if (round === undefined || round.to !== from) return;
   lease.rounds.delete(message.round);
+  measureRenewal(context, round.sentAt);
   const contact = contactOf(lease, from);
   contact.unansweredSince = null;
   if (message.granted) {
@@ -66,6 +67,11 @@
   if (message.reason === 'closed') contact.closed = true;
 }
 
+function measureRenewal(context: Context, sentAt: Instant): void {
+  const valueMs = context.at.monotonic - sentAt.monotonic;
+  context.effects.push({kind: 'measure', histogram: 'renewal', valueMs});
+}
+
 /**
  * Takes the reply to a write of the own row.
  *
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -330,5 +330,4 @@
   | {readonly kind: 'leave'};
 
 /** Latencies that are measured. */
-export type HistogramName =
-  'request' | 'queue' | 'run' | 'renewal' | 'store' | 'unserved';
+export type HistogramName = 'request' | 'queue' | 'run' | 'renewal' | 'store';
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -11,7 +11,6 @@
   AttemptId,
   Event,
   Failure,
-  HistogramName,
   MemberId,
   Message,
   RequestId,
@@ -54,7 +53,6 @@
   transmit(to: MemberId, message: Message): void;
   /** The configuration in force, or null before the first. */
   configuration(): Configuration | null;
-  measure(histogram: HistogramName, valueMs: number): void;
   readonly windowBytes: number;
   /** Distinguishes this process's request ids from all others. */
   readonly idPrefix: string;
@@ -220,8 +218,7 @@
     outgoing: ServerResponse,
   ): Promise<void> {
     const request = `${this.context.idPrefix}-${++this.count}` as RequestId;
-    const startedMs = performance.now();
-    const pending = await this.admit(request, startedMs, incoming, outgoing);
+    const pending = await this.admit(request, incoming, outgoing);
     if (pending === null) return;
     this.pending.set(request, pending);
     outgoing.once('close', () => this.hungUp(pending));
@@ -241,7 +238,6 @@
 
   private async admit(
     request: RequestId,
-    startedMs: number,
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<Pending | null> {
@@ -277,7 +273,6 @@
       idempotencyKey: headerOf(incoming, KEY_HEADER),
       body: body.bytes,
       outgoing,
-      startedMs,
       relayed: null,
       attempts: new Set(),
     };
@@ -315,7 +310,6 @@
   private answered(request: RequestId): void {
     const pending = this.pending.get(request);
     if (pending === undefined) return;
-    this.context.measure('request', performance.now() - pending.startedMs);
     this.close(pending);
     this.context.emit({kind: 'answered', request});
   }
--- a/packages/daemon/src/callers/types.ts
+++ b/packages/daemon/src/callers/types.ts
@@ -22,8 +22,6 @@
   readonly idempotencyKey: string | null;
   readonly body: Buffer;
   readonly outgoing: ServerResponse;
-  /** When it was accepted, by the monotonic clock in milliseconds. */
-  readonly startedMs: number;
   /** The attempt whose answer the caller receives, once chosen. */
   relayed: AttemptId | null;
   readonly attempts: Set<AttemptId>;
--- a/packages/daemon/src/metrics/logic.ts
+++ b/packages/daemon/src/metrics/logic.ts
@@ -21,7 +21,6 @@
   run: 'From dispatch to the end of the answer of the backend server.',
   renewal: 'Round trip of a lease renewal.',
   store: 'Round trip of a call to the platform.',
-  unserved: 'Time a slice had no owner that could serve it.',
 };
 
 /** Counters, what they mean and the name of their label, if any. */
@@ -34,11 +33,6 @@
   storeCalls: {help: 'Calls to the platform, by reply.', label: 'reply'},
   linksOpened: {help: 'Links opened to other daemons.', label: ''},
   linksLost: {help: 'Links that broke or went silent.', label: ''},
-  linkBytesSent: {help: 'Bytes sent on links, by concern.', label: 'concern'},
-  linkBytesReceived: {
-    help: 'Bytes received on links, by concern.',
-    label: 'concern',
-  },
   logEvents: {help: 'Log events, by name.', label: 'name'},
 };
 
--- a/packages/daemon/src/metrics/types.ts
+++ b/packages/daemon/src/metrics/types.ts
@@ -9,8 +9,6 @@
   | 'storeCalls'
   | 'linksOpened'
   | 'linksLost'
-  | 'linkBytesSent'
-  | 'linkBytesReceived'
   | 'logEvents';
 
 /** A value read at the moment of rendering. */
--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -11,6 +11,7 @@
   Daemon,
   Effect,
   Event,
+  LogName,
   MemberId,
   Message,
   StoreCall,
@@ -26,8 +27,9 @@
 } from '../bodies/messages.js';
 import {Callers} from '../callers/logic.js';
 import type {Configuration} from '../callers/logic.js';
-import type {Logger} from '../logs/types.js';
+import type {LogFields, Logger} from '../logs/types.js';
 import {Loop, readClocks} from '../loop/logic.js';
+import {gaugesOf} from '../metrics/gauges.js';
 import type {Metrics} from '../metrics/types.js';
 import {Outbox} from '../outbox/logic.js';
 import {Platform} from '../platform/logic.js';
@@ -99,9 +101,8 @@
       tuning.links.silenceMs,
     );
     const shared = {
-      emit: (event: Event) => this.loop.emit(event),
+      emit: (event: Event) => this.emit(event),
       transmit: (to: MemberId, message: Message) => this.transmit(to, message),
-      measure: parts.metrics.record.bind(parts.metrics),
       windowBytes: tuning.links.windowBytes,
     };
     this.callers = new Callers({
@@ -164,6 +165,18 @@
     });
   }
 
+  private emit(event: Event): void {
+    if (event.kind === 'taken') {
+      this.parts.metrics.count('requests', event.taken.service);
+    }
+    this.loop.emit(event);
+  }
+
+  private log(event: LogName, fields: LogFields): void {
+    this.parts.metrics.count('logEvents', event);
+    this.parts.logger.log(event, fields);
+  }
+
   private perform(effect: Effect): void {
     switch (effect.kind) {
       case 'send':
@@ -205,7 +218,7 @@
         this.runs.grant(effect);
         return;
       case 'log':
-        this.parts.logger.log(effect.event, effect.fields);
+        this.log(effect.event, effect.fields);
         return;
       case 'measure':
         this.parts.metrics.record(effect.histogram, effect.valueMs);
@@ -254,7 +267,7 @@
 
   private linkLost(peer: MemberId, reason: string): void {
     this.parts.metrics.count('linksLost');
-    this.parts.logger.log('linkLost', {peer, reason});
+    this.log('linkLost', {peer, reason});
     this.outbox.lost(peer);
     this.loop.emit({kind: 'linkLost', peer});
   }
@@ -276,17 +289,18 @@
     const failed = reply.kind === 'refused' || reply.kind === 'unknown';
     if (failed && !this.platformFails) {
       const {kind, detail} = reply;
-      this.parts.logger.log('platformFailed', {reply: kind, detail});
+      this.log('platformFailed', {reply: kind, detail});
     }
     if (!failed && this.platformFails) {
-      this.parts.logger.log('platformAnswers', {});
+      this.log('platformAnswers', {});
     }
     this.platformFails = failed;
   }
 
   /** @returns Counters, gauges and latencies as text. */
   renderMetrics(): string {
-    return this.parts.metrics.render([]);
+    const {daemon, metrics} = this.parts;
+    return metrics.render(gaugesOf(daemon, readClocks()));
   }
 
   /** Housekeeping between events; called by the process every tick. */
--- a/packages/daemon/src/runs/logic.spec.ts
+++ b/packages/daemon/src/runs/logic.spec.ts
@@ -167,7 +167,6 @@
   const runs = new Runs({
     emit: event => void events.push(event),
     transmit: (_, message) => void messages.push(message),
-    measure: () => undefined,
     windowBytes: 1024,
     silenceMs: SILENCE_MS,
     kept: {answerBytes: 100, totalBytes: 1000},
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -12,7 +12,6 @@
   Dispatch,
   Effect,
   Event,
-  HistogramName,
   MemberId,
   Message,
   RunState,
@@ -32,7 +31,6 @@
 export interface RunContext {
   emit(event: Event): void;
   transmit(to: MemberId, message: Message): void;
-  measure(histogram: HistogramName, valueMs: number): void;
   /** Bytes of one answer that may be under way at once. */
   readonly windowBytes: number;
   /** Silence after which a connection is no longer trusted. */
