Connections stay under the server's limit when they are replaced; pressure

The new spec fails on the old code (4 and 6 idle connections in place of 1 and 2) and holds now. Timers that come late by 100 ms now refuse new requests at once as not run. Ruled out: the limit of running attempts (it never passed the slots).

--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -25,6 +25,7 @@
 import type {AnswerMessage} from '../bodies/messages.js';
 import {Answers, writeFailure} from './answers.js';
 import {BodyBudget, readBody} from './intake.js';
+import {Pressure} from './pressure.js';
 import {createIncoming} from './state.js';
 import type {Incoming, Pending} from './types.js';
 
@@ -54,6 +55,8 @@
   /** The configuration in force, or null before the first. */
   configuration(): Configuration | null;
   readonly windowBytes: number;
+  /** Time between two calls of `watch`, in milliseconds. */
+  readonly tickMs: number;
   /** Distinguishes this process's request ids from all others. */
   readonly idPrefix: string;
 }
@@ -75,6 +78,7 @@
   private readonly incoming = new Map<AttemptId, Incoming>();
   private readonly budget = new BodyBudget(MAX_HELD_BYTES);
   private readonly answers: Answers;
+  private readonly pressure: Pressure;
   private count = 0;
 
   /** @param context - The process around this object. */
@@ -87,6 +91,7 @@
       },
       context.windowBytes / 2,
     );
+    this.pressure = new Pressure(context.tickMs);
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -213,6 +218,11 @@
     this.incoming.delete(attempt);
   }
 
+  /** Notes how late the loop is; called every tick. */
+  watch(): void {
+    this.pressure.note(performance.now());
+  }
+
   private async take(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
@@ -250,7 +260,7 @@
     if (configuration === null) {
       return refuse(failure('no-server', 'not-run', 'no configuration yet'));
     }
-    if (this.pending.size >= MAX_PENDING) {
+    if (this.isFull()) {
       return refuse(failure('overloaded', 'not-run', 'too many requests'));
     }
     const method = incoming.method ?? '';
@@ -278,6 +288,11 @@
     };
   }
 
+  private isFull(): boolean {
+    const open = this.pending.size;
+    return open >= MAX_PENDING || this.pressure.refuses(open);
+  }
+
   private credit(incoming: Incoming, bytes: number): void {
     incoming.bodyCredit += bytes;
     const pending = this.pending.get(incoming.request);
--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -107,6 +107,7 @@
     };
     this.callers = new Callers({
       ...shared,
+      tickMs: tuning.loop.tickMs,
       configuration: () => this.currentConfiguration(),
       idPrefix: this.self,
     });
@@ -306,6 +307,7 @@
   /** Housekeeping between events; called by the process every tick. */
   watch(): void {
     this.runs.watch();
+    this.callers.watch();
     this.watchAnnouncement();
     const {self} = this.parts.daemon.view;
     if (self === null || self === this.self) return;
--- /dev/null
+++ b/packages/daemon/src/runs/connections.spec.ts
@@ -0,0 +1,71 @@
+/** @fileoverview Tests of connections to a small fake backend server. */
+
+import {createServer} from 'node:http';
+import type {ServerResponse} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import test from 'ava';
+
+import type {Address, Announcement} from '@jackdawfall/core';
+
+import {Connections} from './connections.js';
+
+const SETTLE_MS = 50;
+
+const CASES: ReadonlyArray<{
+  name: string;
+  limit: number;
+  /** Exchanges begun before and after each replacement. */
+  rounds: readonly number[];
+  /** Connections open once every exchange has ended, at most. */
+  idleAtMost: number;
+}> = [
+  {name: 'no replacement', limit: 4, rounds: [3], idleAtMost: 3},
+  {name: 'one replacement', limit: 4, rounds: [3, 1], idleAtMost: 1},
+  {name: 'two replacements', limit: 6, rounds: [2, 2, 2], idleAtMost: 2},
+];
+
+for (const {name, limit, rounds, idleAtMost} of CASES) {
+  test(`${name}: never more than ${limit} connections`, async t => {
+    const waiting: ServerResponse[] = [];
+    let open = 0;
+    let most = 0;
+    const server = createServer((_, outgoing) => void waiting.push(outgoing));
+    server.on('connection', socket => {
+      open += 1;
+      most = Math.max(most, open);
+      socket.once('close', () => (open -= 1));
+    });
+    await new Promise<void>(resolve =>
+      server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = server.address() as AddressInfo;
+    const connections = new Connections({
+      address: `127.0.0.1:${port}` as Address,
+      connections: limit,
+    } as Announcement);
+    for (const [index, count] of rounds.entries()) {
+      if (index > 0) connections.replace();
+      for (let i = 0; i < count; i++) exchange(connections);
+      await settle();
+    }
+    t.true(most <= limit);
+    for (const outgoing of waiting) outgoing.end('done');
+    await settle();
+    t.true(open <= idleAtMost, `${open} connections stay open`);
+    connections.destroy();
+    server.close();
+    server.closeAllConnections();
+  });
+}
+
+function exchange(connections: Connections): void {
+  const outgoing = connections.open({method: 'GET', path: '/'});
+  outgoing.on('response', incoming => incoming.resume());
+  outgoing.on('error', () => undefined);
+  outgoing.end();
+}
+
+function settle(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+}
--- a/packages/daemon/src/runs/connections.ts
+++ b/packages/daemon/src/runs/connections.ts
@@ -5,6 +5,7 @@
 
 import {Agent, request} from 'node:http';
 import type {ClientRequest, RequestOptions} from 'node:http';
+import type {Socket} from 'node:net';
 
 import type {Announcement} from '@jackdawfall/core';
 
@@ -21,7 +22,7 @@
     const [host, port] = announcement.address.split(':');
     this.host = host;
     this.port = Number(port);
-    this.agent = this.createAgent();
+    this.agent = this.createAgent(announcement.connections);
   }
 
   /**
@@ -39,13 +40,17 @@
     });
   }
 
-  /** Leaves the present connections to their exchanges and opens new ones. */
+  /**
+   * Leaves the present connections to their exchanges and opens new ones. The
+   * old close when their exchange ends; both together stay under the limit.
+   */
   replace(): void {
     const old = this.agent;
-    this.agent = this.createAgent();
-    for (const sockets of Object.values(old.freeSockets)) {
-      for (const socket of sockets ?? []) socket.destroy();
-    }
+    old.maxFreeSockets = 0;
+    for (const socket of socketsOf(old.freeSockets)) socket.destroy();
+    const busy = socketsOf(old.sockets).length;
+    const room = this.announcement.connections - busy;
+    this.agent = this.createAgent(Math.max(1, room));
   }
 
   /** Closes every connection, those in use included. */
@@ -53,12 +58,16 @@
     this.agent.destroy();
   }
 
-  private createAgent(): Agent {
+  private createAgent(maxSockets: number): Agent {
     return new Agent({
       keepAlive: true,
-      maxSockets: this.announcement.connections,
+      maxSockets,
       timeout: IDLE_TIMEOUT_MS,
       scheduling: 'lifo',
     });
   }
 }
+
+function socketsOf(byName: NodeJS.ReadOnlyDict<Socket[]>): Socket[] {
+  return Object.values(byName).flatMap(sockets => sockets ?? []);
+}
