--- a/packages/emulator/src/deployment/ports.ts
+++ b/packages/emulator/src/deployment/ports.ts
@@ -1,6 +1,7 @@
 /** @fileoverview Allots free ports. */
 
 import {randomInt} from 'node:crypto';
+import {setMaxListeners} from 'node:events';
 import {createServer} from 'node:net';
 
 import {listen} from '../control/logic.js';
@@ -24,6 +25,7 @@
  */
 export async function freePorts(count: number): Promise<number[]> {
   const holding = new AbortController();
+  setMaxListeners(count, holding.signal);
   const ports: number[] = [];
   for (let tries = 0; ports.length < count; tries++) {
     if (tries > MAX_TRIES) throw new NoPortError(`${count} ports wanted`);
