A stopping daemon ends its callers' connections with an answer

Cause: daemon_stops showed 5 to 11 callers with 'socket hang up': the daemon counted a request as over before its answer was out, and closed connections on which requests were arriving. Change: from the stop on each answer carries 'connection: close', and the process waits until its connections have ended (bounded as before).

--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -76,6 +76,7 @@
   private readonly budget = new BodyBudget(MAX_HELD_BYTES);
   private readonly answers: Answers;
   private count = 0;
+  private leaving = false;
 
   /** @param context - The process around this object. */
   constructor(private readonly context: CallerContext) {
@@ -98,6 +99,11 @@
     this.server.maxConnections = MAX_CONNECTIONS;
   }
 
+  /** From now on each answer ends its connection, so that none is cut. */
+  leave(): void {
+    this.leaving = true;
+  }
+
   /** @returns Requests not yet answered. */
   get open(): number {
     return this.pending.size;
@@ -217,6 +223,7 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<void> {
+    if (this.leaving) outgoing.shouldKeepAlive = false;
     const request = `${this.context.idPrefix}-${++this.count}` as RequestId;
     const pending = await this.admit(request, incoming, outgoing);
     if (pending === null) return;
--- a/packages/daemon/src/process/logic.ts
+++ b/packages/daemon/src/process/logic.ts
@@ -21,7 +21,6 @@
 
 const INCARNATION_BYTES = 6;
 const LEAVE_WAIT_MS = 5000;
-const LEAVE_CHECK_MS = 20;
 const EXIT_FAILURE = 1;
 
 /** A port that could not be had. */
@@ -133,11 +132,11 @@
 
 /** Callers that still wait get their answers before the process ends. */
 async function lastAnswers(runner: Runner): Promise<void> {
-  const until = performance.now() + LEAVE_WAIT_MS;
-  runner.callers.server.close();
-  while (runner.callers.open > 0 && performance.now() < until) {
-    await new Promise(resolve => setTimeout(resolve, LEAVE_CHECK_MS));
-  }
+  const {server} = runner.callers;
+  const closed = once(server, 'close');
+  server.close();
+  const late = new Promise(resolve => setTimeout(resolve, LEAVE_WAIT_MS));
+  await Promise.race([closed, late]);
 }
 
 function closeServer(server: Server): void {
--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -128,6 +128,7 @@
 
   /** Begins a planned stop. */
   stop(): void {
+    this.callers.leave();
     this.loop.emit({kind: 'stopRequested'});
   }
 
--- a/packages/emulator/src/deployment/operations.ts
+++ b/packages/emulator/src/deployment/operations.ts
@@ -19,7 +19,9 @@
 const STEP_MS = 50;
 const COMMAND_TIMEOUT_MS = 5000;
 /** Pause between two lookups of a key that is not served yet. */
-const PROBE_STEP_MS = 100;
+const PROBE_STEP_MS = 250;
+/** Pause between the first lookups of two keys: callers don't come at once. */
+const STAGGER_MS = 5;
 const STATUS_TIMEOUT_MS = 1000;
 const OK = 200;
 /** Longer than any route's own timeout, so that an answer always comes. */
@@ -156,7 +158,8 @@
     Array.from({length: keys}, (_, index) => ({service, index})),
   );
   await Promise.all(
-    waiting.map(async ({service, index}) => {
+    waiting.map(async ({service, index}, order) => {
+      await sleep(order * STAGGER_MS);
       const host = hosts[index % hosts.length];
       const path = `/${service}/key-${index}`;
       await untilAnswered(host, path, startMs + withinMs);
