Pages and code are held together by tests

Cause: pages of log events, errors and settings must not drift. Found: changeCommitted was never written, processLeaving twice; mended.

--- a/packages/core/src/journal/writer.ts
+++ b/packages/core/src/journal/writer.ts
@@ -4,7 +4,7 @@
 import {entryOfRow, entryText, nextVersion} from '../log/logic.js';
 import type {Committed, Entry} from '../log/types.js';
 import type {MemberRow} from '../leases/types.js';
-import {callStore, newWriteId} from '../ownership/effects.js';
+import {callStore, log, newWriteId} from '../ownership/effects.js';
 import type {Context, Ownership, Wanted} from '../ownership/state.js';
 import type {Check, Put, Row, StoreReply, Transaction} from '../store/types.js';
 import type {Append} from './types.js';
@@ -82,6 +82,7 @@
   switch (answer.kind) {
     case 'committed':
       state.journal.failures = 0;
+      logCommitted(context, append.entry);
       apply({entry: append.entry, revision: answer.revision});
       return;
     case 'conflict':
@@ -134,6 +135,11 @@
   if (sync.begunAt >= doomedAt) journal.append = null;
 }
 
+function logCommitted(context: Context, entry: Entry): void {
+  const {version, by, change} = entry;
+  log(context, 'changeCommitted', {version, by, change: change.kind});
+}
+
 function takeConflict(
   context: Context,
   append: Append,
--- /dev/null
+++ b/packages/core/src/logs/view.spec.ts
@@ -0,0 +1,50 @@
+/** @fileoverview Tests that code, catalogue and pages agree. */
+
+import {readFileSync, readdirSync} from 'node:fs';
+
+import test from 'ava';
+
+import {ANSWERS} from '../errors/logic.js';
+import {renderErrorPage} from '../errors/view.js';
+import {LOGS} from './catalogue.js';
+import {renderLogPage} from './view.js';
+
+const ROOT = new URL('../../../../', import.meta.url);
+
+const PAGES: ReadonlyArray<{name: string; text: string}> = [
+  {name: 'LOGS.md', text: renderLogPage(LOGS)},
+  {name: 'ERRORS.md', text: renderErrorPage(ANSWERS)},
+];
+
+for (const {name, text} of PAGES) {
+  test(`docs/${name} is what npm run docs:logs writes`, t => {
+    t.is(readFileSync(new URL(`docs/${name}`, ROOT), 'utf8'), text);
+  });
+}
+
+const SOURCES = sourcesOf('packages')
+  .filter(path => !path.endsWith('logs/catalogue.ts'))
+  .map(path => readFileSync(new URL(path, ROOT), 'utf8'))
+  .join('\n');
+
+for (const [name, {code, text}] of Object.entries(LOGS)) {
+  test(`event ${code} ${name} is written somewhere`, t => {
+    t.true(SOURCES.includes(`'${name}'`));
+    t.regex(text, /^[A-Z].*\.$/);
+  });
+}
+
+test('every log event has a number of its own, from 100 to 699', t => {
+  const codes = Object.values(LOGS).map(({code}) => code);
+  t.is(new Set(codes).size, codes.length);
+  t.true(codes.every(code => code >= 100 && code <= 699));
+});
+
+function sourcesOf(folder: string): string[] {
+  const entries = readdirSync(new URL(folder, ROOT), {recursive: true});
+  return entries
+    .map(String)
+    .filter(path => /^[a-z]+\/src\/.*\.ts$/.test(path))
+    .filter(path => !path.endsWith('.spec.ts'))
+    .map(path => `${folder}/${path}`);
+}
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -316,7 +316,6 @@
   const {state} = context;
   if (state.leaves) {
     state.phase = 'left';
-    log(context, 'processLeaving', {member: state.self});
     context.effects.push({kind: 'leave'});
     return;
   }
