An operator is told 'unknown' whenever the change may still take effect

Cause: a command that ran out of time while its entry was on its way for the first time was answered 'unavailable: nothing was changed', though the write could still take effect; so was 'member end', which goes on being pursued. The list of waiting commands had no bound. Change: unavailable only when no entry of the command can arrive any more; at most 64 commands wait.

--- a/packages/core/src/ownership/commands.ts
+++ b/packages/core/src/ownership/commands.ts
@@ -19,6 +19,9 @@
 import {reply} from './effects.js';
 import type {Context, Ownership, PendingCommand, Wanted} from './state.js';
 
+/** Commands that wait for the platform at the same time. */
+const MAX_PENDING = 64;
+
 /**
  * Takes a command.
  *
@@ -107,12 +110,17 @@
     const written = pending.writeId;
     if (written !== null && written !== current) pending.writeId = null;
     if (at.monotonic < pending.expiresAt) continue;
-    const open = pending.writeId !== null && state.journal.append?.unresolved;
+    const kind = mayTakeEffect(pending) ? 'unknown' : 'unavailable';
     const detail = 'the platform did not answer in time';
-    finish(context, pending, {kind: open ? 'unknown' : 'unavailable', detail});
+    finish(context, pending, {kind, detail});
   }
 }
 
+/** An entry on its way may arrive; a member's end is pursued in any case. */
+function mayTakeEffect({writeId, command}: PendingCommand): boolean {
+  return writeId !== null || command.kind === 'endMember';
+}
+
 type Outcome = {readonly change: Change} | {readonly result: CommandResult};
 
 function changeOf(context: Context, command: Command): Outcome | null {
@@ -205,6 +213,11 @@
 
 function queueCommand(context: Context, command: Command, token: number): void {
   const {state, at} = context;
+  if (state.commands.length >= MAX_PENDING) {
+    const detail = 'too many commands wait';
+    reply(context, token, {kind: 'unavailable', detail});
+    return;
+  }
   const expiresAt = at.monotonic + state.settings.tuning.log.commandMs;
   state.commands.push({command, token, expiresAt, writeId: null});
   state.dirty = true;
