The client names the daemon of each refusal and stops asking in time

Cause: seen on a real deployment with the platform down: 'zone out' asked six daemons for 8 s each, 49 s in all, and did not say which said what.

--- a/packages/cli/src/client/exchange.ts
+++ b/packages/cli/src/client/exchange.ts
@@ -39,13 +39,13 @@
     const isConnected = watchTimeouts(request, settings);
     const fail = (error: Error): void => {
       const kind = isConnected() ? 'unknown' : 'unavailable';
-      resolve({kind, detail: `${daemon}: ${error.message}`});
+      resolve({kind, detail: error.message});
       request.destroy();
     };
     request.on('error', fail);
     request.on('response', response => {
       readAnswer(response).then(
-        text => resolve(resultOf(daemon, response.statusCode ?? 0, text)),
+        text => resolve(resultOf(response.statusCode ?? 0, text)),
         fail,
       );
     });
@@ -91,13 +91,13 @@
   return Buffer.concat(chunks).toString('utf8');
 }
 
-function resultOf(daemon: string, status: number, text: string): CommandResult {
-  const said = `${daemon}: HTTP ${status} ${text.slice(0, 200)}`.trimEnd();
+function resultOf(status: number, text: string): CommandResult {
+  const said = `HTTP ${status} ${text.slice(0, 200)}`.trimEnd();
   if (status === HTTP_BAD_REQUEST) return {kind: 'rejected', detail: said};
   if (status === HTTP_UNAVAILABLE) return {kind: 'unavailable', detail: said};
   if (status !== HTTP_OK) return {kind: 'unknown', detail: said};
   const read = readDocument(text, resultSchema);
   if (read.kind === 'ok') return read.value;
-  const detail = `${daemon}: unreadable answer:\n${describeFaults(read.faults)}`;
+  const detail = `unreadable answer:\n${describeFaults(read.faults)}`;
   return {kind: 'unknown', detail};
 }
--- a/packages/cli/src/client/logic.ts
+++ b/packages/cli/src/client/logic.ts
@@ -47,7 +47,9 @@
   settings: ClientSettings,
 ): Promise<CommandResult> {
   const details: string[] = [];
+  const deadline = performance.now() + settings.timeoutMs;
   for (const daemon of settings.daemons) {
+    if (performance.now() > deadline) break;
     const result = await exchange(daemon, command, settings);
     switch (result.kind) {
       case 'ok':
@@ -56,14 +58,14 @@
         return result;
       case 'unknown':
         if (!isRead(command)) return result;
-        details.push(result.detail);
+        details.push(`${daemon}: ${result.detail}`);
         break;
       case 'unavailable':
-        details.push(result.detail);
+        details.push(`${daemon}: ${result.detail}`);
         break;
     }
   }
-  return {kind: 'unavailable', detail: details.join('; ')};
+  return {kind: 'unavailable', detail: details.join('\n')};
 }
 
 function isRead({kind}: Command): boolean {
--- a/packages/cli/src/client/types.ts
+++ b/packages/cli/src/client/types.ts
@@ -47,7 +47,10 @@
   readonly daemons: readonly string[];
   /** Longest wait for a connection, in milliseconds. */
   readonly connectTimeoutMs: number;
-  /** Longest wait for an answer, in milliseconds. */
+  /**
+   * Longest wait for one answer, in milliseconds; after this time no further
+   * daemon is asked either.
+   */
   readonly timeoutMs: number;
   /** Ends whatever is under way. */
   readonly signal: AbortSignal;
--- a/packages/cli/src/client/wait.ts
+++ b/packages/cli/src/client/wait.ts
@@ -46,7 +46,10 @@
   const done = new Set<string>();
   for (;;) {
     const leftMs = deadline - performance.now();
-    const answerMs = Math.max(LEAST_ANSWER_MS, Math.min(ANSWER_MS, leftMs));
+    const answerMs = Math.max(
+      LEAST_ANSWER_MS,
+      Math.min(ANSWER_MS, Math.ceil(leftMs)),
+    );
     const waited = await askAll(client, accepted, done, answerMs);
     const isOver = performance.now() + ROUND_MS > deadline;
     if (waited.lagging.length === 0 || isOver) return waited;
--- a/packages/cli/src/program.spec.ts
+++ b/packages/cli/src/program.spec.ts
@@ -300,7 +300,7 @@
       });
     },
     exit: 6,
-    says: /h1#1 +127\.0\.0\.1:\d+: no answer within/,
+    says: /h1#1 +127\.0\.0\.1:\d+: no answer within \d+ ms/,
     asked: ['zone', 'status', 'progress'],
   },
   {
--- a/packages/core/src/errors/view.ts
+++ b/packages/core/src/errors/view.ts
@@ -6,9 +6,10 @@
 
 Written by \`npm run docs:logs\` from \`packages/core/src/errors/logic.ts\`.
 
-A caller whose request fails gets a status from this table and a body of JSON:
-\`{"kind": ..., "run": ..., "request": ..., "detail": ...}\`. The header \`x-run\`
-repeats \`run\`, and \`x-request-id\` the request's id.
+A caller whose request fails gets a status from this table and a JSON object
+with \`kind\`, \`run\`, \`request\` (the request's id), \`text\` (the meaning below),
+\`detail\` (for people) and \`retryable\`. The header \`x-run\` repeats \`run\`, and
+\`x-request-id\` the request's id.
 
 \`run\` is \`not-run\` or \`unknown\`. \`not-run\` means that the request truly did
 not run: no byte of it was written to a backend server, or the backend server
