--- a/packages/core/src/faults/logic.ts
+++ b/packages/core/src/faults/logic.ts
@@ -34,11 +34,17 @@
   if (parsed.success) return {kind: 'ok', value: parsed.data};
   const faults = parsed.error.issues.map(issue => ({
     path: issue.path.join('.'),
-    message: issue.message,
+    message: messageOf(issue),
   }));
   return {kind: 'invalid', faults};
 }
 
+function messageOf({code, message}: z.core.$ZodIssue): string {
+  const isMissing =
+    code === 'invalid_type' && message.endsWith('received undefined');
+  return isMissing ? 'is missing' : message;
+}
+
 /**
  * Renders faults for people.
  *
--- a/packages/daemon/src/settings/logic.spec.ts
+++ b/packages/daemon/src/settings/logic.spec.ts
@@ -65,6 +65,12 @@
   t.deepEqual(tuning, {...DEFAULTS, loop: {...DEFAULTS.loop, tickMs: 10}});
 });
 
+test('a missing key is called missing', t => {
+  const text = textWith(['"host":"h1",', '']);
+  const error = t.throws(() => parseSettings(text, 'file'));
+  t.is(error.message, "settings file can't be used:\n  host: is missing");
+});
+
 test('a missing file and a text that is no JSON are named', async t => {
   const missing = await t.throwsAsync(readSettings('/nowhere/settings.json'));
   t.regex(missing.message, /can't be read/);
