--- a/packages/emulator/src/bench/definitions.ts
+++ b/packages/emulator/src/bench/definitions.ts
@@ -1,13 +1,17 @@
 /** @fileoverview Every bench, in the order in which they run. */
 
 import {disseminationBench} from '../dissemination/definition.js';
+import {idleBench} from './idle/definition.js';
 import {linksBench} from './links/definition.js';
+import {mapBench} from './map/definition.js';
 import {pathBench} from './path/definition.js';
 import type {Bench} from './types.js';
 
 /** All benches. */
 export const BENCHES: readonly Bench[] = [
   linksBench,
+  mapBench,
+  idleBench,
   pathBench,
   disseminationBench,
 ];
--- /dev/null
+++ b/packages/emulator/src/bench/map/definition.ts
@@ -0,0 +1,30 @@
+/** @fileoverview The map bench: memory and time of the map at several sizes. */
+
+import {progress} from '../progress.js';
+import type {Bench, Figures} from '../types.js';
+import {startWorker} from '../workers.js';
+import type {MapSize} from './types.js';
+
+const WORKER = new URL('./worker.js', import.meta.url);
+const SIZES: readonly MapSize[] = [
+  {members: 725, slices: 16_384},
+  {members: 1450, slices: 32_768},
+  {members: 2900, slices: 65_536},
+  {members: 5800, slices: 131_072},
+];
+
+/** Memory of the map; time to fill it, to promote and to settle again. */
+export const mapBench: Bench = {
+  name: 'map',
+  text: 'the map of slices: memory, promotion, snapshot, decisions',
+  run: async signal => {
+    const sizes: Figures[] = [];
+    for (const size of SIZES) {
+      progress(`  ${size.members} members, ${size.slices} slices`);
+      const worker = startWorker(WORKER, signal);
+      sizes.push(await worker.call<Figures>('measure', size));
+      await worker.stop();
+    }
+    return {sizes};
+  },
+};
--- a/packages/emulator/src/bench/path/definition.ts
+++ b/packages/emulator/src/bench/path/definition.ts
@@ -4,6 +4,7 @@
  * hosts; each daemon takes the rate and serves the rate.
  */
 
+import {loadavg} from 'node:os';
 import {setTimeout as sleep} from 'node:timers/promises';
 import type {MapView, ServiceName} from '@jackdawfall/core';
 import {sliceOf} from '@jackdawfall/core';
@@ -14,7 +15,7 @@
   command,
   untilServed,
 } from '../../deployment/operations.js';
-import type {Cluster, Host} from '../../deployment/types.js';
+import type {Host} from '../../deployment/types.js';
 import {usageOf} from '../process_usage.js';
 import {progress} from '../progress.js';
 import type {Bench, Figures} from '../types.js';
@@ -26,11 +27,14 @@
 const SERVICE = 'pairing' as ServiceName;
 const SLICES = 256;
 const KEYS = 500;
-const RATES = [500, 1250, 2500];
+const RATES = [250, 500, 1000, 2500];
 const WARM_UP_MS = 3000;
+/** Time for which no key changes its owner before a measurement. */
+const QUIET_MS = 1500;
 const DURATION_MS = 8000;
 const START_MS = 30_000;
 const SLOTS = 100;
+const SERVICE_MS = 5;
 
 type Way = 'direct' | 'oneDaemon' | 'twoDaemons';
 
@@ -40,8 +44,6 @@
 interface Setup {
   readonly hosts: readonly Host[];
   readonly callers: readonly Worker[];
-  /** Paths of keys owned by each host, in the order of `hosts`. */
-  readonly paths: readonly (readonly string[])[];
 }
 
 /** Cost of the way through daemons. */
@@ -69,6 +71,7 @@
       progress(`  ${rate}/s on each of two hosts, ${way}`);
       await drive(setup, way, rate, WARM_UP_MS);
       ways[way] = await drive(setup, way, rate, DURATION_MS);
+      await sleep(QUIET_MS, undefined, {signal});
     }
     rates[`${rate}PerSecondOnEach`] = {...ways, ratios: ratiosOf(ways)};
   }
@@ -88,13 +91,14 @@
   durationMs: number,
 ): Promise<PathFigures> {
   const {hosts, callers} = setup;
+  const paths = await quietPaths(hosts);
   const before = await usages(hosts);
   const startMs = performance.now();
   const results = await Promise.all(
     callers.map((caller, at) => {
       const order: PathOrder = {
         target: targetOf(hosts[at], way),
-        paths: setup.paths[way === 'twoDaemons' ? 1 - at : at] ?? [],
+        paths: paths[way === 'twoDaemons' ? 1 - at : at] ?? [],
         perSecond,
         durationMs,
       };
@@ -102,7 +106,9 @@
     }),
   );
   const seconds = (performance.now() - startMs) / 1000;
-  return figuresOf(results, before, await usages(hosts), seconds);
+  const figures = figuresOf(results, before, await usages(hosts), seconds);
+  const keysMoved = countMoved(paths, await pathsByOwner(hosts));
+  return {...figures, keysMoved, loadAverage: round(loadavg()[0] ?? 0)};
 }
 
 function figuresOf(
@@ -156,7 +162,7 @@
         slots: SLOTS,
         connections: SLOTS,
         coldSlots: SLOTS,
-        serviceMs: 1,
+        serviceMs: SERVICE_MS,
         checksGrants: false,
       },
       tuning: {},
@@ -168,30 +174,43 @@
   const document = await cityDocument({slices: SLICES});
   await applyUntilAccepted(hosts[0], document, 0, START_MS);
   await untilServed(hosts, [SERVICE], KEYS, START_MS);
-  const paths = await pathsByOwner(cluster, hosts);
   const callers = hosts.map(() => startWorker(WORKER, signal));
-  return {hosts, callers, paths};
+  return {hosts, callers};
 }
 
-/** Waits until each host owns some of the keys. */
-async function pathsByOwner(
-  cluster: Cluster,
-  hosts: readonly Host[],
-): Promise<string[][]> {
+/** Waits until each host owns keys and none has moved for a while. */
+async function quietPaths(hosts: readonly Host[]): Promise<string[][]> {
   const untilMs = performance.now() + START_MS;
+  let before = await pathsByOwner(hosts);
   for (;;) {
-    const owners = await ownersOf(hosts[0]);
-    const paths = hosts.map(({plan}) =>
-      keysOf(owner => owner.startsWith(`${plan.host}#`), owners),
-    );
-    if (paths.every(own => own.length > KEYS / 4)) return paths;
-    if (performance.now() > untilMs) {
-      throw new Error(`slices did not spread over ${cluster.hosts.size} hosts`);
-    }
-    await sleep(200);
+    await sleep(QUIET_MS);
+    const paths = await pathsByOwner(hosts);
+    const quiet = countMoved(before, paths) === 0;
+    if (quiet && paths.every(own => own.length > KEYS / 4)) return paths;
+    if (performance.now() > untilMs) throw new Error('slices do not settle');
+    before = paths;
   }
 }
 
+/** Paths of keys owned by each host, in the order of `hosts`. */
+async function pathsByOwner(hosts: readonly Host[]): Promise<string[][]> {
+  const owners = await ownersOf(hosts[0]);
+  return hosts.map(({plan}) =>
+    keysOf(owner => owner.startsWith(`${plan.host}#`), owners),
+  );
+}
+
+function countMoved(
+  before: readonly (readonly string[])[],
+  after: readonly (readonly string[])[],
+): number {
+  const moved = after.map((paths, at) => {
+    const known = new Set(before[at]);
+    return paths.filter(path => !known.has(path)).length;
+  });
+  return moved.reduce((sum, count) => sum + count, 0);
+}
+
 function keysOf(
   isOwner: (owner: string) => boolean,
   owners: readonly string[],
--- a/packages/emulator/src/bench/path/worker.ts
+++ b/packages/emulator/src/bench/path/worker.ts
@@ -9,6 +9,8 @@
 import type {PathOrder, PathResult} from './types.js';
 
 const MAX_SOCKETS = 100;
+/** Requests waiting or running at which further ones are given up. */
+const MAX_OPEN = 1000;
 const BODY = Buffer.alloc(200, 'x');
 const OK = 200;
 const HISTOGRAM = {
@@ -31,7 +33,7 @@
     const dueCount = ((performance.now() - startMs) * order.perSecond) / 1000;
     while (open.length < Math.min(total, dueCount)) {
       const dueMs = startMs + (open.length * 1000) / order.perSecond;
-      open.push(book(order, open.length, totals, () => record(dueMs)));
+      open.push(send(open.length, dueMs));
     }
     await new Promise(resolve => setTimeout(resolve, 1));
   }
@@ -42,6 +44,15 @@
     p99Us: latencies.getValueAtPercentile(99),
   };
 
+  function send(at: number, dueMs: number): Promise<void> {
+    if (at - totals.done - totals.failed < MAX_OPEN) {
+      return book(order, at, totals, () => record(dueMs));
+    }
+    totals.failed += 1;
+    totals.failure ||= 'given up: too many open';
+    return Promise.resolve();
+  }
+
   function record(dueMs: number): void {
     const us = Math.max(1, Math.round((performance.now() - dueMs) * 1000));
     latencies.recordValue(us);
