--- a/packages/emulator/src/bench/definitions.ts
+++ b/packages/emulator/src/bench/definitions.ts
@@ -5,13 +5,17 @@
 import {churnBench} from '../soak/benches/churn.js';
 import {controlBench} from '../soak/benches/control.js';
 import {failoverBench} from '../soak/benches/failover.js';
+import {idleBench} from './idle/definition.js';
 import {linksBench} from './links/definition.js';
+import {mapBench} from './map/definition.js';
 import {pathBench} from './path/definition.js';
 import type {Bench} from './types.js';
 
 /** All benches. */
 export const BENCHES: readonly Bench[] = [
   linksBench,
+  mapBench,
+  idleBench,
   pathBench,
   disseminationBench,
   failoverBench,
