--- a/packages/emulator/src/bench/definitions.ts
+++ b/packages/emulator/src/bench/definitions.ts
@@ -3,6 +3,7 @@
 import {disseminationBench} from '../dissemination/definition.js';
 import {linksBench} from './links/definition.js';
 import {pathBench} from './path/definition.js';
+import {overloadBench, tailBench} from './requests/definition.js';
 import type {Bench} from './types.js';
 
 /** All benches. */
@@ -10,4 +11,6 @@
   linksBench,
   pathBench,
   disseminationBench,
+  tailBench,
+  overloadBench,
 ];
--- /dev/null
+++ b/packages/emulator/src/bench/requests/definition.ts
@@ -0,0 +1,40 @@
+/** @fileoverview Benches of the policy for requests, in virtual time. */
+
+import {measureOverload} from '../../requests/overload.js';
+import {measureTail} from '../../requests/tail.js';
+import type {Bench, Figure, Figures} from '../types.js';
+
+const SEED = 1;
+const DECIMALS = 1000;
+
+/** Tail latency with a straggler. */
+export const tailBench: Bench = {
+  name: 'tail',
+  text: 'latency with one of four servers 20 times slower for 10 s, virtual time',
+  run() {
+    const policies = Object.entries(measureTail(SEED));
+    const figures = policies.map(([name, group]) => [name, round({...group})]);
+    return Promise.resolve(Object.fromEntries(figures) as Figures);
+  },
+};
+
+/** Useful answers under overload. */
+export const overloadBench: Bench = {
+  name: 'overload',
+  text: 'answers and latency at 0.5, 1, 2 and 5 times capacity, virtual time',
+  run() {
+    const {keyed, shared} = measureOverload(SEED);
+    return Promise.resolve({
+      keyed: keyed.map(group => round({...group})),
+      shared: shared.map(group => round({...group})),
+    });
+  },
+};
+
+function round(group: Readonly<Record<string, number>>): Figure {
+  const rounded = Object.entries(group).map(([name, value]) => [
+    name,
+    Math.round(value * DECIMALS) / DECIMALS,
+  ]);
+  return Object.fromEntries(rounded) as Figure;
+}
