--- a/packages/emulator/src/bench/definitions.ts
+++ b/packages/emulator/src/bench/definitions.ts
@@ -9,6 +9,7 @@
 import {linksBench} from './links/definition.js';
 import {mapBench} from './map/definition.js';
 import {pathBench} from './path/definition.js';
+import {overloadBench, tailBench} from './requests/definition.js';
 import type {Bench} from './types.js';
 
 /** All benches. */
@@ -22,4 +23,6 @@
   churnBench,
   balanceBench,
   controlBench,
+  tailBench,
+  overloadBench,
 ];
