--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -11,7 +11,6 @@
   AttemptId,
   Event,
   Failure,
-  HistogramName,
   MemberId,
   Message,
   RequestId,
@@ -26,6 +25,7 @@
 import type {AnswerMessage} from '../bodies/messages.js';
 import {Answers, writeFailure} from './answers.js';
 import {BodyBudget, readBody} from './intake.js';
+import {Pressure} from './pressure.js';
 import {createIncoming} from './state.js';
 import type {Incoming, Pending} from './types.js';
 
@@ -54,8 +54,9 @@
   transmit(to: MemberId, message: Message): void;
   /** The configuration in force, or null before the first. */
   configuration(): Configuration | null;
-  measure(histogram: HistogramName, valueMs: number): void;
   readonly windowBytes: number;
+  /** Time between two calls of `watch`, in milliseconds. */
+  readonly tickMs: number;
   /** Distinguishes this process's request ids from all others. */
   readonly idPrefix: string;
 }
@@ -77,7 +78,9 @@
   private readonly incoming = new Map<AttemptId, Incoming>();
   private readonly budget = new BodyBudget(MAX_HELD_BYTES);
   private readonly answers: Answers;
+  private readonly pressure: Pressure;
   private count = 0;
+  private leaving = false;
 
   /** @param context - The process around this object. */
   constructor(private readonly context: CallerContext) {
@@ -89,6 +92,7 @@
       },
       context.windowBytes / 2,
     );
+    this.pressure = new Pressure(context.tickMs);
     this.server = createServer(
       {
         maxHeaderSize: MAX_HEADER_BYTES,
@@ -100,6 +104,11 @@
     this.server.maxConnections = MAX_CONNECTIONS;
   }
 
+  /** From now on each answer ends its connection, so that none is cut. */
+  leave(): void {
+    this.leaving = true;
+  }
+
   /** @returns Requests not yet answered. */
   get open(): number {
     return this.pending.size;
@@ -215,13 +224,18 @@
     this.incoming.delete(attempt);
   }
 
+  /** Notes how late the loop is; called every tick. */
+  watch(): void {
+    this.pressure.note(performance.now());
+  }
+
   private async take(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<void> {
+    if (this.leaving) outgoing.shouldKeepAlive = false;
     const request = `${this.context.idPrefix}-${++this.count}` as RequestId;
-    const startedMs = performance.now();
-    const pending = await this.admit(request, startedMs, incoming, outgoing);
+    const pending = await this.admit(request, incoming, outgoing);
     if (pending === null) return;
     this.pending.set(request, pending);
     outgoing.once('close', () => this.hungUp(pending));
@@ -241,7 +255,6 @@
 
   private async admit(
     request: RequestId,
-    startedMs: number,
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<Pending | null> {
@@ -254,7 +267,7 @@
     if (configuration === null) {
       return refuse(failure('no-server', 'not-run', 'no configuration yet'));
     }
-    if (this.pending.size >= MAX_PENDING) {
+    if (this.isFull()) {
       return refuse(failure('overloaded', 'not-run', 'too many requests'));
     }
     const method = incoming.method ?? '';
@@ -277,12 +290,16 @@
       idempotencyKey: headerOf(incoming, KEY_HEADER),
       body: body.bytes,
       outgoing,
-      startedMs,
       relayed: null,
       attempts: new Set(),
     };
   }
 
+  private isFull(): boolean {
+    const open = this.pending.size;
+    return open >= MAX_PENDING || this.pressure.refuses(open);
+  }
+
   private credit(incoming: Incoming, bytes: number): void {
     incoming.bodyCredit += bytes;
     const pending = this.pending.get(incoming.request);
@@ -315,7 +332,6 @@
   private answered(request: RequestId): void {
     const pending = this.pending.get(request);
     if (pending === undefined) return;
-    this.context.measure('request', performance.now() - pending.startedMs);
     this.close(pending);
     this.context.emit({kind: 'answered', request});
   }
