Long entries are announced by version, short ones pushed whole

Change: entries over 512 characters are told by version and pulled; a message of entries is bounded by 200,000 characters, and so is a document, so that none exceeds what a link carries.

--- a/packages/core/src/journal/reader.ts
+++ b/packages/core/src/journal/reader.ts
@@ -11,6 +11,10 @@
 
 /** Least wait after a failed read. */
 const RETRY_MS = 200;
+/** Longest entry that is pushed without being asked for. */
+const PUSHED_CHARACTERS = 512;
+/** Most characters of entries in one message, unless one is longer. */
+const SENT_CHARACTERS = 200_000;
 
 /**
  * Reads the platform when no peer can help.
@@ -163,18 +167,19 @@
 
 /**
  * Pushes a new entry to a few neighbours: those at distances of powers of two
- * in the order of ids.
+ * in the ring. Of a long one only the version is told; who lacks it, pulls.
  *
  * @param context - The step.
  * @param committed - The entry.
  */
 export function pushEntry(context: Context, committed: Committed): void {
   const {state} = context;
-  const message: ControlMessage = {
-    kind: 'entries',
-    entries: [linkEntry(committed)],
-    version: state.map.version,
-  };
+  const {version} = state.map;
+  const logged = linkEntry(committed);
+  const message: ControlMessage =
+    logged.text.length <= PUSHED_CHARACTERS
+      ? {kind: 'entries', entries: [logged], version}
+      : {kind: 'pull', after: version};
   for (const neighbour of neighboursOf(context)) {
     send(context, neighbour, message);
   }
@@ -209,7 +214,15 @@
   if (first === undefined || first.entry.version > after + 1) return [];
   const start = after + 1 - first.entry.version;
   const most = state.settings.tuning.log.batchEntries;
-  return state.recent.slice(start, start + most).map(linkEntry);
+  const entries: LoggedEntry[] = [];
+  let characters = 0;
+  for (const committed of state.recent.slice(start, start + most)) {
+    const logged = linkEntry(committed);
+    characters += logged.text.length;
+    if (entries.length > 0 && characters > SENT_CHARACTERS) break;
+    entries.push(logged);
+  }
+  return entries;
 }
 
 function pullFrom(context: Context, from: MemberId): void {
--- a/packages/core/src/ownership/commands.ts
+++ b/packages/core/src/ownership/commands.ts
@@ -22,6 +22,9 @@
 /** Commands that wait for the platform at the same time. */
 const MAX_PENDING = 64;
 
+/** Longest document; one entry has to fit into a message between daemons. */
+const MOST_DOCUMENT_CHARACTERS = 200_000;
+
 /**
  * Takes a command.
  *
@@ -151,6 +154,10 @@
     const detail = `based on version ${command.basedOn}, current is ${current}`;
     return {result: {kind: 'conflict', detail}};
   }
+  if (command.document.length > MOST_DOCUMENT_CHARACTERS) {
+    const message = `has more than ${MOST_DOCUMENT_CHARACTERS} characters`;
+    return rejected([{path: 'document', message}]);
+  }
   const parsed = parseWorkspace(command.document);
   if (parsed.kind === 'invalid') return rejected(parsed.faults);
   const before = state.map.configuration?.workspace;
