Invariants inside the program; fewer moves when numbers of slices are evened

Cause: a ninth host caused 56 moves where 28 suffice: each move went to the least loaded from whichever owner came first.

--- a/packages/core/src/coordinator/logic.ts
+++ b/packages/core/src/coordinator/logic.ts
@@ -8,6 +8,8 @@
 
 /** Most runs or moves in one entry. */
 const MOST_RUNS = 2048;
+/** Gap between two members, as a share of the mean, that is evened out. */
+const LEAST_GAP_SHARE = 0.15;
 
 /**
  * Finds the most urgent change of placement.
@@ -147,23 +149,35 @@
   const room = (limits?.maxMovingSlices ?? 0) - service.moves.size;
   if (room <= 0 || service.moves.size > 0) return null;
   const counts = countOwned(service);
+  const owned = slicesByOwner(service);
+  const mean = service.slices / candidates.length;
+  const leastGap = Math.max(2, Math.ceil(mean * LEAST_GAP_SHARE));
   const moves = new MoveList();
-  let taken = 0;
-  for (let slice = 0; slice < service.slices && taken < room; slice++) {
-    const from = memberAt(map, service.owner[slice]);
-    if (from === null) continue;
+  for (let taken = 0; taken < room; taken++) {
+    const from = mostLoaded(candidates, counts);
     const to = leastLoaded(candidates, counts);
-    const gap = count(counts, from) - count(counts, to);
-    if (gap < 2) continue;
+    const slice = owned.get(from.index)?.pop();
+    if (count(counts, from) - count(counts, to) < leastGap) break;
+    if (slice === undefined) break;
     counts.set(from.index, count(counts, from) - 1);
     counts.set(to.index, count(counts, to) + 1);
-    taken += 1;
     if (!moves.add(slice, to.id)) break;
   }
   if (moves.list.length === 0) return null;
   return {kind: 'moving', service: service.name, moves: moves.list};
 }
 
+function slicesByOwner(service: ServiceMap): Map<number, Slice[]> {
+  const owned = new Map<number, Slice[]>();
+  for (let slice = 0; slice < service.slices; slice++) {
+    const owner = service.owner[slice];
+    const slices = owned.get(owner) ?? [];
+    slices.push(slice as Slice);
+    owned.set(owner, slices);
+  }
+  return owned;
+}
+
 /** Standbys of one owner are spread over the other members. */
 function standbyFor(
   owner: Member,
@@ -191,6 +205,17 @@
   return best;
 }
 
+function mostLoaded(
+  candidates: readonly Member[],
+  counts: ReadonlyMap<number, number>,
+): Member {
+  let best = candidates[0];
+  for (const each of candidates) {
+    if (count(counts, each) > count(counts, best)) best = each;
+  }
+  return best;
+}
+
 function count(counts: ReadonlyMap<number, number>, member: Member): number {
   return counts.get(member.index) ?? 0;
 }
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -52,6 +52,7 @@
 import type {Row, StoreReply} from '../store/types.js';
 import {noteCommandDone, takeCommand} from './commands.js';
 import {doDuties} from './duties.js';
+import {checkInvariants} from './invariants.js';
 import {log, send, violate} from './effects.js';
 import type {Context, Ownership} from './state.js';
 import type {WorkView} from './types.js';
@@ -78,6 +79,7 @@
   if (input.event.kind === 'ticked' || state.dirty) {
     state.dirty = false;
     doDuties(context);
+    checkInvariants(context);
   }
   return context.effects;
 }
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -161,6 +161,8 @@
   watchAt: number;
   actsAsCoordinator: boolean;
   snapshots: Snapshots;
+  /** What the newest check of invariants saw. */
+  checked: {version: number; configuration: number};
   readonly balance: Balance;
 }
 
@@ -223,6 +225,7 @@
     watchAt: 0,
     actsAsCoordinator: false,
     snapshots: createSnapshots(),
+    checked: {version: 0, configuration: 0},
     balance: createBalance(),
   };
 }
--- a/packages/core/src/snapshots/keeper.ts
+++ b/packages/core/src/snapshots/keeper.ts
@@ -3,6 +3,7 @@
 import type {Version} from '../ids/types.js';
 import {retryRead} from '../journal/reader.js';
 import {callStore, log, newWriteId} from '../ownership/effects.js';
+import {checkGenerations} from '../ownership/invariants.js';
 import type {Context} from '../ownership/state.js';
 import type {Put, Row, StoreReply} from '../store/types.js';
 import {imageText, mapOfImage} from './logic.js';
@@ -176,6 +177,7 @@
   for (const [member, seen] of state.map.ended) {
     loaded.ended.set(member, seen);
   }
+  checkGenerations(context, state.map, loaded);
   loaded.membershipChanges = state.map.membershipChanges + 1;
   state.map = loaded;
   state.recent = [];
