--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -9,7 +9,7 @@
 import type {Context, Ownership} from '../ownership/state.js';
 import {currentRing} from '../ownership/state.js';
 import type {Row, StoreReply} from '../store/types.js';
-import {possibleGrantors, standing} from './logic.js';
+import {possibleGrantors, standing, stillHolds} from './logic.js';
 import type {Contact, Lease, MemberRow, RowWrite} from './types.js';
 
 /** Renewal rounds that are remembered. */
@@ -31,6 +31,7 @@
 export function keepLease(context: Context): void {
   const {state, at} = context;
   if (state.lease.revision === 0) return;
+  dropLapsed(state, at);
   noteStanding(context);
   if (state.phase === 'left' || state.phase === 'ending') return;
   if (at.monotonic >= state.lease.renewAt) renew(context);
@@ -54,6 +55,7 @@
   const round = lease.rounds.get(message.round);
   if (round === undefined || round.to !== from) return;
   lease.rounds.delete(message.round);
+  measureRenewal(context, round.sentAt);
   const contact = contactOf(lease, from);
   contact.unansweredSince = null;
   if (message.granted) {
@@ -66,6 +68,11 @@
   if (message.reason === 'closed') contact.closed = true;
 }
 
+function measureRenewal(context: Context, sentAt: Instant): void {
+  const valueMs = context.at.monotonic - sentAt.monotonic;
+  context.effects.push({kind: 'measure', histogram: 'renewal', valueMs});
+}
+
 /**
  * Takes the reply to a write of the own row.
  *
@@ -145,6 +152,22 @@
   log(context, 'grantorsChanged', {grantors: grantors.join(' ')});
 }
 
+/**
+ * Forgets promises that were seen to lapse: after a freeze in which the
+ * monotonic clock stood still, the wall clock may yet jump back.
+ */
+function dropLapsed(state: Ownership, at: Instant): void {
+  const {lease} = state;
+  const {leaseMs} = state.settings.tuning.leases;
+  for (const [grantor, sent] of lease.promises) {
+    if (!stillHolds(sent, at, leaseMs)) lease.promises.delete(grantor);
+  }
+  const {touched} = lease;
+  if (touched !== null && !stillHolds(touched, at, leaseMs)) {
+    lease.touched = null;
+  }
+}
+
 function noteStanding(context: Context): void {
   const {state, at} = context;
   const {source} = standing(state, at);
@@ -168,6 +191,7 @@
       kind: 'renew',
       member: state.self,
       round,
+      row: lease.revision,
       version: map.version,
       configuration: map.configuration?.number ?? 0,
     });
--- a/packages/core/src/membership/endings.ts
+++ b/packages/core/src/membership/endings.ts
@@ -8,7 +8,7 @@
 import type {Context, Ownership, Wanted} from '../ownership/state.js';
 import {inForce} from '../ownership/state.js';
 import type {Row, StoreReply} from '../store/types.js';
-import type {Ending, KnownRow} from './types.js';
+import type {Ending, KnownRow, RowHint} from './types.js';
 
 /** Time between two requests to close, and between two reads of a row. */
 const ASK_GAP_MS = 100;
@@ -27,23 +27,26 @@
  * @param context - The step.
  * @param member - The silent member.
  * @param reporter - Who reported it.
- * @param confirmed - Whether an operator vouches that it has stopped.
+ * @param hint - What the reporter was told of the member's row.
+ * @param confirmedBy - The operator who vouches that it has stopped, or null.
  */
 export function suspectMember(
   context: Context,
   member: MemberId,
   reporter: MemberId,
-  confirmed = false,
+  hint: RowHint,
+  confirmedBy: string | null = null,
 ): void {
   const {state, at} = context;
   if (!state.map.members.has(member) || member === state.self) return;
   let ending = state.endings.get(member);
-  if (ending === undefined || (confirmed && !ending.confirmed)) {
-    ending = newEnding(member, at.monotonic, confirmed);
+  if (ending === undefined || (confirmedBy && !ending.confirmedBy)) {
+    ending = newEnding(member, at.monotonic, confirmedBy);
     state.endings.set(member, ending);
   }
   ending.reporters.add(reporter);
   ending.reportedAt = at.monotonic;
+  takeHint(ending, hint, at.monotonic);
 }
 
 /**
@@ -125,7 +128,12 @@
   for (const [member, ending] of state.endings) {
     if (ending.row === null || ends.length >= MOST_ENDED_AT_ONCE) continue;
     if (!mayEnd(state, ending, at.monotonic)) continue;
-    ends.push({member, revision: ending.row.revision});
+    const end = {member, revision: ending.row.revision};
+    if (ending.confirmedBy !== null) {
+      const change = {kind: 'ended', members: [member]} as const;
+      return {change, by: ending.confirmedBy, ends: [end]};
+    }
+    ends.push(end);
   }
   if (ends.length === 0) return null;
   const members = ends.map(each => each.member);
@@ -154,7 +162,7 @@
   const {leaseMs, marginMs} = state.settings.tuning.leases;
   const waitMs = leaseMs + marginMs;
   if (inForce(state, 'R8') && now - row.since < waitMs) return false;
-  if (ending.confirmed) return true;
+  if (ending.confirmedBy !== null) return true;
   if (!inForce(state, 'R2')) {
     return row.grantors.some(id => ending.closedBy.has(id));
   }
@@ -175,9 +183,21 @@
   return now - seen >= waitMs;
 }
 
+/** The grantor's knowledge of a row counts from when it was told. */
+function takeHint(ending: Ending, hint: RowHint, now: number): void {
+  if (hint.row === 0) return;
+  const since = now - hint.quietMs;
+  const known = ending.told.get(hint.row) ?? since;
+  ending.told.set(hint.row, Math.min(known, since));
+  const {row} = ending;
+  if (row === null || row.revision !== hint.row) return;
+  ending.row = {...row, since: Math.min(row.since, since)};
+}
+
 function learnRow(ending: Ending, row: Row, now: number): void {
   const {grantors} = JSON.parse(row.value) as MemberRow;
-  ending.row = {revision: row.revision, grantors, since: now};
+  const since = ending.told.get(row.revision) ?? now;
+  ending.row = {revision: row.revision, grantors, since};
   ending.askAt = now;
 }
 
@@ -192,7 +212,7 @@
 
 function askGrantors(context: Context, ending: Ending): void {
   const {state, at} = context;
-  if (ending.row === null || ending.confirmed) return;
+  if (ending.row === null || ending.confirmedBy !== null) return;
   if (!isNearlyQuiet(state, ending.row, at.monotonic)) return;
   for (const grantor of ending.row.grantors) {
     if (ending.closedBy.has(grantor)) continue;
@@ -236,15 +256,20 @@
 }
 
 function isOver(ending: Ending, now: number): boolean {
-  return !ending.confirmed && now - ending.reportedAt > GIVE_UP_MS;
+  return ending.confirmedBy === null && now - ending.reportedAt > GIVE_UP_MS;
 }
 
-function newEnding(member: MemberId, now: number, confirmed: boolean): Ending {
+function newEnding(
+  member: MemberId,
+  now: number,
+  confirmedBy: string | null,
+): Ending {
   return {
     member,
     begun: now,
-    confirmed,
+    confirmedBy,
     row: null,
+    told: new Map(),
     reading: false,
     askAt: now,
     closedBy: new Set(),
--- a/packages/core/src/ownership/commands.ts
+++ b/packages/core/src/ownership/commands.ts
@@ -10,7 +10,7 @@
 import {describeFaults} from '../faults/logic.js';
 import type {Fault} from '../faults/types.js';
 import {hostOf} from '../ids/logic.js';
-import type {MemberId, ServiceName, ZoneName} from '../ids/types.js';
+import type {ServiceName, ZoneName} from '../ids/types.js';
 import type {Change} from '../log/types.js';
 import type {Command, CommandResult} from '../loop/types.js';
 import {suspectMember} from '../membership/endings.js';
@@ -19,6 +19,9 @@
 import {reply} from './effects.js';
 import type {Context, Ownership, PendingCommand, Wanted} from './state.js';
 
+/** Commands that wait for the platform at the same time. */
+const MAX_PENDING = 64;
+
 /**
  * Takes a command.
  *
@@ -107,12 +110,17 @@
     const written = pending.writeId;
     if (written !== null && written !== current) pending.writeId = null;
     if (at.monotonic < pending.expiresAt) continue;
-    const open = pending.writeId !== null && state.journal.append?.unresolved;
+    const kind = mayTakeEffect(pending) ? 'unknown' : 'unavailable';
     const detail = 'the platform did not answer in time';
-    finish(context, pending, {kind: open ? 'unknown' : 'unavailable', detail});
+    finish(context, pending, {kind, detail});
   }
 }
 
+/** An entry on its way may arrive; a member's end is pursued in any case. */
+function mayTakeEffect({writeId, command}: PendingCommand): boolean {
+  return writeId !== null || command.kind === 'endMember';
+}
+
 type Outcome = {readonly change: Change} | {readonly result: CommandResult};
 
 function changeOf(context: Context, command: Command): Outcome | null {
@@ -125,7 +133,7 @@
     case 'stopServer':
       return stopOutcome(state, command.host);
     case 'endMember':
-      return endOutcome(context, command.member);
+      return endOutcome(context, command);
     case 'status':
     case 'progress':
     case 'map':
@@ -186,8 +194,12 @@
 }
 
 /** Ends by way of the endings, which read the member's row first. */
-function endOutcome(context: Context, member: MemberId): Outcome | null {
+function endOutcome(
+  context: Context,
+  command: Extract<Command, {kind: 'endMember'}>,
+): Outcome | null {
   const {state} = context;
+  const {member, by} = command;
   if (state.map.ended.has(member)) {
     return {result: accepted(state, state.map.version)};
   }
@@ -195,12 +207,17 @@
     const detail = `${member} is not another live member`;
     return {result: {kind: 'rejected', detail}};
   }
-  suspectMember(context, member, state.self, true);
+  suspectMember(context, member, state.self, {row: 0, quietMs: 0}, by);
   return null;
 }
 
 function queueCommand(context: Context, command: Command, token: number): void {
   const {state, at} = context;
+  if (state.commands.length >= MAX_PENDING) {
+    const detail = 'too many commands wait';
+    reply(context, token, {kind: 'unavailable', detail});
+    return;
+  }
   const expiresAt = at.monotonic + state.settings.tuning.log.commandMs;
   state.commands.push({command, token, expiresAt, writeId: null});
   state.dirty = true;
--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -3,7 +3,7 @@
  * sockets and timers to the loop as events.
  */
 
-import {compileRoutes, reduceDaemon, viewOfDaemon} from '@jackdawfall/core';
+import {compileRoutes, reduceDaemon} from '@jackdawfall/core';
 import type {
   Announcement,
   Command,
@@ -11,6 +11,7 @@
   Daemon,
   Effect,
   Event,
+  LogName,
   MemberId,
   Message,
   StoreCall,
@@ -26,8 +27,9 @@
 } from '../bodies/messages.js';
 import {Callers} from '../callers/logic.js';
 import type {Configuration} from '../callers/logic.js';
-import type {Logger} from '../logs/types.js';
+import type {LogFields, Logger} from '../logs/types.js';
 import {Loop, readClocks} from '../loop/logic.js';
+import {gaugesOf} from '../metrics/gauges.js';
 import type {Metrics} from '../metrics/types.js';
 import {Outbox} from '../outbox/logic.js';
 import {Platform} from '../platform/logic.js';
@@ -99,13 +101,13 @@
       tuning.links.silenceMs,
     );
     const shared = {
-      emit: (event: Event) => this.loop.emit(event),
+      emit: (event: Event) => this.emit(event),
       transmit: (to: MemberId, message: Message) => this.transmit(to, message),
-      measure: parts.metrics.record.bind(parts.metrics),
       windowBytes: tuning.links.windowBytes,
     };
     this.callers = new Callers({
       ...shared,
+      tickMs: tuning.loop.tickMs,
       configuration: () => this.currentConfiguration(),
       idPrefix: this.self,
     });
@@ -127,12 +129,13 @@
 
   /** Begins a planned stop. */
   stop(): void {
+    this.callers.leave();
     this.loop.emit({kind: 'stopRequested'});
   }
 
   /** @returns Why this daemon has not joined its workspace, or null. */
   obstacle(): string | null {
-    if (viewOfDaemon(this.parts.daemon).self !== null) return null;
+    if (this.parts.daemon.view.self !== null) return null;
     return this.platformFails
       ? 'not joined: the platform does not answer'
       : 'not joined yet';
@@ -164,6 +167,18 @@
     });
   }
 
+  private emit(event: Event): void {
+    if (event.kind === 'taken') {
+      this.parts.metrics.count('requests', event.taken.service);
+    }
+    this.loop.emit(event);
+  }
+
+  private log(event: LogName, fields: LogFields): void {
+    this.parts.metrics.count('logEvents', event);
+    this.parts.logger.log(event, fields);
+  }
+
   private perform(effect: Effect): void {
     switch (effect.kind) {
       case 'send':
@@ -205,7 +220,7 @@
         this.runs.grant(effect);
         return;
       case 'log':
-        this.parts.logger.log(effect.event, effect.fields);
+        this.log(effect.event, effect.fields);
         return;
       case 'measure':
         this.parts.metrics.record(effect.histogram, effect.valueMs);
@@ -235,7 +250,7 @@
       this.receive(to, message);
       return;
     }
-    const view = viewOfDaemon(this.parts.daemon);
+    const {view} = this.parts.daemon;
     this.outbox.send(to, view.addressOf(to), message);
   }
 
@@ -254,7 +269,7 @@
 
   private linkLost(peer: MemberId, reason: string): void {
     this.parts.metrics.count('linksLost');
-    this.parts.logger.log('linkLost', {peer, reason});
+    this.log('linkLost', {peer, reason});
     this.outbox.lost(peer);
     this.loop.emit({kind: 'linkLost', peer});
   }
@@ -276,24 +291,26 @@
     const failed = reply.kind === 'refused' || reply.kind === 'unknown';
     if (failed && !this.platformFails) {
       const {kind, detail} = reply;
-      this.parts.logger.log('platformFailed', {reply: kind, detail});
+      this.log('platformFailed', {reply: kind, detail});
     }
     if (!failed && this.platformFails) {
-      this.parts.logger.log('platformAnswers', {});
+      this.log('platformAnswers', {});
     }
     this.platformFails = failed;
   }
 
   /** @returns Counters, gauges and latencies as text. */
   renderMetrics(): string {
-    return this.parts.metrics.render([]);
+    const {daemon, metrics} = this.parts;
+    return metrics.render(gaugesOf(daemon, readClocks()));
   }
 
   /** Housekeeping between events; called by the process every tick. */
   watch(): void {
     this.runs.watch();
+    this.callers.watch();
     this.watchAnnouncement();
-    const {self} = viewOfDaemon(this.parts.daemon);
+    const {self} = this.parts.daemon.view;
     if (self === null || self === this.self) return;
     this.self = self;
     this.links.setSelf(self);
@@ -312,7 +329,7 @@
   }
 
   private currentConfiguration(): Configuration | null {
-    const {workspace} = viewOfDaemon(this.parts.daemon);
+    const {workspace} = this.parts.daemon.view;
     if (workspace === null) return null;
     if (this.configuration?.workspace !== workspace) {
       this.configuration = {workspace, router: compileRoutes(workspace)};
--- a/packages/daemon/src/runs/logic.spec.ts
+++ b/packages/daemon/src/runs/logic.spec.ts
@@ -167,7 +167,6 @@
   const runs = new Runs({
     emit: event => void events.push(event),
     transmit: (_, message) => void messages.push(message),
-    measure: () => undefined,
     windowBytes: 1024,
     silenceMs: SILENCE_MS,
     kept: {answerBytes: 100, totalBytes: 1000},
@@ -187,7 +186,11 @@
     events,
     start: (keep: boolean) => startRun(runs, keep),
     kinds: (attempt: AttemptId = ATTEMPT) => folded(messages, attempt),
-    settled: (count: number) => until(() => events.length >= count),
+    settled: (count: number) =>
+      until(() => {
+        runs.watch();
+        return events.length >= count;
+      }),
   };
 }
 
--- a/packages/emulator/src/bench/definitions.ts
+++ b/packages/emulator/src/bench/definitions.ts
@@ -2,6 +2,10 @@
 
 import {disseminationBench} from '../dissemination/definition.js';
 import {idleBench} from './idle/definition.js';
+import {balanceBench} from '../soak/benches/balance.js';
+import {churnBench} from '../soak/benches/churn.js';
+import {controlBench} from '../soak/benches/control.js';
+import {failoverBench} from '../soak/benches/failover.js';
 import {linksBench} from './links/definition.js';
 import {mapBench} from './map/definition.js';
 import {pathBench} from './path/definition.js';
@@ -14,4 +18,8 @@
   idleBench,
   pathBench,
   disseminationBench,
+  failoverBench,
+  churnBench,
+  balanceBench,
+  controlBench,
 ];
--- a/packages/emulator/src/scenario/runner.ts
+++ b/packages/emulator/src/scenario/runner.ts
@@ -4,7 +4,8 @@
 import type {Result, Scenario, Step} from './types.js';
 
 import {sleep} from '../control/logic.js';
-import {expect, ledgerOf} from './expectations.js';
+import {expect, ledgerOf, recordsOf} from './expectations.js';
+import {reasonsOf} from '../load/logic.js';
 import {emptyStage} from './state.js';
 import * as steps from './steps.js';
 
@@ -29,19 +30,17 @@
  *
  * @param scenario - The scenario.
  * @param signal - Ends it early.
- * @param say - Prints progress.
  * @returns What came of it.
  */
 export async function runScenario(
   scenario: Scenario,
   signal: AbortSignal,
-  say: (line: string) => void,
 ): Promise<Result> {
   const startMs = performance.now();
   const ending = new AbortController();
   const limit = AbortSignal.timeout(scenario.timeoutMs);
   const until = AbortSignal.any([signal, limit, ending.signal]);
-  const stage = emptyStage(scenario, until, say);
+  const stage = emptyStage(scenario, until);
   let ledger: Result['ledger'] = null;
   try {
     await Promise.race([perform(stage), aborted(until)]);
@@ -61,6 +60,7 @@
     verdict: stage.faults.length === 0 ? 'passed' : 'failed',
     tookMs: performance.now() - startMs,
     faults: stage.faults,
+    reasons: reasonsOf(recordsOf(stage)),
     ledger,
   };
 }
