--- a/packages/core/src/membership/endings.ts
+++ b/packages/core/src/membership/endings.ts
@@ -8,10 +8,15 @@
 import type {Context, Ownership, Wanted} from '../ownership/state.js';
 import {inForce} from '../ownership/state.js';
 import type {Row, StoreReply} from '../store/types.js';
-import type {Ending, KnownRow} from './types.js';
+import type {Ending, KnownRow, RowHint} from './types.js';
 
 /** Time between two requests to close, and between two reads of a row. */
 const ASK_GAP_MS = 100;
+/** The same for a member that has resisted for long. */
+const SLOW_ASK_GAP_MS = 1000;
+/** Bounds of the time between two reads of a row. */
+const LEAST_REREAD_MS = 1500;
+const MOST_REREAD_MS = 30_000;
 /** Time before a row has been quiet for long at which closing begins. */
 const CLOSE_AHEAD_MS = 300;
 /** Time without a new report after which an ending is given up. */
@@ -27,12 +32,14 @@
  * @param context - The step.
  * @param member - The silent member.
  * @param reporter - Who reported it.
+ * @param hint - What the reporter was told of the member's row.
  * @param confirmedBy - The operator who vouches that it has stopped, or null.
  */
 export function suspectMember(
   context: Context,
   member: MemberId,
   reporter: MemberId,
+  hint: RowHint,
   confirmedBy: string | null = null,
 ): void {
   const {state, at} = context;
@@ -44,6 +51,7 @@
   }
   ending.reporters.add(reporter);
   ending.reportedAt = at.monotonic;
+  takeHint(ending, hint, at.monotonic);
 }
 
 /**
@@ -60,9 +68,10 @@
       continue;
     }
     if (now < ending.askAt) continue;
-    ending.askAt = now + ASK_GAP_MS;
-    if (ending.row === null) readRow(context, ending);
-    else askGrantors(context, ending);
+    const age = now - ending.begun;
+    ending.askAt = now + (age > CLEAR_MS ? SLOW_ASK_GAP_MS : ASK_GAP_MS);
+    if (ending.row === null || now >= ending.readAt) readRow(context, ending);
+    if (ending.row !== null) askGrantors(context, ending);
     if (now - ending.begun > CLEAR_MS) clearReporters(context, ending);
   }
 }
@@ -180,9 +189,21 @@
   return now - seen >= waitMs;
 }
 
+/** The grantor's knowledge of a row counts from when it was told. */
+function takeHint(ending: Ending, hint: RowHint, now: number): void {
+  if (hint.row === 0) return;
+  const since = now - hint.quietMs;
+  const known = ending.told.get(hint.row) ?? since;
+  ending.told.set(hint.row, Math.min(known, since));
+  const {row} = ending;
+  if (row === null || row.revision !== hint.row) return;
+  ending.row = {...row, since: Math.min(row.since, since)};
+}
+
 function learnRow(ending: Ending, row: Row, now: number): void {
   const {grantors} = JSON.parse(row.value) as MemberRow;
-  ending.row = {revision: row.revision, grantors, since: now};
+  const since = ending.told.get(row.revision) ?? now;
+  ending.row = {revision: row.revision, grantors, since};
   ending.askAt = now;
 }
 
@@ -215,7 +236,9 @@
 
 function readRow(context: Context, ending: Ending): void {
   if (ending.reading) return;
+  const now = context.at.monotonic;
   ending.reading = true;
+  ending.readAt = now + rereadMs(now - ending.begun);
   const {member} = ending;
   const key = context.state.keys.member(member);
   callStore(
@@ -225,6 +248,11 @@
   );
 }
 
+/** A member that can't be ended for long is looked at less often. */
+function rereadMs(ageMs: number): number {
+  return Math.min(MOST_REREAD_MS, Math.max(LEAST_REREAD_MS, ageMs / 2));
+}
+
 function clearReporters(context: Context, ending: Ending): void {
   const {state} = context;
   const now = context.at.monotonic;
@@ -254,7 +282,9 @@
     begun: now,
     confirmedBy,
     row: null,
+    told: new Map(),
     reading: false,
+    readAt: now,
     askAt: now,
     closedBy: new Set(),
     reporters: new Set(),
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -156,7 +156,7 @@
       return;
     case 'suspect':
       if (state.phase !== 'joining') {
-        suspectMember(context, message.member, from);
+        suspectMember(context, message.member, from, message);
       }
       return;
     case 'cleared':
@@ -316,7 +316,6 @@
   const {state} = context;
   if (state.leaves) {
     state.phase = 'left';
-    log(context, 'processLeaving', {member: state.self});
     context.effects.push({kind: 'leave'});
     return;
   }
