--- a/packages/emulator/src/deployment/definition.ts
+++ b/packages/emulator/src/deployment/definition.ts
@@ -10,7 +10,7 @@
 import {get, post} from '../control/client.js';
 import {LOOPBACK, sleep} from '../control/logic.js';
 import {StartError, startChild, startEmulator} from './child.js';
-import {freePorts} from './ports.js';
+import {reservePorts} from './ports.js';
 
 const DAEMON_ENTRY = 'daemon/dist/main.js';
 const READY_TIMEOUT_MS = 20_000;
@@ -56,7 +56,7 @@
     deaths: [],
   };
   const address = `${LOOPBACK}:${platform.ports.port}`;
-  const ports = await freePorts(plan.hosts.length * PORTS_PER_HOST);
+  const ports = await reservePorts(plan.hosts.length * PORTS_PER_HOST, signal);
   for (const one of plan.hosts) {
     const own = ports.splice(0, PORTS_PER_HOST);
     const settings = {folder, platform: address, ports: own};
--- a/packages/emulator/src/deployment/errors.spec.ts
+++ b/packages/emulator/src/deployment/errors.spec.ts
@@ -16,7 +16,7 @@
 import {startChild} from './child.js';
 import {startCluster} from './definition.js';
 import {applyUntilAccepted, cityDocument} from './operations.js';
-import {freePorts} from './ports.js';
+import {reservePorts} from './ports.js';
 import type {Cluster, Host} from './types.js';
 
 const DAEMON_ENTRY = 'daemon/dist/main.js';
@@ -173,7 +173,7 @@
 for (const {name, change, code, says} of STARTS) {
   test(`a daemon with ${name} ends with code ${code}`, async t => {
     const {port, close} = await takenPort();
-    const ports = await freePorts(3);
+    const ports = await reservePorts(3, ending.signal);
     const file = await settingsFile(change(settingsWith(ports), port));
     const child = startChild(
       {name: 'daemon', entry: DAEMON_ENTRY, args: ['--settings', file.path]},
@@ -187,7 +187,7 @@
 }
 
 test('a daemon without its platform says so and waits', async t => {
-  const ports = await freePorts(3);
+  const ports = await reservePorts(3, ending.signal);
   const file = await settingsFile(settingsWith(ports));
   const child = startChild(
     {name: 'daemon', entry: DAEMON_ENTRY, args: ['--settings', file.path]},
