Admission: a queue that lasts waits short, a burst for one usual run

Shared work waits half as long at each server, since it may wait at two. Slower services keep a queue of one usual run while it is only a burst; that part is tested as a table, not measured.

--- a/packages/core/src/admission/logic.spec.ts
+++ b/packages/core/src/admission/logic.spec.ts
@@ -6,6 +6,7 @@
 import type {AttemptId, InstanceId} from '../ids/types.js';
 import type {Announcement} from '../loop/types.js';
 import {DEFAULTS} from '../settings/defaults.js';
+import type {Priority} from '../workspace/types.js';
 import {
   announce,
   begin,
@@ -62,17 +63,28 @@
   return gate;
 }
 
+function ask(
+  gate: Admission,
+  id: string,
+  priority: Priority,
+  now: number,
+  deadline: number,
+) {
+  const attempt = id as AttemptId;
+  return offer(gate, {attempt, priority, deadline, shared: false}, now);
+}
+
 test('a closed gate admits nothing', t => {
   const gate = createAdmission(POLICY);
-  t.is(offer(gate, 'a' as AttemptId, 'interactive', 0, 100), 'refuse');
+  t.is(ask(gate, 'a', 'interactive', 0, 100), 'refuse');
 });
 
 test('a server that has just started gets one run at a time', t => {
   const gate = openGate();
   t.is(gate.limit, 1);
-  t.is(offer(gate, 'a' as AttemptId, 'interactive', 0, 100), 'start');
+  t.is(ask(gate, 'a', 'interactive', 0, 100), 'start');
   begin(gate, 'interactive');
-  t.is(offer(gate, 'b' as AttemptId, 'interactive', 0, 100), 'wait');
+  t.is(ask(gate, 'b', 'interactive', 0, 100), 'wait');
 });
 
 test('the limit grows by completed work up to the slots', t => {
@@ -164,18 +176,43 @@
 test('the queue refuses what has waited too long, oldest first', t => {
   const gate = warmGate();
   for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
-  offer(gate, 'a' as AttemptId, 'interactive', 0, 1000);
-  offer(gate, 'b' as AttemptId, 'interactive', 5, 1000);
-  offer(gate, 'c' as AttemptId, 'interactive', 5, 7);
+  ask(gate, 'a', 'interactive', 0, 1000);
+  ask(gate, 'b', 'interactive', 5, 1000);
+  ask(gate, 'c', 'interactive', 5, 7);
   t.deepEqual(takeExpired(gate, POLICY.queueMs - 1), ['c']);
   t.deepEqual(takeExpired(gate, POLICY.queueMs), ['a']);
 });
 
+/** Mean time of a run, how long the queue lasts, shared, and the wait. */
+const WAITS: ReadonlyArray<readonly [number, number, boolean, number]> = [
+  [6, 0, false, POLICY.queueMs],
+  [6, 500, false, POLICY.queueMs],
+  [6, 500, true, POLICY.queueMs / 2],
+  [100, 0, false, 100],
+  [100, 0, true, 50],
+  [100, 500, false, POLICY.queueMs],
+];
+
+for (const [meanMs, lastsMs, shared, waitMs] of WAITS) {
+  const kind = shared ? 'shared' : 'keyed';
+  test(`${kind} runs of ${meanMs} ms, queue for ${lastsMs} ms: ${waitMs}`, t => {
+    const gate = warmGate();
+    gate.meanMs = meanMs;
+    for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
+    const asking = {priority: 'interactive', deadline: 1e9, shared} as const;
+    offer(gate, {...asking, attempt: 'a' as AttemptId}, clock);
+    const now = clock + lastsMs;
+    gate.meanMs = lastsMs > 0 ? 0.01 : meanMs;
+    offer(gate, {...asking, attempt: 'b' as AttemptId}, now);
+    t.is(gate.queues.interactive[lastsMs > 0 ? 1 : 0].until, now + waitMs);
+  });
+}
+
 test('what would wait in vain is refused at once', t => {
   const gate = warmGate();
   for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
   let waiting = 0;
-  while (offer(gate, 'a' as AttemptId, 'interactive', 0, 1000) === 'wait') {
+  while (ask(gate, 'a', 'interactive', 0, 1000) === 'wait') {
     waiting += 1;
   }
   const servedInTime = (POLICY.queueMs / 6) * SLOTS;
@@ -189,9 +226,9 @@
   for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
   const room = SLOTS * POLICY.queueFactor;
   for (let i = 0; i < room; i++) {
-    t.is(offer(gate, `${i}` as AttemptId, 'interactive', 0, 1000), 'wait');
+    t.is(ask(gate, `${i}`, 'interactive', 0, 1000), 'wait');
   }
-  t.is(offer(gate, 'z' as AttemptId, 'interactive', 0, 1000), 'refuse');
+  t.is(ask(gate, 'z', 'interactive', 0, 1000), 'refuse');
 });
 
 test('interactive work goes first; deferrable work gets a share', t => {
@@ -199,9 +236,9 @@
   const share = SLOTS * POLICY.deferrableShare;
   for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
   for (let i = 0; i < 5; i++) {
-    offer(gate, `d${i}` as AttemptId, 'deferrable', 0, 1000);
+    ask(gate, `d${i}`, 'deferrable', 0, 1000);
   }
-  offer(gate, 'i' as AttemptId, 'interactive', 0, 1000);
+  ask(gate, 'i', 'interactive', 0, 1000);
   gate.running = 0;
   const started: string[] = [];
   for (let next = takeNext(gate); next !== null; next = takeNext(gate)) {
@@ -234,8 +271,8 @@
         if (kind === 'say') announce(gate, announcement('i1', {slots}), now);
         if (kind === 'offer') {
           const priority = deferrable ? 'deferrable' : 'interactive';
-          const id = `${now}` as AttemptId;
-          if (offer(gate, id, priority, now, now + 50) === 'start') {
+          const id = `${now}`;
+          if (ask(gate, id, priority, now, now + 50) === 'start') {
             start(priority);
           }
         }
--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -11,6 +11,7 @@
 import type {
   Admission,
   AdmissionPolicy,
+  Asking,
   Completion,
   Decision,
   RelapseCause,
@@ -22,6 +23,10 @@
 const MIN_WINDOW = 16;
 /** Weight of a sample that is above the baseline. */
 const BASELINE_RISE = 0.01;
+/** Part of the usual wait that shared work is given. */
+const SHARED_WAIT = 0.5;
+/** A queue that was never empty for so long is not a burst. */
+const STANDING_MS = 100;
 /** Weight of a sample in the mean. */
 const MEAN_WEIGHT = 0.05;
 /** Weight of a sample that is below the baseline. */
@@ -47,6 +52,7 @@
     relapsedAt: -Infinity,
     ratioSum: 0,
     ratios: 0,
+    emptyAt: -Infinity,
     meanMs: 0,
     baselines: new Map(),
     queues: {interactive: [], deferrable: []},
@@ -90,23 +96,17 @@
  * Decides about an attempt that arrives.
  *
  * @param gate - The gate.
- * @param attempt - The attempt.
- * @param priority - Its class.
+ * @param asking - The attempt.
  * @param now - Monotonic time, in milliseconds.
- * @param deadline - Monotonic time of its deadline.
  * @returns Whether it starts, waits in the gate's queue, or is refused.
  */
-export function offer(
-  gate: Admission,
-  attempt: AttemptId,
-  priority: Priority,
-  now: number,
-  deadline: number,
-): Decision {
+export function offer(gate: Admission, asking: Asking, now: number): Decision {
+  const {attempt, priority, deadline} = asking;
   const queue = gate.queues[priority];
+  noteEmpty(gate, now);
   if (queue.length === 0 && hasSlot(gate, priority)) return 'start';
   if (queue.length >= gate.ceiling * gate.policy.queueFactor) return 'refuse';
-  const queueMs = queueTimeMs(gate, priority);
+  const queueMs = queueTimeMs(gate, asking, now);
   if (expectedWaitMs(gate, priority) > queueMs) return 'refuse';
   const until = Math.min(deadline, now + queueMs);
   queue.push({attempt, since: now, until});
@@ -331,8 +331,20 @@
   return (ahead * gate.meanMs) / gate.limit;
 }
 
-function queueTimeMs(gate: Admission, priority: Priority): number {
+/**
+ * A queue that lasts means overload: waiting longer would only add to the
+ * latency of every answer. Shared work waits half as long, since it may have
+ * to wait at another server as well.
+ */
+function queueTimeMs(gate: Admission, asking: Asking, now: number): number {
   const {policy} = gate;
-  if (priority === 'deferrable') return policy.deferrableQueueMs;
-  return gate.ramping ? policy.rampQueueMs : policy.queueMs;
+  if (asking.priority === 'deferrable') return policy.deferrableQueueMs;
+  const share = asking.shared ? SHARED_WAIT : 1;
+  if (gate.ramping) return policy.rampQueueMs * share;
+  if (now - gate.emptyAt > STANDING_MS) return policy.queueMs * share;
+  return Math.max(policy.queueMs, gate.meanMs) * share;
+}
+
+function noteEmpty(gate: Admission, now: number): void {
+  if (gate.queues.interactive.length === 0) gate.emptyAt = now;
 }
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -47,12 +47,24 @@
   /** Sum of latency ratios in the current window, and their number. */
   ratioSum: number;
   ratios: number;
+  /** Monotonic time at which no interactive attempt waited, last. */
+  emptyAt: number;
   /** Mean time of a run; 0 before the first. */
   meanMs: number;
   readonly baselines: Map<string, Baseline>;
   readonly queues: Record<Priority, Waiting[]>;
 }
 
+/** An attempt that asks for a slot. */
+export interface Asking {
+  readonly attempt: AttemptId;
+  readonly priority: Priority;
+  /** Monotonic time of its deadline, in milliseconds. */
+  readonly deadline: number;
+  /** Whether another server may run it. */
+  readonly shared: boolean;
+}
+
 /** What becomes of an attempt that asks for a slot. */
 export type Decision = 'start' | 'wait' | 'refuse';
 
--- a/packages/core/src/execution/intake.ts
+++ b/packages/core/src/execution/intake.ts
@@ -1,6 +1,7 @@
 /** @fileoverview What origins ask of the daemon beside a backend server. */
 
 import {offer, takeWhere} from '../admission/logic.js';
+import type {Asking} from '../admission/types.js';
 import type {ErrorKind} from '../errors/types.js';
 import type {Generation, MemberId} from '../ids/types.js';
 import type {Dispatch, WorkMessage} from '../messages/types.js';
@@ -223,8 +224,8 @@
 
 function admit(turn: Turn, job: Job): void {
   const {state, now} = turn;
-  const {attempt, priority, deadline} = job;
-  const decision = offer(state.gate, attempt, priority, now, deadline);
+  const {attempt} = job;
+  const decision = offer(state.gate, askingOf(job), now);
   if (decision === 'refuse') {
     failJob(turn, job, 'overloaded', 'the queue is full');
     return;
@@ -235,11 +236,14 @@
   if (decision === 'start') startJob(turn, job);
 }
 
+function askingOf({attempt, priority, deadline, slice}: Job): Asking {
+  return {attempt, priority, deadline, shared: slice === null};
+}
+
 /** A joined attempt still wants the run that its first origin gave up. */
 function requeue(turn: Turn, job: Job): void {
   const {state, now} = turn;
-  const {attempt, priority, deadline} = job;
-  const decision = offer(state.gate, attempt, priority, now, deadline);
+  const decision = offer(state.gate, askingOf(job), now);
   if (decision === 'start') startJob(turn, job);
   if (decision === 'refuse') failJob(turn, job, 'overloaded', 'queue is full');
 }
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -120,7 +120,7 @@
     jumpRatio: 4,
     /** Factor on the limit when latency is above `slowRatio`. */
     decrease: 0.8,
-    /** Longest wait in the queue of interactive work. */
+    /** Longest wait of interactive work in a queue that lasts. */
     queueMs: 8,
     /** The same while the limit still grows after a start. */
     rampQueueMs: 250,
