npm run docs:logs also writes the defaults of the tuning

Change: the script renews the default column of docs/CONFIGURATION.md; the meanings stay written by hand, and a new tunable still fails the test.

--- a/scripts/write_docs.mjs
+++ b/scripts/write_docs.mjs
@@ -1,15 +1,28 @@
 // Writes the pages that are made from tables in the code.
-import {writeFileSync} from 'node:fs';
+import {readFileSync, writeFileSync} from 'node:fs';
 
 import {
   ANSWERS,
+  DEFAULTS,
   LOGS,
   renderErrorPage,
   renderLogPage,
 } from '../packages/core/dist/index.js';
 
-const write = (name, text) =>
-  writeFileSync(new URL(`../docs/${name}`, import.meta.url), text);
+const pageOf = name => new URL(`../docs/${name}`, import.meta.url);
+const write = (name, text) => writeFileSync(pageOf(name), text);
+
+// Rows of the tuning are written by hand, but for their defaults.
+const TUNING_ROW = /^(\| `tuning\.(\w+)\.(\w+)` \|) \S+ \|/gm;
+const withDefaults = page =>
+  page.replace(TUNING_ROW, (row, head, section, key) => {
+    const value = DEFAULTS[section]?.[key];
+    return value === undefined ? row : `${head} ${value} |`;
+  });
 
 write('LOGS.md', renderLogPage(LOGS));
 write('ERRORS.md', renderErrorPage(ANSWERS));
+write(
+  'CONFIGURATION.md',
+  withDefaults(readFileSync(pageOf('CONFIGURATION.md'), 'utf8')),
+);
