A planned stop ends in time when the platform is down

Change: the last 3 s of that time are kept for the own end; when it is not committed by then, the daemon leaves and the others end it by rule R2. It serves on until those last seconds, since nobody else could. Ruled out: leaving at once, which would cost the keys for the whole outage.

--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -30,6 +30,8 @@
 
 /** Time between two grants to the backend server. */
 const GRANT_GAP_MS = 500;
+/** Part of a planned stop that is kept for committing the own end. */
+const LAST_END_MS = 3000;
 /** First ranks that may act as coordinator when those before are silent. */
 const DEPUTY_RANKS = 3;
 /** Silence after which a deputy acts for a higher rank. */
@@ -276,16 +278,25 @@
   if (state.phase === 'stopping') {
     const drained = !ownsAny(state) && work.inFlightTotal() === 0;
     const told = state.map.members.get(state.self)?.draining === true;
-    if ((drained && told) || at.monotonic > state.stopBy) {
+    if ((drained && told) || at.monotonic > state.stopBy - LAST_END_MS) {
       state.phase = 'ending';
       state.dirty = true;
     }
     return;
   }
+  if (state.phase === 'ending' && state.leaves) leaveInTime(context);
   if (state.phase !== 'joined' || !isClosedOut(state, at.monotonic)) return;
   state.phase = 'ending';
 }
 
+/** The platform did not take the end in time; other members will end it. */
+function leaveInTime(context: Context): void {
+  const {state, at} = context;
+  if (at.monotonic <= state.stopBy) return;
+  state.phase = 'left';
+  context.effects.push({kind: 'leave'});
+}
+
 function ownsAny(state: Ownership): boolean {
   const index = state.map.members.get(state.self)?.index;
   if (index === undefined) return false;
--- a/packages/emulator/src/soak/operators.spec.ts
+++ b/packages/emulator/src/soak/operators.spec.ts
@@ -220,3 +220,20 @@
   );
   t.deepEqual(ends, [member]);
 });
+
+test('a daemon that is stopped in an outage serves on, then leaves in time', t => {
+  const cluster = formed(6, 32);
+  const node = cluster.nodes[1];
+  const {stopMs} = node.state.settings.tuning.membership;
+  cluster.setStore({kind: 'down'}, 60_000);
+  cluster.stop(node);
+  cluster.run(stopMs / 2);
+  t.true(node.alive);
+  t.deepEqual(unservedOf(cluster), []);
+  cluster.run(stopMs / 2 + 500);
+  t.false(node.alive);
+  cluster.heal();
+  cluster.run(8000);
+  t.deepEqual(unservedOf(cluster), []);
+  t.is(cluster.violation, null);
+});
