R9: a member that nobody answers leaves its row alone, so that others take over

Change: without any answer for 650 ms a member asks its peers in place of renewing, and leaves its row alone for 3.5 s; the others end it by R2 as if it were lost. Then it goes on for 15 s, since it may be the only survivor. A new incarnation offers its backend server only once it is granted (or alone). Ruled out: a bar written to the table by the coordinator (needs one more round trip through the store than leaving the row alone).

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -1,5 +1,6 @@
 /** @fileoverview Public items of the core package. */
 
+export {timeLeftMs} from './clock/logic.js';
 export type * from './clock/types.js';
 export type * from './daemon/types.js';
 export {reduceDaemon} from './daemon/logic.js';
@@ -30,6 +31,7 @@
 export type * from './messages/types.js';
 export type {LeaseSource, Standing} from './leases/types.js';
 export {standing as leaseOf} from './leases/logic.js';
+export {standing} from './leases/logic.js';
 export type * from './log/types.js';
 export {applyEntry} from './map/logic.js';
 export {createMap} from './map/state.js';
--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -1,13 +1,14 @@
 /** @fileoverview Renewing the own lease and writing the own row (R3, R7, R8). */
 
 import type {Instant} from '../clock/types.js';
+import {timeLeftMs} from '../clock/logic.js';
 import {hostOf} from '../ids/logic.js';
 import type {MemberId} from '../ids/types.js';
 import type {ControlMessage} from '../messages/types.js';
 import {chooseGrantors} from '../membership/ring.js';
 import {callStore, log, newWriteId, send} from '../ownership/effects.js';
 import type {Context, Ownership} from '../ownership/state.js';
-import {currentRing} from '../ownership/state.js';
+import {currentRing, inForce} from '../ownership/state.js';
 import type {Row, StoreReply} from '../store/types.js';
 import {possibleGrantors, standing, stillHolds} from './logic.js';
 import type {Contact, Lease, MemberRow, RowWrite} from './types.js';
@@ -20,6 +21,12 @@
 const SILENT_MS = 700;
 /** Least time between two writes of the own row. */
 const WRITE_GAP_MS = 300;
+/** Time without any answer after which a member counts as cut off. */
+const UNANSWERED_MS = 650;
+/** Time for which a member that is cut off leaves its row alone. */
+const QUIET_MS = 3500;
+/** Time for which it then goes on before it leaves the row alone again. */
+const SURVIVOR_MS = 15_000;
 /** Life left of a lease below which it is touched. */
 const TOUCH_BELOW_MS = 800;
 
@@ -34,7 +41,10 @@
   dropLapsed(state, at);
   noteStanding(context);
   if (state.phase === 'left' || state.phase === 'ending') return;
-  if (at.monotonic >= state.lease.renewAt) renew(context);
+  if (at.monotonic >= state.lease.renewAt) {
+    if (isCutOff(state, at.monotonic)) probe(context);
+    else renew(context);
+  }
   markSilent(context);
   writeRowIfDue(context);
 }
@@ -57,7 +67,7 @@
   lease.rounds.delete(message.round);
   measureRenewal(context, round.sentAt);
   const contact = contactOf(lease, from);
-  contact.unansweredSince = null;
+  noteAnswered(lease, from, context.at.monotonic);
   if (message.granted) {
     const known = lease.promises.get(from);
     if (known === undefined || known.monotonic < round.sentAt.monotonic) {
@@ -136,7 +146,10 @@
 ): void {
   const {lease} = context.state;
   if (revision <= lease.revision) return;
-  if (lease.revision === 0) lease.grantedAt = context.at.monotonic;
+  if (lease.revision === 0) {
+    lease.grantedAt = context.at.monotonic;
+    lease.answeredAt = context.at.monotonic;
+  }
   const changed = grantors.join() !== lease.grantors.join();
   lease.revision = revision;
   lease.grantors = grantors;
@@ -231,6 +244,79 @@
   if (contact !== undefined) contact.silentSince = null;
 }
 
+/**
+ * Notes that a peer answered something this member sent.
+ *
+ * @param lease - The lease.
+ * @param id - The peer.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function noteAnswered(lease: Lease, id: MemberId, now: number): void {
+  lease.answeredAt = now;
+  const contact = lease.contacts.get(id);
+  if (contact !== undefined) contact.unansweredSince = null;
+}
+
+/**
+ * Whether no peer has answered for a while, though there are others. Such a
+ * member asks its peers in place of renewing: a renewal that arrives while its
+ * answer is lost would only keep the grantor from closing.
+ */
+function isCutOff(state: Ownership, now: number): boolean {
+  if (now - state.lease.answeredAt < UNANSWERED_MS) return false;
+  return hasOthers(state);
+}
+
+function hasOthers(state: Ownership): boolean {
+  const {host} = state.settings;
+  for (const id of state.map.members.keys()) {
+    if (hostOf(id) !== host) return true;
+  }
+  return false;
+}
+
+/**
+ * Whether a member that is cut off leaves its row alone (R9): for a while it
+ * gives the others, if they live, time to end it; then it goes on, since it may
+ * be the only survivor.
+ */
+function leavesRowQuiet(state: Ownership, now: number): boolean {
+  if (!isCutOff(state, now) || !inForce(state, 'R9')) return false;
+  const cutOffMs = now - state.lease.answeredAt - UNANSWERED_MS;
+  return cutOffMs % (QUIET_MS + SURVIVOR_MS) < QUIET_MS;
+}
+
+/**
+ * Tells whether a member may offer its backend server: it is granted, or there
+ * is nobody else, or it goes on as a survivor. One that reaches only the
+ * platform would be given slices that no other member could reach.
+ *
+ * @param state - The state.
+ * @param at - The present instant.
+ * @returns Whether an offer makes sense.
+ */
+export function mayOffer(state: Ownership, at: Instant): boolean {
+  if (standing(state, at).source === 'grantor') return true;
+  const now = at.monotonic;
+  if (isCutOff(state, now)) return !leavesRowQuiet(state, now);
+  return !hasOthers(state);
+}
+
+/** Asks the present and the next possible grantors for any answer. */
+function probe(context: Context): void {
+  const {state, at} = context;
+  const {lease, map} = state;
+  lease.renewAt = at.monotonic + state.settings.tuning.leases.renewMs;
+  const asked = new Set(possibleGrantors(lease));
+  const ring = currentRing(state);
+  for (const id of chooseGrantors(map, ring, state.self, asked)) asked.add(id);
+  for (const id of wantedGrantors(state)) asked.add(id);
+  for (const id of asked) {
+    contactOf(lease, id).unansweredSince ??= at.monotonic;
+    send(context, id, {kind: 'pull', after: map.version});
+  }
+}
+
 /**
  * Tells whether no member is left that may grant this incarnation, because
  * those that can be heard have closed it (R7).
@@ -260,7 +346,7 @@
   const {state, at} = context;
   const {lease} = state;
   const now = at.monotonic;
-  if (now < lease.writeAfter) return;
+  if (now < lease.writeAfter || leavesRowQuiet(state, now)) return;
   if (lease.pending.some(write => write.inFlight)) return;
   const wanted = wantedGrantors(state);
   const lost = lease.grantors.some(id => !usable(state, id));
@@ -280,7 +366,7 @@
 function needsTouch(state: Ownership, at: Instant): boolean {
   const held = standing(state, at);
   if (held.source === 'none') return true;
-  return held.until.monotonic - at.monotonic < TOUCH_BELOW_MS;
+  return timeLeftMs(held.until, at) < TOUCH_BELOW_MS;
 }
 
 function followsRing(context: Context, differs: boolean): boolean {
--- a/packages/core/src/leases/state.ts
+++ b/packages/core/src/leases/state.ts
@@ -23,6 +23,7 @@
     ringDiffersSince: null,
     probeAt: 0,
     grantedAt: 0,
+    answeredAt: 0,
     held: false,
   };
 }
--- a/packages/core/src/leases/types.ts
+++ b/packages/core/src/leases/types.ts
@@ -55,6 +55,8 @@
   probeAt: number;
   /** Monotonic time at which a grantor's promise last held. */
   grantedAt: number;
+  /** Monotonic time at which a peer last answered this member. */
+  answeredAt: number;
   /** For the log: whether a lease was held at the last tick. */
   held: boolean;
 }
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -21,6 +21,7 @@
   takeRenew,
 } from '../leases/grantor.js';
 import {
+  noteAnswered,
   noteHeard,
   readOwnRow,
   settleRow,
@@ -175,6 +176,7 @@
       compareVersion(context, from, message.after);
       return;
     case 'entries':
+      noteAnswered(state.lease, from, at.monotonic);
       takeEntries(context, from, message, each => apply(context, each));
       return;
     case 'load':
--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -1,10 +1,11 @@
 /** @fileoverview What a daemon does on its own as time passes. */
 
+import {timeLeftMs} from '../clock/logic.js';
 import {hostOf} from '../ids/logic.js';
 import type {Generation, MemberId, ServiceName, Slice} from '../ids/types.js';
 import {readIfDue} from '../journal/reader.js';
 import {beginAppend, retryAppend} from '../journal/writer.js';
-import {isClosedOut, keepLease} from '../leases/holder.js';
+import {isClosedOut, keepLease, mayOffer} from '../leases/holder.js';
 import {standing} from '../leases/logic.js';
 import {reportSilent, watchRing} from '../leases/grantor.js';
 import {takesWork} from '../map/logic.js';
@@ -88,7 +89,7 @@
     wantedEnd(context) ??
     wantedByOperators(context) ??
     wantedRelease(context) ??
-    wantedOffer(state) ??
+    wantedOffer(context) ??
     wantedDrain(state) ??
     wantedPlacement(context)
   );
@@ -131,7 +132,8 @@
 }
 
 /** Brings the log's view of the backend server up to date. */
-function wantedOffer(state: Ownership): Wanted | null {
+function wantedOffer(context: Context): Wanted | null {
+  const {state, at} = context;
   const {announcement, self} = state;
   const offer = state.map.members.get(self)?.offer ?? null;
   if (announcement === null) {
@@ -145,7 +147,7 @@
     offer.instance === instance &&
     offer.slots === slots &&
     offer.leaving === leaving;
-  if (same) return null;
+  if (same || (offer === null && !mayOffer(state, at))) return null;
   return {
     change: {kind: 'offered', member: self, service, instance, slots, leaving},
     by: self,
@@ -250,7 +252,7 @@
     service: announcement.service,
     slices: owned.slices,
     generations: owned.generations,
-    ttlMs: Math.floor(held.until.monotonic - at.monotonic),
+    ttlMs: Math.floor(timeLeftMs(held.until, at)),
   });
 }
 
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -36,7 +36,7 @@
 import type {WorkView} from './types.js';
 
 /** A rule of the ownership protocol; see docs/design/ownership.md. */
-export type Rule = 'R1' | 'R2' | 'R3' | 'R4' | 'R5' | 'R6' | 'R8';
+export type Rule = 'R1' | 'R2' | 'R3' | 'R4' | 'R5' | 'R6' | 'R8' | 'R9';
 
 /** What a daemon knows from its settings. */
 export interface OwnershipSettings {
--- a/packages/emulator/src/soak/checks.ts
+++ b/packages/emulator/src/soak/checks.ts
@@ -1,6 +1,7 @@
 /** @fileoverview The invariants that every moment of a run must keep. */
 
 import type {CommandResult, ServiceName, Slice} from '@jackdawfall/core';
+import {standing, timeLeftMs} from '@jackdawfall/core';
 
 import type {Node} from './node.js';
 import type {Violation} from './types.js';
@@ -70,6 +71,22 @@
     this.generations[slice] = Math.max(this.generations[slice], generation);
   }
 
+  /**
+   * Notes a grant to the backend server; it must lapse with the lease.
+   *
+   * @param now - Global time.
+   * @param node - The process that gives it.
+   * @param ttlMs - Time to live, in milliseconds.
+   */
+  noteGrant(now: number, node: Node, ttlMs: number): void {
+    const at = node.instant(now);
+    const held = standing(node.state, at);
+    const leftMs = held.source === 'none' ? 0 : timeLeftMs(held.until, at);
+    if (ttlMs <= leftMs) return;
+    const detail = `${node.self}: ${ttlMs} ms granted, ${leftMs} ms left`;
+    this.fail(now, 'grant-within-lease', detail);
+  }
+
   /**
    * Notes what operators were told.
    *
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -24,7 +24,7 @@
   WorkspaceName,
   ZoneName,
 } from '@jackdawfall/core';
-import {DEFAULTS, createOwnership, hostOf} from '@jackdawfall/core';
+import {DEFAULTS, createOwnership, hostOf, timeLeftMs} from '@jackdawfall/core';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
 import {Checks} from './checks.js';
@@ -345,7 +345,7 @@
     const at = node.instant(this.now);
     const permission = node.view.mayDispatch(SERVICE, slice, at);
     if (permission.kind !== 'granted') return;
-    const left = permission.until.monotonic - at.monotonic;
+    const left = timeLeftMs(permission.until, at);
     const wanted = this.uniform() * MOST_WORK_MS;
     const endsAt = this.now + Math.max(0, Math.min(wanted, left));
     if (this.settings.checked !== false) {
@@ -383,6 +383,9 @@
       case 'violate':
         this.checks.fail(this.now, effect.invariant, effect.detail);
         return;
+      case 'grant':
+        this.checks.noteGrant(this.now, node, effect.ttlMs);
+        return;
       case 'leave':
         node.alive = false;
         return;
@@ -395,7 +398,6 @@
       case 'forget':
       case 'relay':
       case 'fail':
-      case 'grant':
       case 'measure':
       case 'wake':
         return;
--- /dev/null
+++ b/packages/emulator/src/soak/cuts.spec.ts
@@ -0,0 +1,84 @@
+/**
+ * @fileoverview A member that is cut off from every other, though not from the
+ * store, gives way; a survivor that hears nobody goes on after a while.
+ */
+
+import test from 'ava';
+
+import type {Cluster} from './cluster.js';
+import {formed, ownerOf, unservedOf} from './formed.js';
+
+/** The target: a key is served again within 3 s of a loss. */
+const FAILOVER_MS = 3000;
+const CUT_MS = 20_000;
+const SETTLE_MS = 20_000;
+
+type Ways = 'in' | 'out' | 'both';
+
+for (const hosts of [3, 6, 8]) {
+  for (const ways of ['in', 'out', 'both'] as const) {
+    test(`slices of one of ${hosts} cut off (${ways}) are served again`, t => {
+      const cluster = formed(hosts, 5);
+      const victim = ownerOf(cluster, 0);
+      t.truthy(victim);
+      if (victim === undefined) return;
+      cutOff(cluster, victim.host, ways);
+      cluster.run(FAILOVER_MS);
+      for (let slice = 0; slice < 12; slice++) {
+        const owner = ownerOf(cluster, slice);
+        t.truthy(owner, `slice ${slice} has no owner`);
+        t.not(owner?.host, victim.host, `slice ${slice} is out of reach`);
+      }
+      cluster.run(CUT_MS + SETTLE_MS);
+      t.is(cluster.violation, null);
+      t.deepEqual(unservedOf(cluster), []);
+    });
+  }
+}
+
+for (const hosts of [2, 3]) {
+  test(`the only survivor of ${hosts} serves again`, t => {
+    const cluster = formed(hosts, 9);
+    const [survivor, ...others] = cluster.live();
+    for (const node of others) cluster.kill(node);
+    cluster.run(SETTLE_MS);
+    t.is(cluster.violation, null);
+    t.deepEqual(unservedOf(cluster), []);
+    t.is(ownerOf(cluster, 0), survivor);
+  });
+}
+
+test('two grantors lost at once cost their ward nothing', t => {
+  const cluster = formed(8, 13);
+  const victim = ownerOf(cluster, 0);
+  t.truthy(victim);
+  if (victim === undefined) return;
+  for (const grantor of victim.state.lease.grantors) {
+    const node = cluster.live().find(each => each.self === grantor);
+    if (node !== undefined) cluster.kill(node);
+  }
+  for (let step = 0; step < 60; step++) {
+    cluster.run(50);
+    t.is(ownerOf(cluster, 0)?.self, victim.self, `after ${step * 50} ms`);
+  }
+});
+
+function cutOff(cluster: Cluster, host: number, ways: Ways): void {
+  for (const {host: other} of cluster.live()) {
+    if (other === host) continue;
+    if (ways !== 'out') cluster.cut(other, host, CUT_MS);
+    if (ways !== 'in') cluster.cut(host, other, CUT_MS);
+  }
+}
+
+for (const ms of [300, 700, 1100]) {
+  test(`a grant given after a freeze of ${ms} ms lapses with the lease`, t => {
+    const cluster = formed(6, 21);
+    const victim = ownerOf(cluster, 0);
+    t.truthy(victim);
+    if (victim === undefined) return;
+    cluster.freeze(victim, ms, true);
+    cluster.run(FAILOVER_MS);
+    t.is(cluster.violation, null);
+  });
+}
--- a/packages/emulator/src/soak/main.ts
+++ b/packages/emulator/src/soak/main.ts
@@ -9,7 +9,7 @@
 
 /** Lines of the trace that a violation is printed with. */
 const SHOWN_LINES = 60;
-const RULES: readonly Rule[] = ['R1', 'R2', 'R3', 'R4', 'R5', 'R6', 'R8'];
+const RULES: readonly Rule[] = ['R1', 'R2', 'R3', 'R4', 'R5', 'R6', 'R8', 'R9'];
 
 const options = yargs(hideBin(process.argv))
   .option('seed', {type: 'number', default: 1, describe: 'First seed'})
