--- a/packages/emulator/src/ledger/logic.ts
+++ b/packages/emulator/src/ledger/logic.ts
@@ -203,7 +203,8 @@
       return [{kind: 'late-work', detail}];
     }
     if (note.kind !== 'overLimit') return [];
-    const surprised = !note.announced && note.coldForMs <= allowance.relapseMs;
+    const unseen = note.symptomForMs <= allowance.relapseMs;
+    const surprised = !note.announced && unseen;
     if (surprised) return [];
     const detail = `${note.host}: ${note.offered} at ${note.bears}`;
     return [{kind: 'over-limit', detail}];
--- a/packages/emulator/src/ledger/types.ts
+++ b/packages/emulator/src/ledger/types.ts
@@ -34,6 +34,6 @@
 export interface Allowance {
   /** Callers of a frozen daemon may be left without an answer. */
   readonly hung: boolean;
-  /** Time in which an unannounced cold start may go unnoticed. */
+  /** Time from the first sign of an unannounced cold start to its notice. */
   readonly relapseMs: number;
 }
--- a/packages/emulator/src/server/logic.ts
+++ b/packages/emulator/src/server/logic.ts
@@ -139,6 +139,7 @@
     case 'cold':
       state.completedWarm = 0;
       state.coldSinceMs = wallMs;
+      state.symptomMs = null;
       state.coldAnnounced = order.announced;
       if (order.announced) state.instance = newInstance(state.options.host);
       return;
@@ -177,6 +178,7 @@
   limit: number,
 ): void {
   const offered = state.running + 1;
+  state.symptomMs ??= wallMs;
   note(state, {
     kind: 'overLimit',
     host: state.options.host,
@@ -184,6 +186,7 @@
     offered,
     bears: limit,
     coldForMs: wallMs - state.coldSinceMs,
+    symptomForMs: wallMs - state.symptomMs,
     announced: state.coldAnnounced,
     overrun: offered > limit * state.options.breaksAt,
   });
--- a/packages/emulator/src/server/state.ts
+++ b/packages/emulator/src/server/state.ts
@@ -25,6 +25,8 @@
   completedWarm: number;
   coldSinceMs: number;
   coldAnnounced: boolean;
+  /** When it was first sent too much since it turned cold, or null. */
+  symptomMs: number | null;
   leavingSinceMs: number | null;
   leaveGraceMs: number;
   straggleFactor: number;
@@ -76,6 +78,7 @@
     completedWarm: 0,
     coldSinceMs: Date.now(),
     coldAnnounced: true,
+    symptomMs: null,
     leavingSinceMs: null,
     leaveGraceMs: 0,
     straggleFactor: 1,
--- a/packages/emulator/src/server/types.ts
+++ b/packages/emulator/src/server/types.ts
@@ -113,6 +113,8 @@
       readonly bears: number;
       /** Time since it started or turned cold. */
       readonly coldForMs: number;
+      /** Time since it first was sent too much after that; 0 for the first. */
+      readonly symptomForMs: number;
       /** True when the cold start was announced by a new instance id. */
       readonly announced: boolean;
       /** True when the load broke it down. */
