--- a/packages/core/src/daemon/state.ts
+++ b/packages/core/src/daemon/state.ts
@@ -19,7 +19,7 @@
   return {
     ownership,
     execution,
-    routing: createRouting(settings.tuning),
+    routing: createRouting(settings.tuning, settings.zone),
     view: viewOf(ownership),
     work: workOf(execution),
   };
