Try: latencies seen while the process itself is late are not learnt from

Cause supposed: a saturated daemon's own lateness looks like a slow backend server, the limit falls to 1 (log event limitFellBack, cause latency, three times in a trial at 4,000/s) and throughput collapses.

--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -74,4 +74,6 @@
   readonly label: string;
   /** Monotonic time at which it started, in milliseconds. */
   readonly startedAt: number;
+  /** The process itself was late, so the latency says nothing. */
+  readonly isDelayed?: boolean;
 }
