--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -235,8 +235,10 @@
   const busy = gate.running * 2 >= gate.limit;
   release(gate, run.priority);
   if (run.startedAt < gate.relapsedAt) return null;
-  if (run.isDelayed === true) gate.ratios.push(1);
-  else learnLatency(gate, run.label, now - run.startedAt);
+  const latencyMs = now - run.startedAt;
+  const weight = gate.meanMs === 0 ? 1 : MEAN_WEIGHT;
+  gate.meanMs += (latencyMs - gate.meanMs) * weight;
+  learn(gate, run.label, latencyMs);
   if (busy) gate.completions += 1;
   const window = Math.max(MIN_WINDOW, gate.limit);
   if (gate.ratios.length < window) return null;
@@ -296,12 +298,6 @@
 }
 
 /** Medians throughout: a few long runs say nothing about the server. */
-function learnLatency(gate: Admission, label: string, latencyMs: number): void {
-  const weight = gate.meanMs === 0 ? 1 : MEAN_WEIGHT;
-  gate.meanMs += (latencyMs - gate.meanMs) * weight;
-  learn(gate, label, latencyMs);
-}
-
 function learn(gate: Admission, label: string, latencyMs: number): void {
   const baseline = gate.baselines.get(label);
   if (baseline === undefined) {
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -74,6 +74,4 @@
   readonly label: string;
   /** Monotonic time at which it started, in milliseconds. */
   readonly startedAt: number;
-  /** The process itself was late, so the latency says nothing. */
-  readonly isDelayed?: boolean;
 }
--- a/packages/core/src/execution/definition.ts
+++ b/packages/core/src/execution/definition.ts
@@ -7,7 +7,6 @@
 import type {Message} from '../messages/types.js';
 import type {OwnershipView} from '../ownership/types.js';
 import {takeCancel, takeDispatch, takeInquiry} from './intake.js';
-import {noteTick} from './lateness.js';
 import {pump, runEnded, runFailed, runHead, runWritten} from './runs.js';
 import type {Turn} from './state.js';
 import type {Execution} from './types.js';
@@ -40,7 +39,6 @@
       receive(turn, event.from, event.message);
       return;
     case 'ticked':
-      noteTick(turn);
       watch(turn);
       return;
     case 'woken':
--- a/packages/core/src/execution/runs.ts
+++ b/packages/core/src/execution/runs.ts
@@ -12,7 +12,6 @@
 import type {ErrorKind, RunState} from '../errors/types.js';
 import type {Permission} from '../ownership/types.js';
 import {endJob, failJob, isRunning, leaveSlice} from './endings.js';
-import {isLate} from './lateness.js';
 import type {Turn} from './state.js';
 import {labelOf, sliceKey} from './state.js';
 import type {Job} from './types.js';
@@ -165,10 +164,7 @@
   const key = sliceKey(job.service, job.slice);
   leaveSlice(turn, job);
   const wasRamping = state.gate.ramping;
-  noteRelapse(
-    turn,
-    complete(state.gate, {...completionOf(job), isDelayed: isLate(turn)}, now),
-  );
+  noteRelapse(turn, complete(state.gate, completionOf(job), now));
   if (wasRamping && !state.gate.ramping) {
     const fields = {limit: state.gate.limit};
     effects.push({kind: 'log', event: 'limitReached', fields});
--- a/packages/core/src/execution/state.ts
+++ b/packages/core/src/execution/state.ts
@@ -38,8 +38,6 @@
     lastAt: null,
     stallMs: 0,
     stallUntil: 0,
-    tickAt: Infinity,
-    lateTickAt: -Infinity,
     wakeAt: Infinity,
     answeredStart: -Infinity,
   };
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -111,10 +111,6 @@
   stallMs: number;
   /** Until when inputs may be that old. */
   stallUntil: number;
-  /** Monotonic time of the last tick. */
-  tickAt: number;
-  /** Monotonic time of the last tick that came late. */
-  lateTickAt: number;
   /** Moment of the `wake` that is outstanding, or Infinity. */
   wakeAt: number;
   /** Moment the newest run that gave an answer had started. */
