--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -131,8 +131,6 @@
     case 'woken':
     case 'unsent':
     case 'linkOpened':
-    case 'unsent':
-    case 'woken':
     case 'taken':
     case 'hungUp':
     case 'answered':
--- a/packages/emulator/src/server/definition.ts
+++ b/packages/emulator/src/server/definition.ts
@@ -24,7 +24,15 @@
   sleep,
 } from '../control/logic.js';
 import {announceForever} from './announcer.js';
-import {bears, begin, note, obey, refusalOf, serviceTimeMs} from './logic.js';
+import {
+  bears,
+  begin,
+  keyInPath,
+  note,
+  obey,
+  refusalOf,
+  serviceTimeMs,
+} from './logic.js';
 import {coldServer} from './state.js';
 import {SERVER_ORDERS} from './types.js';
 
@@ -250,7 +258,7 @@
     request: text(headers, 'x-caller-request'),
     attempt: text(headers, 'x-jackdawfall-attempt'),
     service: state.options.service,
-    key: decodeURIComponent(path.split('/').at(-1) ?? ''),
+    key: keyInPath(path),
     slice: number(headers, 'x-jackdawfall-slice'),
     generation: number(headers, 'x-jackdawfall-generation'),
     deadlineMs: number(headers, 'x-jackdawfall-deadline-ms'),
--- a/packages/emulator/src/server/logic.spec.ts
+++ b/packages/emulator/src/server/logic.spec.ts
@@ -5,7 +5,7 @@
 
 import test from 'ava';
 
-import {bears, begin, obey, refusalOf} from './logic.js';
+import {bears, begin, keyInPath, obey, refusalOf} from './logic.js';
 import {coldServer} from './state.js';
 
 const OPTIONS: ServerOptions = {
@@ -136,3 +136,16 @@
   });
   t.deepEqual(grown, [1, 1, 2, 3, 4, 4]);
 });
+
+const PATHS: ReadonlyArray<{path: string; key: string}> = [
+  {path: '/finder/key-1', key: 'key-1'},
+  {path: '/records/key-1/export', key: 'key-1'},
+  {path: '/finder/a%20b', key: 'a b'},
+  {path: '/finder', key: ''},
+];
+
+for (const {path, key} of PATHS) {
+  test(`the key in ${path} is "${key}"`, t => {
+    t.is(keyInPath(path), key);
+  });
+}
--- a/packages/emulator/src/server/logic.ts
+++ b/packages/emulator/src/server/logic.ts
@@ -204,3 +204,14 @@
     afterMs,
   });
 }
+
+/**
+ * Finds the key in a path such as `/records/KEY/export`.
+ *
+ * @param path - Path without query.
+ * @returns The decoded key, or empty.
+ */
+export function keyInPath(path: string): string {
+  const [, , key = ''] = path.split('/');
+  return decodeURIComponent(key);
+}
--- a/packages/emulator/src/soak/benches/failover.ts
+++ b/packages/emulator/src/soak/benches/failover.ts
@@ -16,6 +16,8 @@
 
 interface Loss {
   readonly name: string;
+  /** Host that no other reaches: what it serves does not count. */
+  readonly cutOff?: number;
   /** Brings the loss about; returns after what time counting begins. */
   lose(cluster: Cluster): number;
 }
@@ -26,6 +28,21 @@
   {name: 'zoneKilled', lose: cluster => killHosts(cluster, [0, 3, 6])},
   {name: 'hostKilledInOutageAfterReturn', lose: loseInOutage},
   {name: 'hostStopped', lose: stopHost},
+  {
+    name: 'hostCutOff',
+    cutOff: 1,
+    lose: cluster => cutHost(cluster, true, true),
+  },
+  {
+    name: 'hostCutOffInward',
+    cutOff: 1,
+    lose: cluster => cutHost(cluster, true, false),
+  },
+  {
+    name: 'hostCutOffOutward',
+    cutOff: 1,
+    lose: cluster => cutHost(cluster, false, true),
+  },
 ];
 
 /** Time for which a slice has no server that may dispatch it. */
@@ -54,7 +71,9 @@
   const lastServed = new Array<number>(before.length).fill(from);
   const unserved = new Array<number>(before.length).fill(0);
   while (cluster.now - from < LONGEST_MS) {
-    const now = serversNow(cluster);
+    const now = serversNow(cluster).map(node =>
+      node?.host === loss.cutOff ? null : node,
+    );
     now.forEach((node, slice) => {
       if (node === null) return;
       const gap = cluster.now - lastServed[slice];
@@ -80,6 +99,15 @@
   return 0;
 }
 
+function cutHost(cluster: Cluster, inward: boolean, outward: boolean): number {
+  for (const {host} of cluster.live()) {
+    if (host === 1) continue;
+    if (inward) cluster.cut(host, 1, LONGEST_MS);
+    if (outward) cluster.cut(1, host, LONGEST_MS);
+  }
+  return 0;
+}
+
 function stopHost(cluster: Cluster): number {
   cluster.stop(cluster.nodes[1]);
   return 0;
