The lease is checked again after the wait for a connection (R1)

Cause, found by reading: a run on a new connection is written when the connection opens, a turn or more after the check; a process frozen in between would write under a lease that had lapsed. Change: the runner asks the view of ownership again, with fresh clocks, before the first byte; otherwise the run is reported as not run. Before: the new case writes (fails). After: nothing reaches the fake server, runFailed not-run; daemon specs 73 passed. Ruled out: reused connections (written in the same turn as the check).

--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -14,6 +14,8 @@
   LogName,
   MemberId,
   Message,
+  ServiceName,
+  Slice,
   StoreCall,
   StoreReply,
   CallId,
@@ -113,6 +115,7 @@
     });
     this.runs = new Runs({
       ...shared,
+      mayWrite: (service, slice) => this.mayWrite(service, slice),
       silenceMs: tuning.links.silenceMs,
       kept: {
         answerBytes: tuning.execution.keptAnswerBytes,
@@ -328,6 +331,14 @@
     this.loop.emit({kind: 'announcementLapsed', instance});
   }
 
+  private mayWrite(service: ServiceName, slice: Slice | null): boolean {
+    const {view} = this.parts.daemon;
+    const at = readClocks();
+    const permission =
+      slice === null ? view.mayServe(at) : view.mayDispatch(service, slice, at);
+    return permission.kind === 'granted';
+  }
+
   private currentConfiguration(): Configuration | null {
     const {workspace} = this.parts.daemon.view;
     if (workspace === null) return null;
--- a/packages/daemon/src/runs/logic.spec.ts
+++ b/packages/daemon/src/runs/logic.spec.ts
@@ -133,6 +133,28 @@
   t.deepEqual(bench.kinds(again), ['failed']);
 });
 
+test('a lease that ends while the connection opens: nothing is written', async t => {
+  let asked = 0;
+  const bench = await setUp(
+    t,
+    (_, outgoing) => {
+      asked += 1;
+      outgoing.end('done');
+    },
+    false,
+  );
+  bench.start(true);
+  await bench.settled(1);
+  await new Promise(resolve => setTimeout(resolve, 50));
+  t.deepEqual(
+    bench.events.map(event => event.kind),
+    ['runFailed'],
+  );
+  const [failed] = bench.events;
+  t.is(failed.kind === 'runFailed' ? failed.run : '', 'not-run');
+  t.is(asked, 0);
+});
+
 test('a cancelled run reports nothing more and closes', async t => {
   let closed = false;
   const bench = await setUp(t, incoming => {
@@ -151,7 +173,11 @@
   t.is(bench.runs.open, 0);
 });
 
-async function setUp(t: ExecutionContext, handler: Handler | null) {
+async function setUp(
+  t: ExecutionContext,
+  handler: Handler | null,
+  mayWrite = true,
+) {
   const server = createServer(handler ?? undefined);
   await new Promise<void>(resolve =>
     server.listen(0, '127.0.0.1', () => resolve()),
@@ -167,6 +193,7 @@
   const runs = new Runs({
     emit: event => void events.push(event),
     transmit: (_, message) => void messages.push(message),
+    mayWrite: () => mayWrite,
     windowBytes: 1024,
     silenceMs: SILENCE_MS,
     kept: {answerBytes: 100, totalBytes: 1000},
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -15,6 +15,8 @@
   MemberId,
   Message,
   RunState,
+  ServiceName,
+  Slice,
 } from '@jackdawfall/core';
 
 import {endToEndHeaders, toRecord} from '../bodies/headers.js';
@@ -31,6 +33,8 @@
 export interface RunContext {
   emit(event: Event): void;
   transmit(to: MemberId, message: Message): void;
+  /** Rule R1, asked again after the wait for a connection. */
+  mayWrite(service: ServiceName, slice: Slice | null): boolean;
   /** Bytes of one answer that may be under way at once. */
   readonly windowBytes: number;
   /** Silence after which a connection is no longer trusted. */
@@ -284,7 +288,9 @@
       socket.once('close', () => clearTimeout(late));
       socket.once('connect', () => {
         clearTimeout(late);
-        this.written(arrival, run);
+        const {service, slice} = arrival.dispatch;
+        if (this.context.mayWrite(service, slice)) this.written(arrival, run);
+        else outgoing.destroy(new Error('the lease ended meanwhile'));
       });
     });
     outgoing.on('response', incoming => this.answer(arrival, run, incoming));
