--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,9 +2,9 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  {ignores: ['**/dist/**', '**/node_modules/**', 'report/**']},
+  {ignores: ['**/dist/**', '**/node_modules/**', 'report/**', 'target/**']},
   {
-    files: ['packages/**/*.ts'],
+    files: ['packages/**/*.ts', 'platform/**/*.ts'],
     extends: [...tseslint.configs.recommendedTypeChecked],
     plugins: {jsdoc},
     languageOptions: {
@@ -83,7 +83,7 @@
     },
   },
   {
-    files: ['packages/**/*.spec.ts'],
+    files: ['packages/**/*.spec.ts', 'platform/**/*.spec.ts'],
     rules: {
       'max-lines-per-function': 'off',
       'jsdoc/require-jsdoc': 'off',
--- a/packages/core/src/admission/logic.spec.ts
+++ b/packages/core/src/admission/logic.spec.ts
@@ -30,6 +30,7 @@
     slots: SLOTS,
     connections: 100,
     checksGrants: false,
+    coldStart: null,
     leaving: false,
     ...changes,
   };
@@ -48,7 +49,7 @@
   for (let round = 0; round < rounds; round++) {
     const startedAt = clock;
     const runs = Math.max(0, gate.limit - gate.running);
-    for (let i = 0; i < runs; i++) begin(gate, 'interactive');
+    for (let i = 0; i < runs; i++) begin(gate, 'interactive', clock);
     clock += latencyMs;
     for (let i = 0; i < runs; i++) {
       const run = {priority: 'interactive', label: 'r', startedAt} as const;
@@ -71,7 +72,11 @@
   deadline: number,
 ) {
   const attempt = id as AttemptId;
-  return offer(gate, {attempt, priority, deadline, shared: false}, now);
+  return offer(
+    gate,
+    {attempt, priority, deadline, shared: false, objectiveMs: 0},
+    now,
+  );
 }
 
 test('a closed gate admits nothing', t => {
@@ -83,7 +88,7 @@
   const gate = openGate();
   t.is(gate.limit, 1);
   t.is(ask(gate, 'a', 'interactive', 0, 100), 'start');
-  begin(gate, 'interactive');
+  begin(gate, 'interactive', clock);
   t.is(ask(gate, 'b', 'interactive', 0, 100), 'wait');
 });
 
@@ -102,7 +107,7 @@
   for (let round = 0; round < 1500; round++) {
     const startedAt = now;
     const runs = gate.limit;
-    for (let i = 0; i < runs; i++) begin(gate, 'interactive');
+    for (let i = 0; i < runs; i++) begin(gate, 'interactive', clock);
     now += 6;
     for (let i = 0; i < runs; i++) {
       const isLong = (round * 7 + i) % 7 === 0;
@@ -132,7 +137,7 @@
     name: 'a run that the server sheds',
     cause: gate => {
       const startedAt = clock;
-      begin(gate, 'interactive');
+      begin(gate, 'interactive', clock);
       shed(gate, {priority: 'interactive', label: 'r', startedAt}, clock + 1);
     },
     limit: 1,
@@ -140,7 +145,7 @@
   {
     name: 'a run shed that began before the last relapse',
     cause: gate => {
-      begin(gate, 'interactive');
+      begin(gate, 'interactive', clock);
       gate.relapsedAt = clock;
       const startedAt = clock - 1;
       shed(gate, {priority: 'interactive', label: 'r', startedAt}, clock);
@@ -184,7 +189,7 @@
 
 test('each shed run makes the next ramp slower', t => {
   const gate = openGate();
-  begin(gate, 'interactive');
+  begin(gate, 'interactive', clock);
   shed(gate, {priority: 'interactive', label: 'r', startedAt: 1}, 2);
   work(gate, POLICY.growthCompletions + 16, 6);
   t.is(gate.limit, 1);
@@ -192,7 +197,7 @@
 
 test('the queue refuses what has waited too long, oldest first', t => {
   const gate = warmGate();
-  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
+  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive', clock);
   ask(gate, 'a', 'interactive', 0, 1000);
   ask(gate, 'b', 'interactive', 5, 1000);
   ask(gate, 'c', 'interactive', 5, 7);
@@ -215,8 +220,13 @@
   test(`${kind} runs of ${meanMs} ms, queue for ${lastsMs} ms: ${waitMs}`, t => {
     const gate = warmGate();
     gate.meanMs = meanMs;
-    for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
-    const asking = {priority: 'interactive', deadline: 1e9, shared} as const;
+    for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive', clock);
+    const asking = {
+      priority: 'interactive',
+      deadline: 1e9,
+      shared,
+      objectiveMs: 0,
+    } as const;
     offer(gate, {...asking, attempt: 'a' as AttemptId}, clock);
     const now = clock + lastsMs;
     gate.meanMs = lastsMs > 0 ? 0.01 : meanMs;
@@ -227,7 +237,7 @@
 
 test('what would wait in vain is refused at once', t => {
   const gate = warmGate();
-  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
+  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive', clock);
   let waiting = 0;
   while (ask(gate, 'a', 'interactive', 0, 1000) === 'wait') {
     waiting += 1;
@@ -240,7 +250,7 @@
 test('the queue has room for a bounded number, however fast runs end', t => {
   const gate = warmGate();
   gate.meanMs = 0.01;
-  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
+  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive', clock);
   const room = SLOTS * POLICY.queueFactor;
   for (let i = 0; i < room; i++) {
     t.is(ask(gate, `${i}`, 'interactive', 0, 1000), 'wait');
@@ -251,15 +261,19 @@
 test('interactive work goes first; deferrable work gets a share', t => {
   const gate = warmGate();
   const share = SLOTS * POLICY.deferrableShare;
-  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive');
+  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive', clock);
   for (let i = 0; i < 5; i++) {
     ask(gate, `d${i}`, 'deferrable', 0, 1000);
   }
   ask(gate, 'i', 'interactive', 0, 1000);
   gate.running = 0;
   const started: string[] = [];
-  for (let next = takeNext(gate); next !== null; next = takeNext(gate)) {
-    begin(gate, next.priority);
+  for (
+    let next = takeNext(gate, clock);
+    next !== null;
+    next = takeNext(gate, clock)
+  ) {
+    begin(gate, next.priority, clock);
     started.push(next.waiting.attempt);
   }
   t.deepEqual(started, ['i', 'd0', 'd1'].slice(0, 1 + share));
@@ -278,7 +292,7 @@
       let now = 0;
       const running: Array<'interactive' | 'deferrable'> = [];
       const start = (priority: 'interactive' | 'deferrable') => {
-        begin(gate, priority);
+        begin(gate, priority, clock);
         running.push(priority);
         if (gate.running > gate.ceiling) throw new Error('above the slots');
       };
@@ -300,7 +314,11 @@
           else shed(gate, run, now);
         }
         takeExpired(gate, now);
-        for (let next = takeNext(gate); next; next = takeNext(gate)) {
+        for (
+          let next = takeNext(gate, clock);
+          next;
+          next = takeNext(gate, clock)
+        ) {
           start(next.priority);
         }
       }
--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -6,7 +6,7 @@
  */
 
 import type {AttemptId} from '../ids/types.js';
-import type {Announcement} from '../loop/types.js';
+import type {Announcement, ColdStart} from '../loop/types.js';
 import type {Priority} from '../workspace/types.js';
 import type {
   Admission,
@@ -19,6 +19,7 @@
 } from './types.js';
 
 const MAX_CAUTION = 8;
+const SECOND_MS = 1000;
 /** Fewest completions that a latency decision is taken from. */
 const MIN_WINDOW = 16;
 /** Shorter latencies count as this one, in milliseconds. */
@@ -45,6 +46,7 @@
     ceiling: 0,
     limit: 0,
     running: 0,
+    coldStarts: [],
     runningDeferrable: 0,
     completions: 0,
     caution: 1,
@@ -53,6 +55,7 @@
     ratios: [],
     emptyAt: -Infinity,
     meanMs: 0,
+    cold: null,
     baselines: new Map(),
     queues: {interactive: [], deferrable: []},
   };
@@ -73,6 +76,11 @@
 ): RelapseCause | null {
   gate.ceiling = Math.max(0, Math.min(said.slots, said.connections));
   gate.limit = Math.min(gate.limit, gate.ceiling);
+  if (said.coldStart !== null) {
+    takeReport(gate, said, said.coldStart, now);
+    return null;
+  }
+  gate.cold = null;
   if (gate.instance === said.instance) return null;
   gate.instance = said.instance;
   gate.caution = 1;
@@ -80,6 +88,26 @@
   return 'instance';
 }
 
+/** A server that tells its cold start is given its slots from the start. */
+function takeReport(
+  gate: Admission,
+  said: Announcement,
+  {remainingMs, perSecond}: ColdStart,
+  now: number,
+): void {
+  if (gate.instance !== said.instance) gate.baselines.clear();
+  const until = Math.max(now + remainingMs, knownUntil(gate, said));
+  gate.instance = said.instance;
+  gate.limit = gate.ceiling;
+  gate.ramping = false;
+  gate.cold = {until, perSecond};
+}
+
+/** A report that was under way for long never shortens the cold start. */
+function knownUntil(gate: Admission, {instance}: Announcement): number {
+  return gate.instance === instance ? (gate.cold?.until ?? 0) : 0;
+}
+
 /**
  * Closes the gate: the server is gone.
  *
@@ -103,7 +131,7 @@
   const {attempt, priority, deadline} = asking;
   const queue = gate.queues[priority];
   noteEmpty(gate, now);
-  if (queue.length === 0 && hasSlot(gate, priority)) return 'start';
+  if (queue.length === 0 && hasSlot(gate, priority, now)) return 'start';
   if (queue.length >= gate.ceiling * gate.policy.queueFactor) return 'refuse';
   const queueMs = queueTimeMs(gate, asking, now);
   if (expectedWaitMs(gate, priority) > queueMs) return 'refuse';
@@ -117,9 +145,11 @@
  *
  * @param gate - The gate.
  * @param priority - The run's class.
+ * @param now - Monotonic time, in milliseconds.
  */
-export function begin(gate: Admission, priority: Priority): void {
+export function begin(gate: Admission, priority: Priority, now: number): void {
   gate.running += 1;
+  if (isCold(gate, now)) gate.coldStarts.push(now);
   if (priority === 'deferrable') gate.runningDeferrable += 1;
 }
 
@@ -127,14 +157,16 @@
  * Takes the next attempt that may start.
  *
  * @param gate - The gate.
+ * @param now - Monotonic time, in milliseconds.
  * @returns The attempt with its class, or null.
  */
 export function takeNext(
   gate: Admission,
+  now: number,
 ): {readonly waiting: Waiting; readonly priority: Priority} | null {
   for (const priority of ['interactive', 'deferrable'] as const) {
     const [waiting] = gate.queues[priority];
-    if (waiting === undefined || !hasSlot(gate, priority)) continue;
+    if (waiting === undefined || !hasSlot(gate, priority, now)) continue;
     gate.queues[priority].shift();
     return {waiting, priority};
   }
@@ -213,7 +245,7 @@
   now: number,
 ): RelapseCause | null {
   release(gate, run.priority);
-  if (run.startedAt < gate.relapsedAt) return null;
+  if (run.startedAt < gate.relapsedAt || gate.cold !== null) return null;
   gate.caution = Math.min(MAX_CAUTION, gate.caution * 2);
   relapse(gate, now);
   return 'shed';
@@ -240,6 +272,10 @@
   gate.meanMs += (latencyMs - gate.meanMs) * weight;
   learn(gate, run.label, latencyMs);
   if (busy) gate.completions += 1;
+  if (gate.cold !== null) {
+    gate.ratios = [];
+    return null;
+  }
   const window = Math.max(MIN_WINDOW, gate.limit);
   if (gate.ratios.length < window) return null;
   const ratio = medianOf(gate.ratios);
@@ -317,14 +353,24 @@
   return sorted[Math.floor(sorted.length / 2)];
 }
 
-function hasSlot(gate: Admission, priority: Priority): boolean {
+function hasSlot(gate: Admission, priority: Priority, now: number): boolean {
   if (gate.running >= gate.limit) return false;
+  if (isCold(gate, now) && !mayStartCold(gate, now)) return false;
   if (priority === 'interactive') return true;
   if (gate.queues.interactive.length > 0) return false;
   const share = Math.floor(gate.limit * gate.policy.deferrableShare);
   return gate.runningDeferrable < Math.max(1, share);
 }
 
+function isCold({cold}: Admission, now: number): boolean {
+  return cold !== null && now < cold.until;
+}
+
+function mayStartCold(gate: Admission, now: number): boolean {
+  gate.coldStarts = gate.coldStarts.filter(at => now - at < SECOND_MS);
+  return gate.coldStarts.length < (gate.cold?.perSecond ?? 0);
+}
+
 /** What would wait in vain is refused at once, so that others may take it. */
 function expectedWaitMs(gate: Admission, priority: Priority): number {
   if (gate.limit === 0) return 0;
@@ -341,6 +387,9 @@
   const {policy} = gate;
   if (asking.priority === 'deferrable') return policy.deferrableQueueMs;
   const share = asking.shared ? SHARED_WAIT : 1;
+  if (gate.cold !== null && asking.objectiveMs > 0) {
+    return policy.objectiveShare * asking.objectiveMs;
+  }
   if (gate.ramping) return policy.rampQueueMs * share;
   if (now - gate.emptyAt > STANDING_MS) return policy.queueMs * share;
   return Math.max(policy.queueMs, gate.meanMs) * share;
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -21,6 +21,14 @@
   samples: number;
 }
 
+/** The cold start of a server that reports it. */
+export interface Cold {
+  /** Monotonic time at which it is warm, in milliseconds. */
+  readonly until: number;
+  /** Most starts in any second before that. */
+  readonly perSecond: number;
+}
+
 /** Why the limit was set back to one. */
 export type RelapseCause = 'instance' | 'shed' | 'latency';
 
@@ -34,6 +42,8 @@
   limit: number;
   /** Runs given to the server and not yet over. */
   running: number;
+  /** Monotonic times of the starts in the last second of a cold start. */
+  coldStarts: number[];
   /** Those of them that are deferrable. */
   runningDeferrable: number;
   /** Completions since the limit last changed. */
@@ -50,6 +60,8 @@
   emptyAt: number;
   /** Mean time of a run; 0 before the first. */
   meanMs: number;
+  /** What the server says of its cold start; null if limits are learnt. */
+  cold: Cold | null;
   readonly baselines: Map<string, Baseline>;
   readonly queues: Record<Priority, Waiting[]>;
 }
@@ -62,6 +74,8 @@
   readonly deadline: number;
   /** Whether another server may run it. */
   readonly shared: boolean;
+  /** Time within which its answer is worth most, in milliseconds; 0 if none. */
+  readonly objectiveMs: number;
 }
 
 /** What becomes of an attempt that asks for a slot. */
--- a/packages/core/src/commands/logic.spec.ts
+++ b/packages/core/src/commands/logic.spec.ts
@@ -28,17 +28,33 @@
 });
 
 const CHANGES = [
-  {kind: 'joined', member: FIRST, zone: 'a', address: PORT, operators: PORT},
-  {kind: 'joined', member: SECOND, zone: 'b', address: PORT, operators: null},
+  {
+    kind: 'joined',
+    member: FIRST,
+    zone: 'a',
+    address: PORT,
+    operators: PORT,
+    replaces: null,
+  },
+  {
+    kind: 'joined',
+    member: SECOND,
+    zone: 'b',
+    address: PORT,
+    operators: null,
+    replaces: null,
+  },
   {kind: 'configured', number: 1, document: DOCUMENT},
   {
     kind: 'placed',
     service: FINDER,
+    slices: 8,
     runs: [{first: 0, count: 4, owner: FIRST, standby: SECOND}],
   },
   {
     kind: 'placed',
     service: FINDER,
+    slices: 8,
     runs: [{first: 4, count: 2, owner: SECOND, standby: null}],
   },
   {
--- a/packages/core/src/coordinator/logic.ts
+++ b/packages/core/src/coordinator/logic.ts
@@ -60,7 +60,7 @@
 
 /** Gives slices without an owner to the members with the fewest. */
 function placeUnowned(
-  _map: ClusterMap,
+  map: ClusterMap,
   service: ServiceMap,
   candidates: readonly Member[],
 ): Change | null {
@@ -69,18 +69,59 @@
   if (free === 0) return null;
   const runs = new RunList();
   const quota = Math.ceil(service.slices / candidates.length);
-  let at = 0;
+  const nextOwner = isOrdered(map, service.name)
+    ? ownersInTurn(candidates, counts)
+    : ownersByQuota(candidates, counts, quota);
   for (let slice = 0; slice < service.slices; slice++) {
     if (service.owner[slice] !== NO_MEMBER) continue;
-    const room = (member: Member): boolean =>
-      (counts.get(member.index) ?? 0) < quota;
-    while (at < candidates.length - 1 && !room(candidates[at])) at += 1;
-    const owner = candidates[at];
-    counts.set(owner.index, (counts.get(owner.index) ?? 0) + 1);
+    const owner = nextOwner();
+    counts.set(owner.index, count(counts, owner) + 1);
     const standby = standbyFor(owner, candidates, slice);
     if (!runs.add(slice, owner.id, standby?.id ?? null)) break;
   }
-  return {kind: 'placed', service: service.name, runs: runs.list};
+  return placed(service, runs);
+}
+
+/** Neighbouring slices of ordered keys are hot together: owners alternate. */
+function isOrdered(map: ClusterMap, name: ServiceName): boolean {
+  const services = map.configuration?.workspace.services ?? [];
+  const division = services.find(each => each.name === name)?.division;
+  return division?.kind === 'keyed' && typeof division.keys === 'number';
+}
+
+function ownersInTurn(
+  candidates: readonly Member[],
+  counts: ReadonlyMap<number, number>,
+): () => Member {
+  let last = -1;
+  return () => {
+    const least = Math.min(...candidates.map(each => count(counts, each)));
+    for (let step = 1; step <= candidates.length; step++) {
+      const index = (last + step) % candidates.length;
+      if (count(counts, candidates[index]) > least) continue;
+      last = index;
+      break;
+    }
+    return candidates[last];
+  };
+}
+
+function ownersByQuota(
+  candidates: readonly Member[],
+  counts: ReadonlyMap<number, number>,
+  quota: number,
+): () => Member {
+  let at = 0;
+  return () => {
+    const isFull = (): boolean => count(counts, candidates[at]) >= quota;
+    while (at < candidates.length - 1 && isFull()) at += 1;
+    return candidates[at];
+  };
+}
+
+function placed(service: ServiceMap, runs: RunList): Change {
+  const {name, slices} = service;
+  return {kind: 'placed', service: name, slices, runs: runs.list};
 }
 
 /** Moves slices away from members that take no new work. */
@@ -129,7 +170,7 @@
     if (!runs.add(slice, owner.id, chosen?.id ?? null)) break;
   }
   if (runs.list.length === 0) return null;
-  return {kind: 'placed', service: service.name, runs: runs.list};
+  return placed(service, runs);
 }
 
 /**
--- a/packages/core/src/execution/definition.spec.ts
+++ b/packages/core/src/execution/definition.spec.ts
@@ -40,6 +40,7 @@
       slots: 2,
       connections: 10,
       checksGrants: changes.checksGrants ?? false,
+      coldStart: null,
       leaving: changes.leaving ?? false,
     };
     return this.feed({kind: 'announced', announcement});
@@ -112,6 +113,7 @@
     priority: 'interactive',
     idempotencyKey: null,
     budgetMs: 5000,
+    objectiveMs: 0,
     version: 1 as never,
     body: new Uint8Array(),
     bodyEnds: true,
--- a/packages/core/src/execution/definition.ts
+++ b/packages/core/src/execution/definition.ts
@@ -39,6 +39,7 @@
       receive(turn, event.from, event.message);
       return;
     case 'ticked':
+      if (state.stopping && turn.now >= state.stopAt) leave(turn);
       watch(turn);
       return;
     case 'woken':
@@ -52,7 +53,8 @@
       return;
     case 'stopRequested':
       state.stopping = true;
-      leave(turn);
+      state.stopAt = turn.now + state.settings.membership.stopServeMs;
+      if (turn.now >= state.stopAt) leave(turn);
       return;
     case 'runWritten':
     case 'runHead':
@@ -67,6 +69,9 @@
     case 'taken':
     case 'hungUp':
     case 'answered':
+    case 'configurationRead':
+    case 'keysGranted':
+    case 'keysReleased':
     case 'commanded':
       return;
   }
--- a/packages/core/src/execution/intake.ts
+++ b/packages/core/src/execution/intake.ts
@@ -18,9 +18,6 @@
 import {send} from './state.js';
 import type {Job, Outcome} from './types.js';
 
-/** Time a keyed service goes on while its slices move away from a server. */
-const LEAVING_MS = 2000;
-
 /**
  * Takes in an attempt.
  *
@@ -158,6 +155,7 @@
     slice,
     idempotent: dispatch.idempotent,
     priority: dispatch.priority,
+    objectiveMs: dispatch.objectiveMs,
     key,
     signature: `${dispatch.method} ${dispatch.path}`,
     arrivedAt: now,
@@ -219,7 +217,8 @@
   if (state.server.service !== job.service) return 'no-server';
   if (state.leavingSince === null) return null;
   if (job.slice === null) return 'stopping';
-  return now - state.leavingSince < LEAVING_MS ? null : 'stopping';
+  const {leavingMs} = state.settings.announcements;
+  return now - state.leavingSince < leavingMs ? null : 'stopping';
 }
 
 function admit(turn: Turn, job: Job): void {
@@ -236,8 +235,10 @@
   if (decision === 'start') startJob(turn, job);
 }
 
-function askingOf({attempt, priority, deadline, slice}: Job): Asking {
-  return {attempt, priority, deadline, shared: slice === null};
+function askingOf(job: Job): Asking {
+  const {attempt, priority, deadline, slice, objectiveMs} = job;
+  const shared = slice === null;
+  return {attempt, priority, deadline, shared, objectiveMs};
 }
 
 /** A joined attempt still wants the run that its first origin gave up. */
--- a/packages/core/src/execution/runs.ts
+++ b/packages/core/src/execution/runs.ts
@@ -64,7 +64,7 @@
     return;
   }
   if (isSecondRun(turn, job)) return;
-  begin(state.gate, job.priority);
+  begin(state.gate, job.priority, now);
   job.place = 'started';
   job.startedAt = now;
   job.generation = permission.generation;
@@ -106,7 +106,7 @@
     );
   }
   for (;;) {
-    const next = takeNext(state.gate);
+    const next = takeNext(state.gate, now);
     if (next === null) return;
     const job = state.jobs.get(next.waiting.attempt);
     if (job !== undefined) startJob(turn, job);
--- a/packages/core/src/execution/state.ts
+++ b/packages/core/src/execution/state.ts
@@ -30,6 +30,7 @@
     server: null,
     leavingSince: null,
     stopping: false,
+    stopAt: Infinity,
     gate: createAdmission(settings.admission),
     jobs: new Map(),
     running: new Map(),
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -31,6 +31,8 @@
   readonly slice: Slice | null;
   readonly idempotent: boolean;
   readonly priority: Priority;
+  /** Time within which its answer is worth most, in milliseconds; 0 if none. */
+  readonly objectiveMs: number;
   /** Entry in the index of idempotency keys, or null. */
   readonly key: string | null;
   /** Method and path, to compare requests with one idempotency key. */
@@ -98,6 +100,8 @@
   leavingSince: number | null;
   /** True once the process was asked to stop. */
   stopping: boolean;
+  /** Monotonic time from which a stopping daemon takes no new work. */
+  stopAt: number;
   readonly gate: Admission;
   readonly jobs: Map<AttemptId, Job>;
   /** Runs in flight for each slice. */
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -22,7 +22,7 @@
   originOf,
   sequenceOf,
 } from './ids/logic.js';
-export {hashKey, sliceOf} from './keys/logic.js';
+export {hashKey, sliceOf, sliceOfNumber} from './keys/logic.js';
 export type * from './logs/catalogue.js';
 export {LOGS} from './logs/catalogue.js';
 export {renderLogPage} from './logs/view.js';
--- a/packages/core/src/journal/writer.ts
+++ b/packages/core/src/journal/writer.ts
@@ -223,6 +223,9 @@
     const key = keys.member(change.member);
     checks.push({key, revision: 0});
     puts.push({key, value: JSON.stringify(firstRow(entry, change))});
+    if (change.replaces !== null) {
+      puts.push({key: keys.member(change.replaces), value: null});
+    }
   }
   if (change.kind === 'configured') {
     puts.push({key: keys.configuration, value: change.document});
--- a/packages/core/src/keys/logic.ts
+++ b/packages/core/src/keys/logic.ts
@@ -17,6 +17,23 @@
   return murmurhash.v3(key, HASH_SEED);
 }
 
+/**
+ * Finds the slice of a key that is a number; slices are equal ranges of keys.
+ *
+ * @param key - The caller's key.
+ * @param keys - Keys are the whole numbers below this one.
+ * @param slices - Number of slices of the service, at least 1.
+ * @returns The slice, or null if the key is not such a number.
+ */
+export function sliceOfNumber(
+  key: string,
+  keys: number,
+  slices: number,
+): Slice | null {
+  if (!/^\d{1,15}$/.test(key) || Number(key) >= keys) return null;
+  return Math.floor((Number(key) * slices) / keys) as Slice;
+}
+
 /**
  * Finds the slice of a key; slices are equal ranges of the hash.
  *
--- a/packages/core/src/leases/grantor.ts
+++ b/packages/core/src/leases/grantor.ts
@@ -15,6 +15,8 @@
 const REPORT_GAP_MS = 400;
 /** First ranks that take reports in turn. */
 const REPORTED_RANKS = 3;
+/** Time after which a member behind the configuration is told of it. */
+const TOLD_AFTER_MS = 400;
 /** Reports to others before this member begins the ending itself. */
 const REPORTS_TO_OTHERS = 4;
 
@@ -34,6 +36,7 @@
   if (message.member !== from) return;
   const reason = refusal(context, message);
   if (reason === '') promise(context, message);
+  passConfigurationOn(context, from);
   send(context, from, {
     kind: 'renewed',
     round: message.round,
@@ -198,6 +201,18 @@
   return now - ward.behindSince > state.settings.tuning.leases.behindMs;
 }
 
+/** A member that can't read the source hears of it from its grantors. */
+function passConfigurationOn(context: Context, to: MemberId): void {
+  const {state, at} = context;
+  const ward = state.wards.get(to);
+  if (state.sourced === null || ward === undefined) return;
+  if (ward.configuration >= state.sourced.number) ward.behindSince = null;
+  else ward.behindSince ??= at.monotonic;
+  if (ward.behindSince === null) return;
+  if (at.monotonic - ward.behindSince < TOLD_AFTER_MS) return;
+  send(context, to, {kind: 'configuration', ...state.sourced});
+}
+
 function promise(
   context: Context,
   message: Extract<ControlMessage, {kind: 'renew'}>,
--- a/packages/core/src/log/types.ts
+++ b/packages/core/src/log/types.ts
@@ -26,6 +26,12 @@
   readonly to: MemberId;
 }
 
+/** What a backend server hands over to the next holder of a slice. */
+export interface Handover {
+  readonly slice: Slice;
+  readonly token: string;
+}
+
 /** What an entry changes. */
 export type Change =
   | {
@@ -35,6 +41,8 @@
       readonly address: Address;
       /** Its operators port, or null when it has none. */
       readonly operators: Address | null;
+      /** Ended member of the same host whose slices it takes over, or null. */
+      readonly replaces: MemberId | null;
     }
   /** Every slice of these members goes to its standby, generation + 1. */
   | {readonly kind: 'ended'; readonly members: readonly MemberId[]}
@@ -54,6 +62,8 @@
   | {
       readonly kind: 'placed';
       readonly service: ServiceName;
+      /** Number of slices of the service. */
+      readonly slices: number;
       readonly runs: readonly Run[];
     }
   /** Owners stop dispatching, drain and release (R6). */
@@ -66,6 +76,8 @@
       readonly kind: 'released';
       readonly service: ServiceName;
       readonly slices: readonly Slice[];
+      /** What the backend server handed over, by slice. */
+      readonly handovers: readonly Handover[];
     }
   /** A configuration document is accepted. */
   | {
--- a/packages/core/src/logs/catalogue.ts
+++ b/packages/core/src/logs/catalogue.ts
@@ -39,6 +39,7 @@
   serverLeaving: event(403, 'info', 'The backend server takes no new work.'),
   runsSilent: event(404, 'warn', 'A silent run was aborted.'),
   leaseLostRun: event(405, 'warn', 'A run was aborted: its slice is not held.'),
+  serverLost: event(407, 'warn', 'The backend server is gone or silent.'),
   lateAttempt: event(406, 'info', 'A late attempt was refused.'),
   processStarted: event(501, 'info', 'The process accepts callers and links.'),
   processLeaving: event(502, 'info', 'The process has handed over and leaves.'),
@@ -46,6 +47,33 @@
   linkLost: event(510, 'warn', 'A link to another daemon was lost.'),
   platformFailed: event(511, 'warn', 'The platform does not answer.'),
   platformAnswers: event(512, 'info', 'The platform answers again.'),
+  announcementRefused: event(
+    408,
+    'warn',
+    'An announcement of a backend server was not understood.',
+  ),
+  announcementTaken: event(
+    409,
+    'info',
+    'The backend server changed what it announces.',
+  ),
+  grantFailed: event(410, 'warn', 'The backend server did not take a grant.'),
+  sourceFailed: event(
+    513,
+    'warn',
+    'The source of the configuration does not answer.',
+  ),
+  sourceAnswers: event(
+    514,
+    'info',
+    'The source of the configuration answers again.',
+  ),
+  settingsRead: event(515, 'info', 'The settings were read again.'),
+  configurationRefused: event(
+    602,
+    'warn',
+    'A configuration was not understood; the last good one stays.',
+  ),
 } as const;
 
 /** Name of a log event. */
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -16,6 +16,7 @@
   ServiceName,
   Slice,
   Version,
+  ZoneName,
 } from '../ids/types.js';
 import type {LogName} from '../logs/catalogue.js';
 import type {Message} from '../messages/types.js';
@@ -36,6 +37,35 @@
   readonly checksGrants: boolean;
   /** True when it asks to leave: no new work, please. */
   readonly leaving: boolean;
+  /** What it says of its cold start; null if its limits have to be learnt. */
+  readonly coldStart: ColdStart | null;
+}
+
+/** What a backend server bears while it is cold. */
+export interface ColdStart {
+  /** Time until it is warm, in milliseconds; 0 when it is warm. */
+  readonly remainingMs: number;
+  /** Most requests a second meanwhile. */
+  readonly perSecond: number;
+}
+
+/** Configuration and closed zones as an outside source orders them. */
+export interface SourcedConfiguration {
+  /** Place in the source's order; rises with every change. */
+  readonly number: number;
+  /** JSON text of the workspace, checked by the source's reader. */
+  readonly document: string;
+  /** Availability zones that take no new work. */
+  readonly zonesOut: readonly ZoneName[];
+}
+
+/** Consecutive slices that a backend server holds under one fence. */
+export interface KeyGrant {
+  readonly first: Slice;
+  readonly count: number;
+  readonly generation: Generation;
+  /** What the previous holder handed over, or null. */
+  readonly handover: string | null;
 }
 
 /** The head of a caller's request, after its route was found. */
@@ -46,6 +76,8 @@
   readonly idempotent: boolean;
   readonly priority: Priority;
   readonly timeoutMs: number;
+  /** Servers that the request may be sent to, or null for the default. */
+  readonly maxAttempts: number | null;
   readonly idempotencyKey: string | null;
 }
 
@@ -156,6 +188,25 @@
       readonly run: RunState;
       readonly detail: string;
     }
+  /** An outside source of configuration told its newest state. */
+  | {
+      readonly kind: 'configurationRead';
+      readonly configuration: SourcedConfiguration;
+    }
+  /** The backend server took slices of a grant, or took them again. */
+  | {
+      readonly kind: 'keysGranted';
+      readonly service: ServiceName;
+      readonly grant: KeyGrant;
+    }
+  /** The backend server gave slices back; nothing runs on them any more. */
+  | {
+      readonly kind: 'keysReleased';
+      readonly service: ServiceName;
+      readonly grant: KeyGrant;
+      /** For the next holder, or null if the server said nothing. */
+      readonly handover: string | null;
+    }
   | {
       readonly kind: 'commanded';
       readonly command: Command;
@@ -297,14 +348,28 @@
       readonly request: RequestId;
       readonly failure: Failure;
     }
-  /** Tell the backend server which slices it holds. */
+  /**
+   * Tell the backend server which slices it holds; report `keysGranted` for
+   * each grant that it confirms.
+   */
   | {
       readonly kind: 'grant';
       readonly service: ServiceName;
-      readonly slices: readonly Slice[];
-      readonly generations: readonly Generation[];
+      /** Number of slices of the whole service. */
+      readonly slices: number;
+      readonly grants: readonly KeyGrant[];
       readonly ttlMs: number;
     }
+  /**
+   * Ask the backend server to give slices back; report `keysReleased` for
+   * each grant that it confirms, and nothing for the others.
+   */
+  | {
+      readonly kind: 'releaseKeys';
+      readonly service: ServiceName;
+      readonly slices: number;
+      readonly grants: readonly KeyGrant[];
+    }
   | {
       readonly kind: 'log';
       readonly event: LogName;
--- a/packages/core/src/map/logic.spec.ts
+++ b/packages/core/src/map/logic.spec.ts
@@ -23,12 +23,19 @@
 function joined(member: MemberId): Change {
   const zone = 'z' as never;
   const address = '' as never;
-  return {kind: 'joined', member, zone, address, operators: null};
+  return {
+    kind: 'joined',
+    member,
+    zone,
+    address,
+    operators: null,
+    replaces: null,
+  };
 }
 
 function placed(owner: MemberId, standby: MemberId | null): Change {
   const run = {first: FIRST, count: 2, owner, standby};
-  return {kind: 'placed', service: SERVICE, runs: [run]};
+  return {kind: 'placed', service: SERVICE, slices: 2, runs: [run]};
 }
 
 function moving(to: MemberId): Change {
@@ -44,6 +51,7 @@
   kind: 'released',
   service: SERVICE,
   slices: [FIRST],
+  handovers: [],
 };
 
 function mapAfter(changes: readonly Change[]): ClusterMap {
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -1,7 +1,8 @@
 /** @fileoverview Applying log entries to the map. */
 
-import type {MemberId, Slice, ZoneName} from '../ids/types.js';
+import type {MemberId, ServiceName, Slice, ZoneName} from '../ids/types.js';
 import type {Change, Committed} from '../log/types.js';
+import type {SourcedConfiguration} from '../loop/types.js';
 import type {Workspace} from '../workspace/types.js';
 import {NO_MEMBER, addMember, createService, removeMember} from './state.js';
 import type {ClusterMap, Configuration, Member, ServiceMap} from './types.js';
@@ -63,6 +64,21 @@
   return {number, document, workspace: {...parsed, version: number}};
 }
 
+/**
+ * Puts the state of an outside configuration source in force.
+ *
+ * @param map - The map, updated in place.
+ * @param sourced - The state.
+ */
+export function applySourced(
+  map: ClusterMap,
+  sourced: SourcedConfiguration,
+): void {
+  configure(map, configurationOf(sourced.number, sourced.document));
+  map.zonesOut.clear();
+  for (const zone of sourced.zonesOut) map.zonesOut.add(zone);
+}
+
 function applyChange(map: ClusterMap, change: Change, now: number): void {
   switch (change.kind) {
     case 'joined':
@@ -74,6 +90,9 @@
         offer: null,
         draining: false,
       });
+      if (change.replaces !== null) {
+        replaceMember(map, change.replaces, change.member, now);
+      }
       return;
     case 'ended':
       endMembers(map, change.members, now);
@@ -122,6 +141,7 @@
     const restarted =
       member.offer === null || member.offer.instance !== change.instance;
     if (restarted) member.draining = false;
+    if (restarted) raiseGenerations(map, member.index);
     member.offer = {
       service: change.service,
       instance: change.instance,
@@ -131,6 +151,45 @@
   });
 }
 
+/** A new life of a backend server holds nothing of the earlier one. */
+function raiseGenerations(map: ClusterMap, index: number): void {
+  for (const service of map.services.values()) {
+    for (let slice = 0; slice < service.slices; slice++) {
+      if (service.owner[slice] !== index) continue;
+      changeGeneration(service, slice as Slice);
+    }
+  }
+}
+
+function changeGeneration(service: ServiceMap, slice: Slice): void {
+  service.generation[slice] += 1;
+  service.handovers.delete(slice);
+}
+
+/** The successor on a host takes over everything but the lease. */
+function replaceMember(
+  map: ClusterMap,
+  from: MemberId,
+  to: MemberId,
+  now: number,
+): void {
+  const old = map.members.get(from)?.index;
+  const next = map.members.get(to)?.index;
+  if (old === undefined || next === undefined) return;
+  for (const service of map.services.values()) {
+    for (const [slice, target] of service.moves) {
+      if (target === old) service.moves.set(slice, next);
+    }
+    for (let slice = 0; slice < service.slices; slice++) {
+      if (service.standby[slice] === old) service.standby[slice] = next;
+      if (service.owner[slice] !== old) continue;
+      service.owner[slice] = next;
+      changeGeneration(service, slice as Slice);
+    }
+  }
+  removeMember(map, from, now);
+}
+
 /** Promotion by rule: no entry names the slices; one pass for all members. */
 function endMembers(
   map: ClusterMap,
@@ -147,7 +206,7 @@
 }
 
 function promote(service: ServiceMap, gone: Uint8Array): void {
-  const {owner, standby, generation, moves} = service;
+  const {owner, standby, moves} = service;
   for (const [slice, to] of moves) {
     if (gone[to] === 1) moves.delete(slice);
   }
@@ -155,7 +214,7 @@
     if (gone[standby[slice]] === 1) standby[slice] = NO_MEMBER;
     if (gone[owner[slice]] === 0) continue;
     owner[slice] = moves.get(slice as Slice) ?? standby[slice];
-    generation[slice] += 1;
+    changeGeneration(service, slice as Slice);
     moves.delete(slice as Slice);
     if (standby[slice] === owner[slice]) standby[slice] = NO_MEMBER;
   }
@@ -165,15 +224,14 @@
   map: ClusterMap,
   change: Extract<Change, {kind: 'placed'}>,
 ): void {
-  const service = map.services.get(change.service);
-  if (service === undefined) return;
+  const service = placementOf(map, change.service, change.slices);
   for (const run of change.runs) {
     const owner = map.members.get(run.owner)?.index ?? NO_MEMBER;
     const standby = indexOf(map, run.standby);
     for (let slice = run.first; slice < run.first + run.count; slice++) {
       if (service.owner[slice] === NO_MEMBER) {
         service.owner[slice] = owner;
-        service.generation[slice] += 1;
+        changeGeneration(service, slice as Slice);
       }
       if (service.owner[slice] === owner) service.standby[slice] = standby;
     }
@@ -206,24 +264,41 @@
     if (to === undefined) continue;
     service.moves.delete(slice);
     service.owner[slice] = to;
-    service.generation[slice] += 1;
+    changeGeneration(service, slice);
     if (service.standby[slice] === to) service.standby[slice] = NO_MEMBER;
   }
+  for (const {slice, token} of change.handovers) {
+    service.handovers.set(slice, token);
+  }
 }
 
 function applyConfigured(
   map: ClusterMap,
   change: Extract<Change, {kind: 'configured'}>,
 ): void {
-  map.configuration = configurationOf(change.number, change.document);
-  for (const service of map.configuration.workspace.services) {
+  configure(map, configurationOf(change.number, change.document));
+}
+
+function configure(map: ClusterMap, configuration: Configuration): void {
+  map.configuration = configuration;
+  for (const service of configuration.workspace.services) {
     if (service.division.kind !== 'keyed') continue;
-    if (map.services.has(service.name)) continue;
-    const placement = createService(service.name, service.division.slices);
-    map.services.set(service.name, placement);
+    placementOf(map, service.name, service.division.slices);
   }
 }
 
+function placementOf(
+  map: ClusterMap,
+  name: ServiceName,
+  slices: number,
+): ServiceMap {
+  const known = map.services.get(name);
+  if (known !== undefined) return known;
+  const created = createService(name, slices);
+  map.services.set(name, created);
+  return created;
+}
+
 function setZone(map: ClusterMap, zone: ZoneName, out: boolean): void {
   if (out) map.zonesOut.add(zone);
   else map.zonesOut.delete(zone);
--- a/packages/core/src/map/state.ts
+++ b/packages/core/src/map/state.ts
@@ -48,6 +48,7 @@
     standby: new Uint16Array(slices).fill(NO_MEMBER),
     generation: new Uint32Array(slices),
     moves: new Map<Slice, number>(),
+    handovers: new Map<Slice, string>(),
   };
 }
 
--- a/packages/core/src/map/types.ts
+++ b/packages/core/src/map/types.ts
@@ -45,6 +45,8 @@
   readonly generation: Uint32Array;
   /** Slices that move, with the index of the member they move to. */
   readonly moves: Map<Slice, number>;
+  /** What previous holders handed over, for the present generation. */
+  readonly handovers: Map<Slice, string>;
 }
 
 /** The configuration in force. */
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -8,6 +8,7 @@
   ServiceName,
   Slice,
   Version,
+  ZoneName,
 } from '../ids/types.js';
 import type {Priority} from '../workspace/types.js';
 
@@ -37,6 +38,8 @@
   readonly idempotencyKey: string | null;
   /** Time left until the caller's deadline, in milliseconds. */
   readonly budgetMs: number;
+  /** Time within which an answer is worth most, in milliseconds; 0 if none. */
+  readonly objectiveMs: number;
   /** Log version of the sender's map. */
   readonly version: Version;
   /** First part of the body; the rest follows as `body` messages. */
@@ -159,6 +162,13 @@
     }
   /** The member is alive: another member grants its lease. */
   | {readonly kind: 'cleared'; readonly member: MemberId}
+  /** State of the outside configuration source, for a member behind it. */
+  | {
+      readonly kind: 'configuration';
+      readonly number: number;
+      readonly document: string;
+      readonly zonesOut: readonly ZoneName[];
+    }
   /** Answered by `entries`, also when there are none. */
   | {readonly kind: 'pull'; readonly after: Version}
   | {
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -1,6 +1,9 @@
 /** @fileoverview The owner's side of planned moves (R6). */
 
-import type {ServiceName, Slice} from '../ids/types.js';
+import type {Generation, ServiceName, Slice} from '../ids/types.js';
+import type {Change, Handover} from '../log/types.js';
+import type {Event, KeyGrant} from '../loop/types.js';
+import type {ServiceMap} from '../map/types.js';
 import {log} from '../ownership/effects.js';
 import type {Context, Drain, Ownership, Wanted} from '../ownership/state.js';
 
@@ -23,7 +26,7 @@
       seen.add(key);
       if (state.drains.has(key)) continue;
       const since = at.monotonic;
-      state.drains.set(key, {service: service.name, slice, since, late: false});
+      state.drains.set(key, newDrain(service.name, slice, since));
     }
   }
   for (const key of [...state.drains.keys()]) {
@@ -38,20 +41,143 @@
  * @returns The change, or null when nothing is drained.
  */
 export function wantedRelease(context: Context): Wanted | null {
-  const {state, work} = context;
+  const {state} = context;
   let service: ServiceName | null = null;
   const slices: Slice[] = [];
+  const handovers: Handover[] = [];
   for (const drain of state.drains.values()) {
     if (service !== null && drain.service !== service) continue;
-    if (work.inFlight(drain.service, drain.slice) > 0) {
-      noteLate(context, drain);
-      continue;
-    }
+    if (!isDrained(context, drain)) continue;
     service = drain.service;
-    slices.push(drain.slice);
+    const {slice, handover} = drain;
+    slices.push(slice);
+    if (handover !== null) handovers.push({slice, token: handover});
   }
   if (service === null) return null;
-  return {change: {kind: 'released', service, slices}, by: state.self};
+  const change: Change = {kind: 'released', service, slices, handovers};
+  return {change, by: state.self};
+}
+
+/**
+ * Asks a backend server that checks grants to give drained slices back.
+ *
+ * @param context - The step.
+ */
+export function releaseKeys(context: Context): void {
+  const {state, effects, work} = context;
+  if (state.announcement?.checksGrants !== true) return;
+  const asked = new Map<ServiceMap, Slice[]>();
+  for (const drain of state.drains.values()) {
+    if (drain.asked || drain.released) continue;
+    if (work.inFlight(drain.service, drain.slice) > 0) continue;
+    const service = state.map.services.get(drain.service);
+    if (service === undefined) continue;
+    drain.asked = true;
+    asked.set(service, [...(asked.get(service) ?? []), drain.slice]);
+  }
+  for (const [service, slices] of asked) {
+    const {name} = service;
+    const grants = grantsOf(service, slices);
+    effects.push({
+      kind: 'releaseKeys',
+      service: name,
+      slices: service.slices,
+      grants,
+    });
+  }
+}
+
+/**
+ * Notes which generations the backend server holds.
+ *
+ * @param state - The state.
+ * @param event - Which slices, under which generation.
+ */
+export function noteGranted(
+  state: Ownership,
+  event: Extract<Event, {kind: 'keysGranted'}>,
+): void {
+  const {first, count, generation} = event.grant;
+  for (let slice = first; slice < first + count; slice++) {
+    state.granted.set(`${event.service}/${slice}`, generation);
+  }
+}
+
+/**
+ * Takes in that the backend server gave slices back.
+ *
+ * @param context - The step.
+ * @param event - Which slices, and what it handed over.
+ */
+export function takeReleased(
+  context: Context,
+  event: Extract<Event, {kind: 'keysReleased'}>,
+): void {
+  const {state} = context;
+  const {first, count, generation} = event.grant;
+  const service = state.map.services.get(event.service);
+  for (let slice = first; slice < first + count; slice++) {
+    const drain = state.drains.get(`${event.service}/${slice}`);
+    if (drain === undefined) continue;
+    if (service?.generation[slice] !== generation) continue;
+    drain.released = true;
+    drain.handover = event.handover;
+  }
+  state.dirty = true;
+}
+
+/**
+ * Joins slices with the same generation and handover into grants.
+ *
+ * @param service - The service's placement.
+ * @param slices - Slices in ascending order.
+ * @returns One grant for each row of neighbours that are alike.
+ */
+export function grantsOf(
+  service: ServiceMap,
+  slices: readonly Slice[],
+): KeyGrant[] {
+  const grants: KeyGrant[] = [];
+  for (const slice of slices) {
+    const generation = service.generation[slice] as Generation;
+    const handover = service.handovers.get(slice) ?? null;
+    const last = grants.at(-1);
+    const alike =
+      last !== undefined &&
+      last.first + last.count === slice &&
+      last.generation === generation &&
+      last.handover === handover;
+    if (alike) grants.pop();
+    const first = alike ? last.first : slice;
+    const count = alike ? last.count + 1 : 1;
+    grants.push({first, count, generation, handover});
+  }
+  return grants;
+}
+
+/**
+ * Whether nothing of this member can run on a slice any more: no run is in
+ * flight, and its server gave the slice back or its last grant has lapsed.
+ */
+function isDrained(context: Context, drain: Drain): boolean {
+  const {state, at, work} = context;
+  if (work.inFlight(drain.service, drain.slice) > 0) {
+    noteLate(context, drain);
+    return false;
+  }
+  return drain.released || at.monotonic >= state.grantedUntil;
+}
+
+function newDrain(service: ServiceName, slice: Slice, since: number): Drain {
+  return {
+    service,
+    slice,
+    since,
+    late: false,
+    asked: false,
+    released: false,
+    handover: null,
+  };
 }
 
 function noteLate(context: Context, drain: Drain): void {
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -33,8 +33,13 @@
 import {createLease} from '../leases/state.js';
 import type {Committed} from '../log/types.js';
 import type {Subject} from '../loop/subject.js';
-import type {Effect, Event, Input} from '../loop/types.js';
-import {applyEntry} from '../map/logic.js';
+import type {
+  Effect,
+  Event,
+  Input,
+  SourcedConfiguration,
+} from '../loop/types.js';
+import {applyEntry, applySourced} from '../map/logic.js';
 import {
   suspectMember,
   takeClosed,
@@ -42,6 +47,7 @@
   takeNewerRows,
 } from '../membership/endings.js';
 import type {ControlMessage, Message} from '../messages/types.js';
+import {noteGranted, takeReleased} from '../moves/logic.js';
 import type {CallId} from '../ids/types.js';
 import {
   takeLoadPointer,
@@ -109,18 +115,31 @@
       takeReply(context, event.call, event.reply);
       return;
     case 'announced':
+      if (state.announcement?.instance !== event.announcement.instance) {
+        state.granted.clear();
+      }
       state.announcement = event.announcement;
       state.dirty = true;
       return;
     case 'announcementLapsed':
       if (state.announcement?.instance === event.instance) {
         state.announcement = null;
+        state.granted.clear();
         state.dirty = true;
       }
       return;
     case 'commanded':
       takeCommand(context, event.command, event.token);
       return;
+    case 'configurationRead':
+      takeSourced(context, event.configuration);
+      return;
+    case 'keysGranted':
+      noteGranted(state, event);
+      return;
+    case 'keysReleased':
+      takeReleased(context, event);
+      return;
     case 'stopRequested':
       requestStop(context);
       return;
@@ -169,6 +188,9 @@
     case 'closed':
       takeClosed(context, from, message);
       return;
+    case 'configuration':
+      takeSourced(context, message);
+      return;
     case 'pull':
       answerPull(context, from, message.after);
       compareVersion(context, from, message.after);
@@ -268,6 +290,7 @@
 function takeLoaded(context: Context, answer: StoreReply): void {
   const {state} = context;
   if (!takeSnapshot(context, answer)) return;
+  if (state.sourced !== null) applySourced(state.map, state.sourced);
   state.dirty = true;
   const {append} = state.journal;
   if (append !== null && append.entry.version <= state.map.version) {
@@ -281,6 +304,18 @@
   }
 }
 
+/** The highest number seen wins, from whatever side it comes. */
+function takeSourced(context: Context, newer: SourcedConfiguration): void {
+  const {state} = context;
+  const {number, document, zonesOut} = newer;
+  if (number <= (state.sourced?.number ?? 0)) return;
+  state.sourced = {number, document, zonesOut};
+  applySourced(state.map, state.sourced);
+  state.settledVersion = -1;
+  state.dirty = true;
+  log(context, 'configurationInForce', {number, zonesOut: zonesOut.join(' ')});
+}
+
 /** Applies the next entry of the log; others are skipped. */
 function apply(context: Context, committed: Committed): void {
   const {state, at} = context;
@@ -309,6 +344,9 @@
   if (change.kind === 'configured') {
     log(context, 'configurationInForce', {number: change.number});
   }
+  if (change.kind === 'joined' && change.replaces === state.self) {
+    onOwnEnd(context);
+  }
   if (change.kind !== 'ended') return;
   log(context, 'memberEnded', {members: change.members.join(' ')});
   if (change.members.includes(state.self)) onOwnEnd(context);
@@ -341,7 +379,9 @@
 function requestStop(context: Context): void {
   const {state, at} = context;
   state.leaves = true;
-  state.stopBy = at.monotonic + state.settings.tuning.membership.stopMs;
+  const {stopMs, returnsAfterStop} = state.settings.tuning.membership;
+  state.stopBy = at.monotonic + stopMs;
+  if (returnsAfterStop && state.phase !== 'joining') return;
   if (state.phase === 'joined') state.phase = 'stopping';
   state.dirty = true;
   if (state.phase !== 'joining') return;
--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -2,7 +2,7 @@
 
 import {timeLeftMs} from '../clock/logic.js';
 import {hostOf} from '../ids/logic.js';
-import type {Generation, MemberId, ServiceName, Slice} from '../ids/types.js';
+import type {MemberId, Slice} from '../ids/types.js';
 import {readIfDue} from '../journal/reader.js';
 import {beginAppend, retryAppend} from '../journal/writer.js';
 import {isClosedOut, keepLease, mayOffer} from '../leases/holder.js';
@@ -17,12 +17,18 @@
   spreadSlices,
 } from '../coordinator/logic.js';
 import type {Change} from '../log/types.js';
+import type {ServiceMap} from '../map/types.js';
 import {
   pursueEndings,
   suspectMember,
   wantedEnd,
 } from '../membership/endings.js';
-import {trackDrains, wantedRelease} from '../moves/logic.js';
+import {
+  grantsOf,
+  releaseKeys,
+  trackDrains,
+  wantedRelease,
+} from '../moves/logic.js';
 import {storeIfDue} from '../snapshots/keeper.js';
 import {reviewCommands, wantedByOperators} from './commands.js';
 import {log, send} from './effects.js';
@@ -60,6 +66,7 @@
     );
     pursueEndings(context);
     trackDrains(context);
+    releaseKeys(context);
     noteHeldBack(context);
     grantServer(context);
     reportLoad(context);
@@ -105,8 +112,11 @@
       by: state.self,
     };
   }
+  const {soleProcess} = state.settings.tuning.membership;
+  const replaces = soleProcess ? predecessor : null;
+  const member = state.self;
   return {
-    change: {kind: 'joined', member: state.self, zone, address, operators},
+    change: {kind: 'joined', member, zone, address, operators, replaces},
     by: state.self,
   };
 }
@@ -237,46 +247,51 @@
   else state.heldBackSince ??= at.monotonic;
 }
 
-/** Renews the backend server's grant before it lapses. */
+/** Renews the backend server's grants before they lapse, or as they change. */
 function grantServer(context: Context): void {
   const {state, at} = context;
   const {announcement} = state;
-  if (announcement === null || at.monotonic < state.grantAt) return;
-  state.grantAt = at.monotonic + GRANT_GAP_MS;
+  if (announcement === null) return;
   const held = standing(state, at);
   if (held.source === 'none') return;
-  const owned = ownedSlices(state, announcement.service);
-  if (owned === null) return;
+  const service = state.map.services.get(announcement.service);
+  const self = state.map.members.get(state.self);
+  if (service === undefined || self === undefined) return;
+  if (self.offer?.instance !== announcement.instance) return;
+  const grants = grantsOf(service, ownedSlices(service, self.index));
+  const text = JSON.stringify([announcement.instance, grants]);
+  if (text === state.grantsText && at.monotonic < state.grantAt) return;
+  state.grantsText = text;
+  state.grantAt = at.monotonic + GRANT_GAP_MS;
+  const {marginMs} = state.settings.tuning.leases;
+  if (announcement.checksGrants) {
+    state.grantedUntil = held.until.monotonic + marginMs;
+  }
   context.effects.push({
     kind: 'grant',
     service: announcement.service,
-    slices: owned.slices,
-    generations: owned.generations,
+    slices: service.slices,
+    grants,
     ttlMs: Math.floor(timeLeftMs(held.until, at)),
   });
 }
 
-function ownedSlices(
-  state: Ownership,
-  name: ServiceName,
-): {slices: Slice[]; generations: Generation[]} | null {
-  const service = state.map.services.get(name);
-  const self = state.map.members.get(state.self);
-  if (service === undefined || self === undefined) return null;
+function ownedSlices(service: ServiceMap, owner: number): Slice[] {
   const slices: Slice[] = [];
-  const generations: Generation[] = [];
   for (let slice = 0; slice < service.slices; slice++) {
-    if (service.owner[slice] !== self.index) continue;
-    if (service.moves.has(slice as Slice)) continue;
-    slices.push(slice as Slice);
-    generations.push(service.generation[slice] as Generation);
+    if (service.owner[slice] !== owner) continue;
+    if (!service.moves.has(slice as Slice)) slices.push(slice as Slice);
   }
-  return {slices, generations};
+  return slices;
 }
 
 /** Ends itself when stopped and drained, or when no grantor is left (R7). */
 function reviewOwnEnd(context: Context): void {
   const {state, at, work} = context;
+  if (state.leaves && state.settings.tuning.membership.returnsAfterStop) {
+    leaveToReturn(context);
+    return;
+  }
   if (state.phase === 'stopping') {
     const drained = !ownsAny(state) && work.inFlightTotal() === 0;
     const told = state.map.members.get(state.self)?.draining === true;
@@ -291,6 +306,20 @@
   state.phase = 'ending';
 }
 
+/**
+ * A daemon that will be started again beside the same server keeps its place:
+ * slices that moved away would only move back.
+ */
+function leaveToReturn(context: Context): void {
+  const {state, at, work} = context;
+  const {stopMs, stopServeMs} = state.settings.tuning.membership;
+  const begun = state.stopBy - stopMs;
+  if (at.monotonic - begun < stopServeMs) return;
+  if (work.inFlightTotal() > 0 && at.monotonic < state.stopBy) return;
+  state.phase = 'left';
+  context.effects.push({kind: 'leave'});
+}
+
 /** The platform did not take the end in time; other members will end it. */
 function leaveInTime(context: Context): void {
   const {state, at} = context;
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -2,7 +2,12 @@
 
 import type {Instant} from '../clock/types.js';
 import type {AuditEntry} from '../commands/types.js';
-import type {Command, Effect, Announcement} from '../loop/types.js';
+import type {
+  Announcement,
+  Command,
+  Effect,
+  SourcedConfiguration,
+} from '../loop/types.js';
 import type {
   Address,
   CallId,
@@ -112,6 +117,12 @@
   readonly slice: Slice;
   readonly since: number;
   late: boolean;
+  /** Whether the backend server was asked to give it back. */
+  asked: boolean;
+  /** Whether the backend server has given it back. */
+  released: boolean;
+  /** What the backend server handed over with it, or null. */
+  handover: string | null;
 }
 
 /** Everything ownership knows. */
@@ -157,6 +168,14 @@
   /** Version at which the coordinator found nothing to place. */
   settledVersion: number;
   grantAt: number;
+  /** Generation of each slice that the backend server has confirmed. */
+  granted: Map<string, number>;
+  /** What was granted last, to notice changes. */
+  grantsText: string;
+  /** Monotonic time until which a grant at the backend server may hold. */
+  grantedUntil: number;
+  /** Newest state of the outside configuration source, or null. */
+  sourced: SourcedConfiguration | null;
   /** Monotonic time of the next look at the ranks before this member. */
   watchAt: number;
   actsAsCoordinator: boolean;
@@ -222,6 +241,10 @@
     watchedChanges: -1,
     settledVersion: -1,
     grantAt: 0,
+    granted: new Map(),
+    grantsText: '',
+    grantedUntil: 0,
+    sourced: null,
     watchAt: 0,
     actsAsCoordinator: false,
     snapshots: createSnapshots(),
--- a/packages/core/src/ownership/view.ts
+++ b/packages/core/src/ownership/view.ts
@@ -23,6 +23,13 @@
   moving: false,
 };
 
+/** Work of shared services that needs no lease. */
+const UNLEASED: Permission = {
+  kind: 'granted',
+  generation: 0 as Generation,
+  until: {monotonic: Infinity, wall: Infinity},
+};
+
 /**
  * Answers the questions of other subjects.
  *
@@ -74,7 +81,12 @@
     return denied('moving');
   }
   if (isHeldBack(state, at)) return denied('moving');
-  return underLease(state, placement.generation[slice], at);
+  const generation = placement.generation[slice];
+  const checks = state.announcement?.checksGrants === true;
+  if (checks && state.granted.get(`${service}/${slice}`) !== generation) {
+    return denied('moving');
+  }
+  return underLease(state, generation, at);
 }
 
 function placementOf(
@@ -113,6 +125,7 @@
   if (self === undefined || !takesWork(state.map, self)) {
     return denied('not-owner');
   }
+  if (!state.settings.tuning.leases.coversShared) return UNLEASED;
   return underLease(state, 0, at);
 }
 
--- a/packages/core/src/routing/definition.spec.ts
+++ b/packages/core/src/routing/definition.spec.ts
@@ -36,6 +36,7 @@
       idempotent: false,
       priority: 'interactive',
       timeoutMs: TIMEOUT_MS,
+      maxAttempts: null,
       idempotencyKey: null,
       ...changes,
     };
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -74,6 +74,9 @@
     case 'runHead':
     case 'runEnded':
     case 'runFailed':
+    case 'configurationRead':
+    case 'keysGranted':
+    case 'keysReleased':
     case 'commanded':
     case 'stopRequested':
       return;
@@ -92,6 +95,7 @@
     relayed: null,
     mayHaveRun: false,
     waiting: false,
+    waitingSince: null,
     late: false,
     avoid: [],
     hint: null,
@@ -130,6 +134,7 @@
     case 'renewed':
     case 'close':
     case 'closed':
+    case 'configuration':
     case 'pull':
     case 'entries':
     case 'load':
@@ -195,13 +200,23 @@
   dropServers(state.choice, member => ownership.isEnded(member));
 }
 
+/** A request that nobody can run is refused while a later try may succeed. */
+function watchWait(turn: Turn, pending: Pending): void {
+  const {waitMs} = turn.state.settings.routing;
+  if (waitMs === 0 || pending.waitingSince === null) return;
+  if (turn.now - pending.waitingSince >= waitMs) tellLate(turn, pending);
+}
+
 /**
  * After the deadline the attempts are cancelled and have a grace period to say
  * whether they ran; then the caller is told what is known.
  */
 function watchTime(turn: Turn, pending: Pending): void {
   const {now, state} = turn;
-  if (now < pending.deadline) return;
+  if (now < pending.deadline) {
+    watchWait(turn, pending);
+    return;
+  }
   if (pending.attempts.size === 0) {
     tellLate(turn, pending);
     return;
--- a/packages/core/src/routing/faults.ts
+++ b/packages/core/src/routing/faults.ts
@@ -116,7 +116,8 @@
     case 'server-refused':
       return 'retry';
     case 'overloaded':
-      return pending.taken.slice === null ? 'retry' : 'tell';
+      if (pending.taken.slice !== null) return 'tell';
+      return pending.mayHaveRun ? 'retry' : 'redirect';
     case 'bad-request':
     case 'unknown-service':
     case 'key-missing':
@@ -134,12 +135,16 @@
 function affords(turn: Turn, pending: Pending, course: Course): boolean {
   const {state} = turn;
   if (course === 'redirect') return true;
-  if (pending.paid >= state.settings.routing.maxAttempts) return false;
+  if (pending.paid + 1 >= attemptsOf(turn, pending)) return false;
   if (!state.budget.spend()) return false;
   pending.paid += 1;
   return true;
 }
 
+function attemptsOf(turn: Turn, pending: Pending): number {
+  return pending.taken.maxAttempts ?? turn.state.settings.routing.maxAttempts;
+}
+
 /**
  * When no server is left, all are open again after a wait; but if the last one
  * was busy, more attempts would only add to the load.
--- a/packages/core/src/routing/placing.ts
+++ b/packages/core/src/routing/placing.ts
@@ -29,9 +29,11 @@
   pending.waiting = target === null || ownership.self === null;
   if (target === null || ownership.self === null) {
     state.waiting.add(request);
+    pending.waitingSince ??= turn.now;
     return;
   }
   state.waiting.delete(request);
+  pending.waitingSince = null;
   sendAttempt(turn, pending, target, ownership.self);
   if (!isKeyed) armHedge(turn, pending);
 }
@@ -133,7 +135,8 @@
   const {state} = turn;
   const {service, idempotent} = pending.taken;
   if (!idempotent) return;
-  const {minHedgeMs} = state.settings.routing;
+  const {minHedgeMs, hedges} = state.settings.routing;
+  if (!hedges) return;
   const delayMs = hedgeDelayMs(state.choice, service, minHedgeMs);
   if (delayMs !== null) schedule(turn, pending, 'hedge', delayMs);
 }
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -54,6 +54,8 @@
   mayHaveRun: boolean;
   /** True while it waits for an owner or a server. */
   waiting: boolean;
+  /** Monotonic time since which it waits, or null. */
+  waitingSince: number | null;
   /** True once the deadline has passed and attempts were cancelled. */
   late: boolean;
   /** Servers that refused it. */
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -20,6 +20,8 @@
     suspectMs: 800,
     /** Longest time a member may stay behind its grantor's configuration. */
     behindMs: 2000,
+    /** Whether work of shared services needs the lease as well. */
+    coversShared: true,
   },
   membership: {
     /** Own-row writes a second that the whole workspace may need. */
@@ -34,6 +36,12 @@
     stopMs: 20000,
     /** Time after which a member that takes no work dispatches none. */
     drainGraceMs: 2500,
+    /** Whether a host runs one daemon at most, so that a new one replaces. */
+    soleProcess: false,
+    /** Time a daemon that comes back goes on serving while it stops. */
+    stopServeMs: 0,
+    /** Whether a stopped daemon comes back beside the same server. */
+    returnsAfterStop: false,
   },
   log: {
     /** Newest entries kept in memory for other members. */
@@ -56,6 +64,8 @@
   announcements: {
     /** Time after which a silent backend server counts as gone. */
     ttlMs: 2000,
+    /** Time a leaving server is still given work for slices it holds. */
+    leavingMs: 2000,
   },
   links: {
     /** Time between two looks at a link; heartbeats fall on them. */
@@ -94,10 +104,16 @@
     latencyHalfLifeMs: 1000,
     /** Factor on the score of a server in another availability zone. */
     otherZoneFactor: 1.2,
+    /** Longest wait for an owner or a server; 0 waits until the deadline. */
+    waitMs: 0,
+    /** Whether slow lookups are sent to a second server. */
+    hedges: true,
   },
   execution: {
     /** Attempts that wait or run at a daemon at the same time. */
     maxAttempts: 1024,
+    /** Silence of a run after which its connection is no longer reused. */
+    silentRunMs: 1000,
     /** Time an outcome or tombstone is remembered. */
     outcomeMs: 10000,
     /** Time an outcome with an idempotency key is remembered. */
@@ -130,6 +146,9 @@
     queueFactor: 4,
     /** Largest share of the limit that deferrable work uses. */
     deferrableShare: 0.25,
+    /** Longest wait in the queue of a server that reports its cold start, as
+     * a share of the latency objective. */
+    objectiveShare: 0.25,
   },
   logs: {
     level: 'info' as 'trace' | 'debug' | 'info' | 'warn' | 'error',
--- a/packages/core/src/snapshots/logic.ts
+++ b/packages/core/src/snapshots/logic.ts
@@ -66,6 +66,7 @@
     standby: bytesText(service.standby),
     generation: bytesText(service.generation),
     moves: [...service.moves],
+    handovers: [...service.handovers],
   };
 }
 
@@ -77,6 +78,9 @@
     standby: new Uint16Array(bytesOf(image.standby)),
     generation: new Uint32Array(bytesOf(image.generation)),
     moves: new Map(image.moves.map(([slice, to]) => [slice as Slice, to])),
+    handovers: new Map(
+      image.handovers.map(([slice, token]) => [slice as Slice, token]),
+    ),
   };
 }
 
--- a/packages/core/src/snapshots/types.ts
+++ b/packages/core/src/snapshots/types.ts
@@ -12,6 +12,8 @@
   readonly generation: string;
   /** Moving slices with the index of the member each moves to. */
   readonly moves: ReadonlyArray<readonly [number, number]>;
+  /** Slices with what their previous holders handed over. */
+  readonly handovers: ReadonlyArray<readonly [number, string]>;
 }
 
 /** The whole map at one version. */
--- a/packages/core/src/testing/ownership.ts
+++ b/packages/core/src/testing/ownership.ts
@@ -78,6 +78,7 @@
         retryShare: 0.1,
         maxMovingSlices: 1,
         drainMs: FIXED_DRAIN_MS,
+        idleMs: 5000,
       },
     },
     placement: () => ({
--- a/packages/core/src/workspace/router.ts
+++ b/packages/core/src/workspace/router.ts
@@ -4,7 +4,9 @@
  */
 
 import type {ErrorKind} from '../errors/types.js';
-import type {KeySource, Route, Service, Workspace} from './types.js';
+import type {Slice} from '../ids/types.js';
+import {sliceOf, sliceOfNumber} from '../keys/logic.js';
+import type {KeySource, Route, Service, Share, Workspace} from './types.js';
 
 /** Headers as Node gives them: names in lower case. */
 export type HeaderMap = Readonly<
@@ -19,6 +21,8 @@
       readonly service: Service;
       /** The decoded key, or null for a shared service. */
       readonly key: string | null;
+      /** Slice of the key, or null for a shared service. */
+      readonly slice: Slice | null;
     }
   | {
       readonly kind: Extract<
@@ -41,21 +45,35 @@
   match(method: string, path: string, headers: HeaderMap): Match;
 }
 
-interface Leaf {
-  readonly route: Route;
+/** A service that a route may choose. */
+interface Target {
   readonly service: Service;
   /** Where the key is found, or null for a shared service. */
   readonly key: KeySource | null;
   /** Index of the key's path segment, or -1. */
   readonly keyAt: number;
+  readonly weight: number;
+  /** How far its share is in arrears; the furthest is chosen next. */
+  arrears: number;
+}
+
+interface Leaf {
+  readonly route: Route;
+  readonly targets: readonly Target[];
 }
 
 interface Node {
   readonly literals: Map<string, Node>;
   parameter: Node | null;
+  /** Route of the whole path up to here. */
   leaf: Leaf | null;
+  /** Route of every longer path that no deeper node matches. */
+  rest: Leaf | null;
 }
 
+const ANY_METHOD = '*';
+const ANY_REST = '**';
+
 /**
  * Compiles the routes of a workspace.
  *
@@ -65,14 +83,15 @@
 export function compileRoutes(workspace: Workspace): Router {
   const roots = new Map<string, Node>();
   for (const route of workspace.routes) {
-    const root = roots.get(route.method) ?? emptyNode();
-    roots.set(route.method, root);
+    const name = rootName(route.host, route.method);
+    const root = roots.get(name) ?? emptyNode();
+    roots.set(name, root);
     insert(root, leafOf(workspace, route));
   }
   const {maxKeyBytes} = workspace.limits;
   return {
     match: (method, path, headers) =>
-      matchIn(roots.get(method), maxKeyBytes, path, headers),
+      matchIn(rootsFor(roots, method, headers), maxKeyBytes, path, headers),
   };
 }
 
@@ -94,22 +113,68 @@
   return compileRoutes(workspace).match(method, path, headers);
 }
 
+function rootName(host: string | null, method: string): string {
+  return `${method} ${host?.toLowerCase() ?? ANY_METHOD}`;
+}
+
+/** The host's own routes go before those of any host. */
+function rootsFor(
+  roots: ReadonlyMap<string, Node>,
+  method: string,
+  headers: HeaderMap,
+): Node[] {
+  const host = headerOf(headers, 'host') ?? '';
+  const found: Node[] = [];
+  for (const name of [host, null]) {
+    for (const each of [method, ANY_METHOD]) {
+      const root = roots.get(rootName(name, each));
+      if (root !== undefined) found.push(root);
+    }
+  }
+  return found;
+}
+
 function emptyNode(): Node {
-  return {literals: new Map(), parameter: null, leaf: null};
+  return {literals: new Map(), parameter: null, leaf: null, rest: null};
 }
 
 function leafOf(workspace: Workspace, route: Route): Leaf {
-  const service = workspace.services.find(({name}) => name === route.service);
-  if (!service) throw new Error(`unchecked workspace: ${route.service}`);
+  const {split, service} = route;
+  const shares = split.length > 0 ? split : [{service, weight: 1}];
+  return {route, targets: shares.map(each => targetOf(workspace, route, each))};
+}
+
+function targetOf(workspace: Workspace, route: Route, share: Share): Target {
+  const service = workspace.services.find(({name}) => name === share.service);
+  if (!service) throw new Error(`unchecked workspace: ${share.service}`);
   const {division} = service;
-  if (division.kind === 'shared') return {route, service, key: null, keyAt: -1};
+  const common = {service, weight: share.weight, arrears: 0};
+  if (division.kind === 'shared') return {...common, key: null, keyAt: -1};
   const keyAt = segmentsOf(route.path).indexOf(`{${division.key.name}}`);
-  return {route, service, key: division.key, keyAt};
+  return {...common, key: division.key, keyAt};
+}
+
+/** Smooth weighted round robin: every share is met without drift. */
+function chooseTarget(targets: readonly Target[]): Target {
+  if (targets.length === 1) return targets[0];
+  let total = 0;
+  let best = targets[0];
+  for (const target of targets) {
+    target.arrears += target.weight;
+    total += target.weight;
+    if (target.arrears > best.arrears) best = target;
+  }
+  best.arrears -= total;
+  return best;
 }
 
 function insert(root: Node, leaf: Leaf): void {
   let node = root;
   for (const segment of segmentsOf(leaf.route.path)) {
+    if (segment === ANY_REST) {
+      node.rest = leaf;
+      return;
+    }
     node = segment.startsWith('{')
       ? (node.parameter ??= emptyNode())
       : literalChild(node, segment);
@@ -128,7 +193,7 @@
 }
 
 function matchIn(
-  root: Node | undefined,
+  roots: readonly Node[],
   maxKeyBytes: number,
   path: string,
   headers: HeaderMap,
@@ -138,18 +203,20 @@
   }
   const query = path.search(/[?#]/);
   const segments = segmentsOf(query < 0 ? path : path.slice(0, query));
-  const leaf = root ? descend(root, segments, 0) : null;
-  if (!leaf) {
+  let leaf: Leaf | null = null;
+  for (const root of roots) leaf ??= descend(root, segments, 0);
+  if (leaf === null) {
     return {
       kind: 'unknown-service',
-      detail: 'no route has this method and path',
+      detail: 'no route has this host, method and path',
     };
   }
-  const {route, service, key: source} = leaf;
-  if (!source) return {kind: 'matched', route, service, key: null};
+  const {route} = leaf;
+  const {service, key: source, keyAt} = chooseTarget(leaf.targets);
+  if (!source) return {kind: 'matched', route, service, key: null, slice: null};
   const key =
     source.from === 'path'
-      ? decodeSegment(segments[leaf.keyAt])
+      ? decodeSegment(segments[keyAt])
       : headerOf(headers, source.name);
   if (key === null) {
     return {kind: 'bad-request', detail: `${source.from} key is malformed`};
@@ -160,10 +227,21 @@
   if (Buffer.byteLength(key) > maxKeyBytes) {
     return {kind: 'key-too-long', detail: `at most ${maxKeyBytes} bytes`};
   }
-  return {kind: 'matched', route, service, key};
+  const slice = sliceIn(service, key);
+  if (slice !== null) return {kind: 'matched', route, service, key, slice};
+  return {kind: 'bad-request', detail: `${source.from} key is out of range`};
+}
+
+function sliceIn({division}: Service, key: string): Slice | null {
+  if (division.kind === 'shared') return null;
+  const {slices} = division;
+  const keys = division.keys ?? null;
+  return keys === null
+    ? sliceOf(key, slices)
+    : sliceOfNumber(key, keys, slices);
 }
 
-/** Literal segments go before parameters. */
+/** Literal segments go before parameters, and both before the rest. */
 function descend(
   node: Node,
   segments: readonly string[],
@@ -173,8 +251,8 @@
   const literal = node.literals.get(segments[depth]);
   const found = literal && descend(literal, segments, depth + 1);
   if (found) return found;
-  if (!node.parameter) return null;
-  return descend(node.parameter, segments, depth + 1);
+  const below = node.parameter && descend(node.parameter, segments, depth + 1);
+  return below ?? node.rest;
 }
 
 function decodeSegment(segment: string): string | null {
--- a/packages/core/src/workspace/schema.ts
+++ b/packages/core/src/workspace/schema.ts
@@ -14,6 +14,8 @@
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
 const MAX_KEY_BYTES = 4096;
 const MAX_DRAIN_MS = 60_000;
+/** As Node's HTTP server has it. */
+const DEFAULT_IDLE_MS = 5000;
 
 /** The result of reading a configuration document. */
 export type ParsedWorkspace =
@@ -47,6 +49,7 @@
     kind: z.literal('keyed'),
     slices: z.int().min(1).max(MAX_SLICES),
     key: keySource,
+    keys: z.int().min(1).nullable().default(null),
   }),
   z.strictObject({kind: z.literal('shared')}),
 ]);
@@ -58,17 +61,26 @@
 });
 
 const route = z.strictObject({
-  method: z.string().regex(/^[A-Z]+$/, 'must be an HTTP method in capitals'),
+  host: z.string().min(1).nullable().default(null),
+  method: z
+    .string()
+    .regex(/^([A-Z]+|\*)$/, 'must be an HTTP method in capitals, or *'),
   path: z
     .string()
     .regex(
-      /^(\/([A-Za-z0-9._~-]+|\{[A-Za-z][A-Za-z0-9]*\}))+$/,
+      /^(\/([A-Za-z0-9._~-]+|\{[A-Za-z][A-Za-z0-9]*\}))*(\/\*\*)?$/,
       'must be segments such as /finder/{key}',
-    ),
+    )
+    .min(2, 'must be segments such as /finder/{key}'),
   service: serviceName,
+  split: z
+    .array(z.strictObject({service: serviceName, weight: z.number().min(0)}))
+    .default([]),
   idempotent: z.boolean(),
   priority: z.enum(['interactive', 'deferrable']),
   timeoutMs: z.int().min(1).max(MAX_TIMEOUT_MS),
+  objectiveMs: z.number().min(0).default(0),
+  maxAttempts: z.int().min(1).nullable().default(null),
 });
 
 const limits = z.strictObject({
@@ -77,6 +89,7 @@
   retryShare: z.number().min(0).max(1),
   maxMovingSlices: z.int().min(1).max(MAX_SLICES),
   drainMs: z.int().min(0).max(MAX_DRAIN_MS),
+  idleMs: z.number().min(1).default(DEFAULT_IDLE_MS),
 });
 
 const shape = z.strictObject({
@@ -143,15 +156,29 @@
   return faults;
 }
 
-function routeShape(item: {method: string; path: string}): string {
-  return `${item.method} ${item.path.replace(/\{[^}]*\}/g, '{}')}`;
+function routeShape(item: {
+  host: string | null;
+  method: string;
+  path: string;
+}): string {
+  return `${item.host ?? ''} ${item.method} ${item.path.replace(/\{[^}]*\}/g, '{}')}`;
 }
 
 function findRouteFaults(
   document: Document,
   index: number,
 ): readonly PlacedFault[] {
-  const {path, service: name} = document.routes[index];
+  const {split, service} = document.routes[index];
+  const names = [service, ...split.map(share => share.service)];
+  return names.flatMap(name => findServiceFaults(document, index, name));
+}
+
+function findServiceFaults(
+  document: Document,
+  index: number,
+  name: ServiceName,
+): readonly PlacedFault[] {
+  const {path} = document.routes[index];
   const place = ['routes', index];
   const owner = document.services.find(item => item.name === name);
   if (!owner) {
--- a/packages/core/src/workspace/types.ts
+++ b/packages/core/src/workspace/types.ts
@@ -10,17 +10,36 @@
 /** Deferrable work gives way to interactive work. */
 export type Priority = 'interactive' | 'deferrable';
 
+/** A service's part of a route's requests. */
+export interface Share {
+  readonly service: ServiceName;
+  /** Its part is this over the sum of all weights of the route. */
+  readonly weight: number;
+}
+
 /** One kind of request and how it is carried. */
 export interface Route {
+  /** Host header it is for, or null for any. */
+  readonly host: string | null;
+  /** HTTP method, or `*` for any. */
   readonly method: string;
-  /** Path template, for example `/finder/{key}`. */
+  /**
+   * Path template, for example `/finder/{key}`; a last segment of `**` stands
+   * for any rest of the path.
+   */
   readonly path: string;
   readonly service: ServiceName;
+  /** Services among which requests are split; empty: all go to `service`. */
+  readonly split: readonly Share[];
   /** Whether a second run does no harm. */
   readonly idempotent: boolean;
   readonly priority: Priority;
   /** Time from acceptance to the end of the answer, in milliseconds. */
   readonly timeoutMs: number;
+  /** Time within which an answer is worth most, in milliseconds; 0 if none. */
+  readonly objectiveMs: number;
+  /** Servers that one request may be sent to, or null for the default. */
+  readonly maxAttempts: number | null;
 }
 
 /** Who may run a request of a service. */
@@ -31,6 +50,8 @@
       /** Number of slices; fixed for the life of the service. */
       readonly slices: number;
       readonly key: KeySource;
+      /** Keys are the numbers below this one; null: texts, which are hashed. */
+      readonly keys: number | null;
     }
   /** Any backend server of the service. */
   | {readonly kind: 'shared'};
@@ -53,6 +74,8 @@
   readonly maxMovingSlices: number;
   /** Bound on in-flight work when a slice moves, in milliseconds. */
   readonly drainMs: number;
+  /** Time a caller's connection may stay unused, in milliseconds. */
+  readonly idleMs: number;
 }
 
 /** A configuration document; `version` rises at each accepted change. */
--- a/packages/daemon/src/callers/answers.ts
+++ b/packages/daemon/src/callers/answers.ts
@@ -5,16 +5,10 @@
 
 import type {ServerResponse} from 'node:http';
 
-import {ANSWERS} from '@jackdawfall/core';
-import type {
-  AttemptId,
-  Failure,
-  Header,
-  MemberId,
-  RequestId,
-} from '@jackdawfall/core';
+import type {AttemptId, Header, MemberId, RequestId} from '@jackdawfall/core';
 
 import {toRecord} from '../bodies/headers.js';
+import type {OwnAnswer} from '../edges/types.js';
 import type {Incoming, Pending} from './types.js';
 
 /** Bytes of an answer that are held back until the answer is whole. */
@@ -96,16 +90,6 @@
     this.flush(incoming, pending);
   }
 
-  /**
-   * Answers a caller with an error, or cuts an answer that has begun.
-   *
-   * @param pending - The request.
-   * @param failure - What went wrong and whether the request ran.
-   */
-  fail(pending: Pending, failure: Failure): void {
-    writeFailure(pending.outgoing, pending.request, failure);
-  }
-
   private flush(incoming: Incoming, pending: Pending): void {
     const {outgoing} = pending;
     if (outgoing.destroyed || incoming.head === null) return;
@@ -143,29 +127,23 @@
 }
 
 /**
- * Writes an error to a caller.
+ * Writes an error to a caller, or cuts an answer that has begun.
  *
  * @param outgoing - Where the answer goes.
- * @param request - The request's id.
- * @param failure - What went wrong and whether the request ran.
+ * @param answer - The answer in the caller's protocol.
  */
 export function writeFailure(
   outgoing: ServerResponse,
-  request: RequestId,
-  failure: Failure,
+  answer: OwnAnswer,
 ): void {
   if (outgoing.headersSent) {
     outgoing.destroy();
     return;
   }
-  const {status, text, retryable} = ANSWERS[failure.kind];
-  const {kind, run, detail} = failure;
-  const body = JSON.stringify({kind, run, request, text, detail, retryable});
+  const {status, headers, body} = answer;
   outgoing.writeHead(status, {
-    'content-type': 'application/json',
+    ...headers,
     'content-length': Buffer.byteLength(body),
-    'x-request-id': request,
-    'x-run': run,
   });
   outgoing.end(body);
 }
@@ -175,6 +153,6 @@
   head: {status: number; headers: readonly Header[]},
 ): void {
   const record = toRecord(head.headers);
-  record['x-request-id'] = pending.request;
+  Object.assign(record, pending.addedHeaders);
   pending.outgoing.writeHead(head.status, record);
 }
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -5,8 +5,9 @@
 
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 
-import {failure, sliceOf} from '@jackdawfall/core';
+import {failure} from '@jackdawfall/core';
 import type {
   AttemptId,
   Event,
@@ -15,14 +16,12 @@
   Message,
   RequestId,
   Router,
-  Service,
-  Slice,
   Version,
   Workspace,
 } from '@jackdawfall/core';
 
-import {endToEndHeaders} from '../bodies/headers.js';
 import type {AnswerMessage} from '../bodies/messages.js';
+import type {CallerProtocol} from '../edges/types.js';
 import {Answers, writeFailure} from './answers.js';
 import {BodyBudget, readBody} from './intake.js';
 import {Pressure} from './pressure.js';
@@ -38,8 +37,6 @@
 const MAX_HELD_BYTES = 32 * 1024 * 1024;
 const MAX_PENDING = 8192;
 const MAX_CONNECTIONS = 16_384;
-const TIMEOUT_HEADER = 'x-timeout-ms';
-const KEY_HEADER = 'idempotency-key';
 
 /** A configuration with its compiled routes. */
 export interface Configuration {
@@ -54,6 +51,7 @@
   transmit(to: MemberId, message: Message): void;
   /** The configuration in force, or null before the first. */
   configuration(): Configuration | null;
+  readonly protocol: CallerProtocol;
   readonly windowBytes: number;
   /** Time between two calls of `watch`, in milliseconds. */
   readonly tickMs: number;
@@ -79,6 +77,8 @@
   private readonly budget = new BodyBudget(MAX_HELD_BYTES);
   private readonly answers: Answers;
   private readonly pressure: Pressure;
+  /** Requests that are open on each connection. */
+  private readonly bySocket = new WeakMap<Socket, Set<Pending>>();
   private count = 0;
   private leaving = false;
 
@@ -140,7 +140,7 @@
       attempt,
       to,
       request,
-      service: pending.route.service,
+      service: pending.service.name,
       slice: pending.slice,
       method: pending.method,
       path: pending.path,
@@ -149,6 +149,7 @@
       priority: pending.route.priority,
       idempotencyKey: pending.idempotencyKey,
       budgetMs,
+      objectiveMs: pending.route.objectiveMs,
       version,
       body,
       bodyEnds: body.length === pending.body.length,
@@ -206,7 +207,9 @@
   fail(request: RequestId, failed: Failure): void {
     const pending = this.pending.get(request);
     if (pending === undefined) return;
-    this.answers.fail(pending, failed);
+    const leftMs = pending.takenMs + pending.timeoutMs - performance.now();
+    const answer = this.context.protocol.answerOf(request, failed, leftMs);
+    writeFailure(pending.outgoing, answer);
     this.close(pending);
   }
 
@@ -227,6 +230,8 @@
   /** Notes how late the loop is; called every tick. */
   watch(): void {
     this.pressure.note(performance.now());
+    const idleMs = this.context.configuration()?.workspace.limits.idleMs;
+    if (idleMs !== undefined) this.server.keepAliveTimeout = idleMs;
   }
 
   private async take(
@@ -234,33 +239,45 @@
     outgoing: ServerResponse,
   ): Promise<void> {
     if (this.leaving) outgoing.shouldKeepAlive = false;
-    const request = `${this.context.idPrefix}-${++this.count}` as RequestId;
+    const request = this.nextId(incoming);
     const pending = await this.admit(request, incoming, outgoing);
     if (pending === null) return;
     this.pending.set(request, pending);
     outgoing.once('close', () => this.hungUp(pending));
+    this.onHangUp(incoming.socket, pending);
     this.context.emit({
       kind: 'taken',
       taken: {
         request,
-        service: pending.route.service,
+        service: pending.service.name,
         slice: pending.slice,
         idempotent: pending.route.idempotent,
         priority: pending.route.priority,
-        timeoutMs: timeoutOf(incoming, pending.route.timeoutMs),
+        timeoutMs: pending.timeoutMs,
+        maxAttempts: pending.route.maxAttempts,
         idempotencyKey: pending.idempotencyKey,
       },
     });
   }
 
+  /** Unique over all daemons; begins with the caller's own name if any. */
+  private nextId(incoming: IncomingMessage): RequestId {
+    const {protocol, idPrefix} = this.context;
+    const name = protocol.requestNameOf(incoming) ?? idPrefix;
+    this.count += 1;
+    return `${name}-${this.count}` as RequestId;
+  }
+
   private async admit(
     request: RequestId,
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<Pending | null> {
+    const {protocol} = this.context;
+    const askedMs = protocol.timeoutMsOf(incoming) ?? Infinity;
     const refuse = (failed: Failure) => {
       incoming.resume();
-      writeFailure(outgoing, request, failed);
+      writeFailure(outgoing, protocol.answerOf(request, failed, askedMs));
       return null;
     };
     const configuration = this.context.configuration();
@@ -283,12 +300,16 @@
     return {
       request,
       route: match.route,
-      slice: sliceIn(match.service, match.key),
+      service: match.service,
+      slice: match.slice,
+      timeoutMs: Math.min(askedMs, match.route.timeoutMs),
+      takenMs: performance.now(),
       method,
       path,
-      headers: endToEndHeaders(incoming.headers),
-      idempotencyKey: headerOf(incoming, KEY_HEADER),
+      headers: protocol.headersOf(incoming),
+      idempotencyKey: protocol.idempotencyKeyOf(incoming),
       body: body.bytes,
+      addedHeaders: protocol.addedHeaders(request),
       outgoing,
       relayed: null,
       attempts: new Set(),
@@ -336,6 +357,20 @@
     this.context.emit({kind: 'answered', request});
   }
 
+  /** A request behind another on its connection hears of its end only so. */
+  private onHangUp(socket: Socket, pending: Pending): void {
+    const open = this.bySocket.get(socket);
+    if (open !== undefined) {
+      open.add(pending);
+      return;
+    }
+    const fresh = new Set([pending]);
+    this.bySocket.set(socket, fresh);
+    socket.once('close', () => {
+      for (const each of fresh) this.hungUp(each);
+    });
+  }
+
   private hungUp(pending: Pending): void {
     if (!this.pending.has(pending.request)) return;
     this.close(pending);
@@ -344,24 +379,10 @@
 
   private close(pending: Pending): void {
     this.pending.delete(pending.request);
+    if (pending.outgoing.req.socket) {
+      this.bySocket.get(pending.outgoing.req.socket)?.delete(pending);
+    }
     this.budget.release(pending.body.length);
     for (const attempt of pending.attempts) this.incoming.delete(attempt);
   }
 }
-
-function sliceIn(service: Service, key: string | null): Slice | null {
-  const {division} = service;
-  if (division.kind === 'shared' || key === null) return null;
-  return sliceOf(key, division.slices);
-}
-
-function headerOf(incoming: IncomingMessage, name: string): string | null {
-  const value = incoming.headers[name];
-  return typeof value === 'string' ? value : null;
-}
-
-function timeoutOf(incoming: IncomingMessage, routeMs: number): number {
-  const asked = Number(headerOf(incoming, TIMEOUT_HEADER) ?? NaN);
-  if (!Number.isFinite(asked) || asked <= 0) return routeMs;
-  return Math.min(asked, routeMs);
-}
--- /dev/null
+++ b/packages/daemon/src/callers/protocol.ts
@@ -0,0 +1,41 @@
+/** @fileoverview The product's own interface towards callers. */
+
+import type {IncomingMessage} from 'node:http';
+
+import {ANSWERS} from '@jackdawfall/core';
+
+import {endToEndHeaders} from '../bodies/headers.js';
+import type {CallerProtocol} from '../edges/types.js';
+
+const TIMEOUT_HEADER = 'x-timeout-ms';
+const KEY_HEADER = 'idempotency-key';
+
+/** Reads and answers requests in the product's own way. */
+export const CALLER_PROTOCOL: CallerProtocol = {
+  headersOf: incoming => endToEndHeaders(incoming.headers),
+  timeoutMsOf(incoming) {
+    const asked = Number(headerOf(incoming, TIMEOUT_HEADER) ?? NaN);
+    return Number.isFinite(asked) && asked > 0 ? asked : null;
+  },
+  requestNameOf: () => null,
+  idempotencyKeyOf: incoming => headerOf(incoming, KEY_HEADER),
+  answerOf(request, failure) {
+    const {status, text, retryable} = ANSWERS[failure.kind];
+    const {kind, run, detail} = failure;
+    return {
+      status,
+      headers: {
+        'content-type': 'application/json',
+        'x-request-id': request,
+        'x-run': run,
+      },
+      body: JSON.stringify({kind, run, request, text, detail, retryable}),
+    };
+  },
+  addedHeaders: request => ({'x-request-id': request}),
+};
+
+function headerOf(incoming: IncomingMessage, name: string): string | null {
+  const value = incoming.headers[name];
+  return typeof value === 'string' ? value : null;
+}
--- a/packages/daemon/src/callers/types.ts
+++ b/packages/daemon/src/callers/types.ts
@@ -8,6 +8,7 @@
   MemberId,
   RequestId,
   Route,
+  Service,
   Slice,
 } from '@jackdawfall/core';
 
@@ -15,12 +16,20 @@
 export interface Pending {
   readonly request: RequestId;
   readonly route: Route;
+  /** The service that the route chose for it. */
+  readonly service: Service;
   readonly slice: Slice | null;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly Header[];
   readonly idempotencyKey: string | null;
+  /** Time in which it must be answered, from `takenMs`. */
+  readonly timeoutMs: number;
+  /** Monotonic time at which it was read, in milliseconds. */
+  readonly takenMs: number;
   readonly body: Buffer;
+  /** Headers added to the backend server's answer. */
+  readonly addedHeaders: Readonly<Record<string, string>>;
   readonly outgoing: ServerResponse;
   /** The attempt whose answer the caller receives, once chosen. */
   relayed: AttemptId | null;
--- /dev/null
+++ b/packages/daemon/src/exchange/logic.ts
@@ -0,0 +1,116 @@
+/** @fileoverview HTTP exchanges with a service that may go silent. */
+
+import {Agent, request} from 'node:http';
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+
+/** Largest body that is read. */
+const MAX_BODY_BYTES = 64 * 1024 * 1024;
+/** Connections open at the same time. */
+const MAX_SOCKETS = 8;
+
+/** One request. */
+export interface Exchange {
+  readonly method: 'GET' | 'POST' | 'PUT' | 'DELETE';
+  readonly path: string;
+  readonly headers?: Readonly<Record<string, string>>;
+  readonly body: string | null;
+}
+
+/** A whole reply. */
+export interface Reply {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly text: string;
+}
+
+/** Keeps connections, and replaces them all when an exchange fails. */
+export class Exchanges {
+  private agent = createAgent();
+
+  /** @param signal - Ends every exchange. */
+  constructor(private readonly signal: AbortSignal) {}
+
+  /**
+   * Makes one exchange.
+   *
+   * @param address - `ip:port` of the service.
+   * @param exchange - The request.
+   * @param timeoutMs - Time for the whole exchange.
+   * @returns The whole reply.
+   * @throws Error when there is none in time; the service may have acted.
+   */
+  async make(
+    address: string,
+    exchange: Exchange,
+    timeoutMs: number,
+  ): Promise<Reply> {
+    try {
+      return await this.send(address, exchange, timeoutMs);
+    } catch (error) {
+      this.replaceConnections();
+      throw error;
+    }
+  }
+
+  /** What else is under way keeps its connection; nothing new uses it. */
+  private replaceConnections(): void {
+    const old = this.agent;
+    this.agent = createAgent();
+    old.maxFreeSockets = 0;
+    for (const sockets of Object.values(old.freeSockets)) {
+      for (const socket of sockets ?? []) socket.destroy();
+    }
+  }
+
+  private send(
+    address: string,
+    exchange: Exchange,
+    timeoutMs: number,
+  ): Promise<Reply> {
+    const {method, path, headers = {}, body} = exchange;
+    return new Promise((resolve, reject) => {
+      const outgoing = request(
+        `http://${address}${path}`,
+        {method, headers, agent: this.agent, signal: this.signal},
+        incoming => {
+          readText(incoming)
+            .then(text =>
+              resolve({
+                status: incoming.statusCode ?? 0,
+                headers: incoming.headers,
+                text,
+              }),
+            )
+            .catch(reject)
+            .finally(() => clearTimeout(late));
+        },
+      );
+      const late = setTimeout(
+        () => outgoing.destroy(new Error('no reply in time')),
+        timeoutMs,
+      );
+      outgoing.on('error', error => {
+        clearTimeout(late);
+        reject(error);
+      });
+      outgoing.end(body ?? undefined);
+    });
+  }
+}
+
+function createAgent(): Agent {
+  return new Agent({keepAlive: true, maxSockets: MAX_SOCKETS});
+}
+
+async function readText(incoming: IncomingMessage): Promise<string> {
+  const parts: Buffer[] = [];
+  let bytes = 0;
+  for await (const part of incoming) {
+    const buffer = part as Buffer;
+    bytes += buffer.length;
+    if (bytes > MAX_BODY_BYTES) throw new Error('reply too large');
+    parts.push(buffer);
+  }
+  if (!incoming.complete) throw new Error('reply cut short');
+  return Buffer.concat(parts).toString('utf8');
+}
--- a/packages/daemon/src/operators/logic.ts
+++ b/packages/daemon/src/operators/logic.ts
@@ -6,9 +6,11 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 
-import type {Announcement, Command, CommandResult} from '@jackdawfall/core';
+import type {Announcement, Command} from '@jackdawfall/core';
 import {z} from 'zod';
 
+import type {DaemonPort} from '../edges/types.js';
+
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
 
 const ANNOUNCEMENT = z.object({
@@ -19,6 +21,10 @@
   connections: z.number().int().positive(),
   checksGrants: z.boolean(),
   leaving: z.boolean(),
+  coldStart: z
+    .object({remainingMs: z.number().min(0), perSecond: z.number().min(0)})
+    .nullable()
+    .default(null),
 });
 
 const COMMAND = z.discriminatedUnion('kind', [
@@ -42,23 +48,13 @@
   z.object({kind: z.literal('audit'), limit: z.number().int().positive()}),
 ]);
 
-/** What the operators' port asks of the process. */
-export interface OperatorActions {
-  announce(announcement: Announcement): void;
-  command(command: Command): Promise<CommandResult>;
-  status(): unknown;
-  metrics(): string;
-  /** Why this daemon has not joined its workspace, or null. */
-  obstacle(): string | null;
-}
-
 /**
  * Creates the HTTP server of the operators' port; the caller lets it listen.
  *
- * @param actions - What to do for each kind of call.
+ * @param actions - The running daemon.
  * @returns The server.
  */
-export function createOperatorServer(actions: OperatorActions): Server {
+export function createOperatorServer(actions: DaemonPort): Server {
   return createServer((incoming, outgoing) => {
     serve(actions, incoming, outgoing).catch((error: unknown) => {
       const detail = error instanceof Error ? error.message : String(error);
@@ -68,7 +64,7 @@
 }
 
 async function serve(
-  actions: OperatorActions,
+  actions: DaemonPort,
   incoming: IncomingMessage,
   outgoing: ServerResponse,
 ): Promise<void> {
@@ -84,11 +80,11 @@
       return;
     }
     case 'GET /status':
-      answer(outgoing, 200, actions.status());
+      answer(outgoing, 200, actions.renderStatus());
       return;
     case 'GET /metrics':
       outgoing.writeHead(200, {'content-type': 'text/plain; version=0.0.4'});
-      outgoing.end(actions.metrics());
+      outgoing.end(actions.renderMetrics());
       return;
     case 'GET /ready':
       answerReady(outgoing, actions.obstacle());
--- a/packages/daemon/src/platform/logic.ts
+++ b/packages/daemon/src/platform/logic.ts
@@ -3,14 +3,12 @@
  * call that got no whole reply is `unknown`: it may have taken effect.
  */
 
-import {Agent, request} from 'node:http';
-import type {IncomingMessage} from 'node:http';
-
 import type {StoreCall, StoreReply} from '@jackdawfall/core';
 import {z} from 'zod';
 
-const MAX_REPLY_BYTES = 64 * 1024 * 1024;
-const MAX_SOCKETS = 8;
+import type {Store} from '../edges/types.js';
+import {Exchanges} from '../exchange/logic.js';
+import type {Exchange} from '../exchange/logic.js';
 
 const ROW = z.object({
   key: z.string(),
@@ -24,82 +22,40 @@
   z.object({kind: z.literal('rows'), rows: z.array(ROW)}),
 ]);
 
-/** One HTTP exchange with the platform. */
-interface Exchange {
-  readonly method: 'GET' | 'POST' | 'PUT';
-  readonly path: string;
-  readonly body: string | null;
-}
-
-/** Client of the platform; keeps connections and replaces silent ones. */
-export class Platform {
-  private agent = new Agent({keepAlive: true, maxSockets: MAX_SOCKETS});
+/** Client of the platform; goes on to its next address when one fails. */
+export class Platform implements Store {
+  private readonly exchanges: Exchanges;
   private next = 0;
 
   /**
-   * @param addresses - `ip:port` of the platform's servers, at least one.
-   * @param signal - Cancels every open call.
+   * @param addresses - Addresses of the platform, each `ip:port`.
+   * @param signal - Ends every call.
    */
   constructor(
     private readonly addresses: readonly string[],
-    private readonly signal: AbortSignal,
-  ) {}
+    signal: AbortSignal,
+  ) {
+    this.exchanges = new Exchanges(signal);
+  }
 
   /**
-   * Makes one call. Never rejects.
+   * Makes a call, once.
    *
-   * @param call - What to read or write.
-   * @param timeoutMs - Time after which the reply no longer counts.
-   * @returns The reply; `unknown` when there was none.
+   * @param call - The call.
+   * @param timeoutMs - Time after which it counts as unanswered.
+   * @returns The reply; `unknown` if a write may have taken effect.
    */
   async call(call: StoreCall, timeoutMs: number): Promise<StoreReply> {
     const exchange = exchangeOf(call);
     const address = this.addresses[this.next % this.addresses.length];
     try {
-      const {status, text} = await this.exchange(address, exchange, timeoutMs);
-      return replyOf(call, status, text);
+      const reply = await this.exchanges.make(address, exchange, timeoutMs);
+      return replyOf(call, reply.status, reply.text);
     } catch (error) {
       this.next++;
-      this.replaceConnections();
-      return lost(error);
-    }
-  }
-
-  private replaceConnections(): void {
-    const old = this.agent;
-    this.agent = new Agent({keepAlive: true, maxSockets: MAX_SOCKETS});
-    for (const sockets of Object.values(old.freeSockets)) {
-      for (const socket of sockets ?? []) socket.destroy();
+      return lostReply(error);
     }
   }
-
-  private exchange(
-    address: string,
-    exchange: Exchange,
-    timeoutMs: number,
-  ): Promise<{status: number; text: string}> {
-    return new Promise((resolve, reject) => {
-      const outgoing = request(
-        `http://${address}${exchange.path}`,
-        {method: exchange.method, agent: this.agent, signal: this.signal},
-        incoming => {
-          readText(incoming)
-            .then(text => resolve({status: incoming.statusCode ?? 0, text}))
-            .catch(reject)
-            .finally(() => clearTimeout(late));
-        },
-      );
-      const late = setTimeout(
-        () => outgoing.destroy(new Error('no reply in time')),
-        timeoutMs,
-      );
-      outgoing.on('error', error => {
-        clearTimeout(late);
-        reject(error);
-      });
-      outgoing.end(exchange.body ?? undefined);
-    });
-  }
 }
 
 function exchangeOf(call: StoreCall): Exchange {
@@ -123,18 +79,6 @@
   return `/objects/${encodeURIComponent(name)}`;
 }
 
-async function readText(incoming: IncomingMessage): Promise<string> {
-  const parts: Buffer[] = [];
-  let bytes = 0;
-  for await (const part of incoming) {
-    const buffer = part as Buffer;
-    bytes += buffer.length;
-    if (bytes > MAX_REPLY_BYTES) throw new Error('reply too large');
-    parts.push(buffer);
-  }
-  return Buffer.concat(parts).toString('utf8');
-}
-
 function replyOf(call: StoreCall, status: number, text: string): StoreReply {
   if (status === 429 || status === 503) {
     return {kind: 'refused', detail: `status ${status}`};
@@ -161,7 +105,13 @@
   }
 }
 
-function lost(error: unknown): StoreReply {
+/**
+ * Says what a call without a reply means.
+ *
+ * @param error - Why there is none.
+ * @returns `refused` if nothing can have been done.
+ */
+export function lostReply(error: unknown): StoreReply {
   const detail = error instanceof Error ? error.message : String(error);
   const code = (error as {code?: string}).code;
   if (code === 'ECONNREFUSED') return {kind: 'refused', detail};
--- a/packages/daemon/src/process/logic.ts
+++ b/packages/daemon/src/process/logic.ts
@@ -7,8 +7,8 @@
 import {once} from 'node:events';
 import type {Server} from 'node:http';
 
-import {createDaemon, memberOf, renderDaemon} from '@jackdawfall/core';
-import type {Address, Daemon} from '@jackdawfall/core';
+import {createDaemon, memberOf} from '@jackdawfall/core';
+import type {Address} from '@jackdawfall/core';
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
@@ -17,6 +17,10 @@
 import {createMetrics} from '../metrics/logic.js';
 import {createOperatorServer} from '../operators/logic.js';
 import {Runner, addressOf} from '../runner/logic.js';
+import {CALLER_PROTOCOL} from '../callers/protocol.js';
+import type {Edges} from '../edges/types.js';
+import {Platform} from '../platform/logic.js';
+import {SERVER_PROTOCOL} from '../runs/protocol.js';
 import type {Endpoint, Settings} from '../settings/types.js';
 
 const INCARNATION_BYTES = 6;
@@ -48,6 +52,8 @@
 export async function runProcess(
   settings: Settings,
   stop: AbortSignal,
+  createEdges: (ending: AbortSignal) => Edges = ending =>
+    ownEdges(settings, ending),
 ): Promise<void> {
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
   const member = memberOf(settings.host, incarnation);
@@ -68,8 +74,10 @@
   });
   const left = new AbortController();
   const metrics = createMetrics();
+  const edges = createEdges(ending.signal);
   const runner = new Runner({
     settings,
+    edges,
     daemon,
     member,
     logger,
@@ -79,12 +87,13 @@
     violated: (invariant, detail) => end(logger, invariant, detail),
     signal: ending.signal,
   });
-  const servers = [runner.callers.server, operatorServer(runner, daemon)];
+  const servers = [runner.callers.server, createOperatorServer(runner)];
   try {
     await listen('callers', runner.callers.server, settings.callers);
     await listen('operators', servers[1], settings.operators);
     await listenForLinks(runner, settings.links);
     runner.start();
+    await edges.attach(runner, ending.signal);
     const watch = setInterval(
       () => runner.watch(),
       settings.tuning.loop.tickMs,
@@ -105,14 +114,13 @@
   }
 }
 
-function operatorServer(runner: Runner, daemon: Daemon): Server {
-  return createOperatorServer({
-    announce: announcement => runner.announce(announcement),
-    command: command => runner.command(command),
-    status: () => renderDaemon(daemon),
-    metrics: () => runner.renderMetrics(),
-    obstacle: () => runner.obstacle(),
-  });
+function ownEdges(settings: Settings, ending: AbortSignal): Edges {
+  return {
+    store: new Platform(settings.platform.addresses, ending),
+    callers: CALLER_PROTOCOL,
+    servers: SERVER_PROTOCOL,
+    attach: () => Promise.resolve(),
+  };
 }
 
 async function listenForLinks(runner: Runner, at: Endpoint): Promise<void> {
--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -3,7 +3,7 @@
  * sockets and timers to the loop as events.
  */
 
-import {compileRoutes, reduceDaemon} from '@jackdawfall/core';
+import {compileRoutes, reduceDaemon, renderDaemon} from '@jackdawfall/core';
 import type {
   Announcement,
   Command,
@@ -29,18 +29,19 @@
 } from '../bodies/messages.js';
 import {Callers} from '../callers/logic.js';
 import type {Configuration} from '../callers/logic.js';
+import type {DaemonPort, Edges} from '../edges/types.js';
 import type {LogFields, Logger} from '../logs/types.js';
 import {Loop, readClocks} from '../loop/logic.js';
 import {gaugesOf} from '../metrics/gauges.js';
 import type {Metrics} from '../metrics/types.js';
 import {Outbox} from '../outbox/logic.js';
-import {Platform} from '../platform/logic.js';
 import {Runs} from '../runs/logic.js';
 import type {Settings} from '../settings/types.js';
 
 /** What the runner is made of. */
 export interface RunnerParts {
   readonly settings: Settings;
+  readonly edges: Edges;
   readonly daemon: Daemon;
   /** This process's member id until it joins anew. */
   readonly member: MemberId;
@@ -55,13 +56,12 @@
 }
 
 /** Joins the reducer with callers, links, backend server and platform. */
-export class Runner {
+export class Runner implements DaemonPort {
   readonly callers: Callers;
   readonly links: Links;
   private readonly loop: Loop;
   private readonly runs: Runs;
   private readonly outbox: Outbox;
-  private readonly platform: Platform;
   private readonly replies = new Map<number, (result: CommandResult) => void>();
   private self: MemberId;
   private configuration: Configuration | null = null;
@@ -69,10 +69,11 @@
   private announcedMs = 0;
   private platformFails = false;
   private tokens = 0;
+  private stopping = false;
 
   /** @param parts - Settings, state and the process around the runner. */
   constructor(private readonly parts: RunnerParts) {
-    const {settings, signal} = parts;
+    const {settings, edges, signal} = parts;
     const {tuning} = settings;
     this.self = parts.member;
     this.loop = new Loop(
@@ -81,7 +82,6 @@
       {now: readClocks, random: parts.random},
       signal,
     );
-    this.platform = new Platform(settings.platform.addresses, signal);
     this.links = new Links({
       self: {
         member: this.self,
@@ -109,6 +109,7 @@
     };
     this.callers = new Callers({
       ...shared,
+      protocol: edges.callers,
       tickMs: tuning.loop.tickMs,
       configuration: () => this.currentConfiguration(),
       idPrefix: this.self,
@@ -117,6 +118,9 @@
       ...shared,
       mayWrite: (service, slice) => this.mayWrite(service, slice),
       silenceMs: tuning.links.silenceMs,
+      silentRunMs: tuning.execution.silentRunMs,
+      protocol: edges.servers,
+      unreachable: server => this.lapse(server, 'connection refused'),
       kept: {
         answerBytes: tuning.execution.keptAnswerBytes,
         totalBytes: tuning.execution.keptTotalBytes,
@@ -132,12 +136,20 @@
 
   /** Begins a planned stop. */
   stop(): void {
-    this.callers.leave();
+    const {stopServeMs} = this.parts.settings.tuning.membership;
+    this.stopping = true;
     this.loop.emit({kind: 'stopRequested'});
+    setTimeout(() => this.callers.leave(), stopServeMs);
   }
 
-  /** @returns Why this daemon has not joined its workspace, or null. */
+  /** @returns Whether a configuration is in force here. */
+  isConfigured(): boolean {
+    return this.parts.daemon.view.workspace !== null;
+  }
+
+  /** @returns Why this daemon takes no requests, or null. */
   obstacle(): string | null {
+    if (this.stopping) return 'stopping';
     if (this.parts.daemon.view.self !== null) return null;
     return this.platformFails
       ? 'not joined: the platform does not answer'
@@ -170,14 +182,25 @@
     });
   }
 
-  private emit(event: Event): void {
+  /**
+   * Queues an event.
+   *
+   * @param event - What happened.
+   */
+  emit(event: Event): void {
     if (event.kind === 'taken') {
       this.parts.metrics.count('requests', event.taken.service);
     }
     this.loop.emit(event);
   }
 
-  private log(event: LogName, fields: LogFields): void {
+  /**
+   * Logs an event of the catalogue.
+   *
+   * @param event - Name of the event.
+   * @param fields - Its details.
+   */
+  log(event: LogName, fields: LogFields): void {
     this.parts.metrics.count('logEvents', event);
     this.parts.logger.log(event, fields);
   }
@@ -222,6 +245,9 @@
       case 'grant':
         this.runs.grant(effect);
         return;
+      case 'releaseKeys':
+        this.runs.releaseKeys(effect);
+        return;
       case 'log':
         this.log(effect.event, effect.fields);
         return;
@@ -283,7 +309,7 @@
     timeoutMs: number,
   ): Promise<void> {
     const started = performance.now();
-    const reply = await this.platform.call(request, timeoutMs);
+    const reply = await this.parts.edges.store.call(request, timeoutMs);
     this.parts.metrics.record('store', performance.now() - started);
     this.parts.metrics.count('storeCalls', `${request.kind}-${reply.kind}`);
     this.notePlatform(reply);
@@ -308,6 +334,11 @@
     return metrics.render(gaugesOf(daemon, readClocks()));
   }
 
+  /** @returns The state of every subject, for operators. */
+  renderStatus(): unknown {
+    return renderDaemon(this.parts.daemon);
+  }
+
   /** Housekeeping between events; called by the process every tick. */
   watch(): void {
     this.runs.watch();
@@ -325,9 +356,15 @@
     if (announcement === null) return;
     const {ttlMs} = this.parts.settings.tuning.announcements;
     if (performance.now() - this.announcedMs < ttlMs) return;
+    this.lapse(announcement, 'no announcement');
+  }
+
+  private lapse(announcement: Announcement, reason: string): void {
+    const {instance} = announcement;
+    if (this.announcement?.instance !== instance) return;
+    this.log('serverLost', {instance, reason});
     this.announcement = null;
     this.runs.setServer(null);
-    const {instance} = announcement;
     this.loop.emit({kind: 'announcementLapsed', instance});
   }
 
--- a/packages/daemon/src/runs/logic.spec.ts
+++ b/packages/daemon/src/runs/logic.spec.ts
@@ -21,6 +21,7 @@
 } from '@jackdawfall/core';
 
 import {Runs} from './logic.js';
+import {SERVER_PROTOCOL} from './protocol.js';
 
 const ORIGIN = 'h1#1' as MemberId;
 const ATTEMPT = 'h1#1/1' as AttemptId;
@@ -196,6 +197,9 @@
     mayWrite: () => mayWrite,
     windowBytes: 1024,
     silenceMs: SILENCE_MS,
+    silentRunMs: SILENCE_MS,
+    protocol: SERVER_PROTOCOL,
+    unreachable: () => undefined,
     kept: {answerBytes: 100, totalBytes: 1000},
   });
   runs.setServer({
@@ -206,6 +210,7 @@
     connections: 4,
     checksGrants: false,
     leaving: false,
+    coldStart: null,
   });
   runs.receive(ORIGIN, dispatch());
   return {
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -19,16 +19,14 @@
   Slice,
 } from '@jackdawfall/core';
 
-import {endToEndHeaders, toRecord} from '../bodies/headers.js';
+import {endToEndHeaders} from '../bodies/headers.js';
 import type {RunMessage} from '../bodies/messages.js';
+import type {ServerProtocol} from '../edges/types.js';
 import {KeptAnswers} from './answers.js';
 import type {KeptBounds} from './answers.js';
 import {Connections} from './connections.js';
 import type {Arrival, Run, Stream} from './types.js';
 
-const STATUS_UNAVAILABLE = 503;
-const GRANT_TIMEOUT_MS = 1000;
-
 /** What runs need of the process around them. */
 export interface RunContext {
   emit(event: Event): void;
@@ -39,6 +37,11 @@
   readonly windowBytes: number;
   /** Silence after which a connection is no longer trusted. */
   readonly silenceMs: number;
+  /** Silence of a run after which its connection is no longer reused. */
+  readonly silentRunMs: number;
+  readonly protocol: ServerProtocol;
+  /** Nothing listens at the server's address any more. */
+  unreachable(server: Announcement): void;
   readonly kept: KeptBounds;
 }
 
@@ -65,8 +68,7 @@
     const before = this.announcement;
     this.announcement = announcement;
     if (announcement === null) {
-      this.connections?.destroy();
-      this.connections = null;
+      this.connections?.replace();
       return;
     }
     const same =
@@ -105,7 +107,8 @@
    */
   run(effect: Extract<Effect, {kind: 'run'}>): void {
     const arrival = this.arrivals.get(effect.attempt);
-    if (arrival === undefined || this.connections === null) {
+    const {announcement} = this;
+    if (arrival === undefined || !announcement || !this.connections) {
       this.reportLost(effect.attempt, 'not-run', 'no backend server');
       return;
     }
@@ -117,7 +120,11 @@
     const outgoing = this.connections.open({
       method: arrival.dispatch.method,
       path: arrival.dispatch.path,
-      headers: headersOf(arrival.dispatch, effect),
+      headers: this.context.protocol.headersOf(
+        arrival.dispatch,
+        effect,
+        announcement,
+      ),
     });
     const run: Run = {
       outgoing,
@@ -191,7 +198,7 @@
     for (const {run} of [...this.active]) {
       if (run === null) continue;
       if (now >= run.untilMs) run.outgoing.destroy(new Error('time is over'));
-      if (now - run.heardMs < this.context.silenceMs) continue;
+      if (now - run.heardMs < this.context.silentRunMs) continue;
       run.heardMs = now;
       silent = true;
     }
@@ -205,16 +212,29 @@
    */
   grant(effect: Extract<Effect, {kind: 'grant'}>): void {
     if (this.connections === null) return;
-    const {service, slices, generations, ttlMs} = effect;
-    const outgoing = this.connections.open({
-      method: 'POST',
-      path: '/grants',
-      headers: {'content-type': 'application/json'},
-      signal: AbortSignal.timeout(GRANT_TIMEOUT_MS),
+    const {service} = effect;
+    const server = this.announcement;
+    this.context.protocol.grant(this.connections, effect, grant => {
+      if (this.announcement?.instance !== server?.instance) return;
+      this.context.emit({kind: 'keysGranted', service, grant});
     });
-    outgoing.on('response', incoming => incoming.resume());
-    outgoing.on('error', () => undefined);
-    outgoing.end(JSON.stringify({service, slices, generations, ttlMs}));
+  }
+
+  /**
+   * Asks the backend server to give slices back.
+   *
+   * @param effect - The slices.
+   */
+  releaseKeys(effect: Extract<Effect, {kind: 'releaseKeys'}>): void {
+    if (this.connections === null) return;
+    const {service} = effect;
+    this.context.protocol.release(
+      this.connections,
+      effect,
+      (grant, handover) => {
+        this.context.emit({kind: 'keysReleased', service, grant, handover});
+      },
+    );
   }
 
   /** @returns Attempts that are running at the backend server. */
@@ -294,7 +314,16 @@
       });
     });
     outgoing.on('response', incoming => this.answer(arrival, run, incoming));
-    outgoing.on('error', error => this.lose(arrival, run, error.message));
+    outgoing.on('error', error => {
+      this.noteRefusal(error);
+      this.lose(arrival, run, error.message);
+    });
+  }
+
+  private noteRefusal(error: Error): void {
+    const {announcement} = this;
+    if ((error as {code?: string}).code !== 'ECONNREFUSED') return;
+    if (announcement !== null) this.context.unreachable(announcement);
   }
 
   private written(arrival: Arrival, run: Run): void {
@@ -309,8 +338,13 @@
     run.heardMs = performance.now();
     const {attempt} = arrival;
     const status = incoming.statusCode ?? 0;
-    const shed =
-      status === STATUS_UNAVAILABLE && incoming.headers['x-not-run'] === '1';
+    const judgement = this.context.protocol.judge(arrival.dispatch, incoming);
+    if (judgement === 'foreign') {
+      run.outgoing.destroy();
+      this.lose(arrival, run, 'the answer belongs to another request');
+      return;
+    }
+    const shed = judgement === 'refused';
     incoming.on('error', error => this.lose(arrival, run, error.message));
     incoming.on('close', () => this.lose(arrival, run, 'answer cut short'));
     if (shed) {
@@ -388,19 +422,3 @@
 function mayRead(arrival: Arrival): boolean {
   return arrival.streams.every(stream => stream.credit > 0);
 }
-
-function headersOf(
-  dispatch: Dispatch,
-  effect: Extract<Effect, {kind: 'run'}>,
-): Record<string, string | string[]> {
-  const record = toRecord(dispatch.headers);
-  record['x-jackdawfall-request'] = dispatch.request;
-  record['x-jackdawfall-attempt'] = dispatch.attempt;
-  record['x-jackdawfall-service'] = dispatch.service;
-  record['x-jackdawfall-generation'] = String(effect.generation);
-  record['x-jackdawfall-deadline-ms'] = String(Math.floor(effect.budgetMs));
-  if (dispatch.slice !== null) {
-    record['x-jackdawfall-slice'] = String(dispatch.slice);
-  }
-  return record;
-}
--- /dev/null
+++ b/packages/daemon/src/runs/protocol.ts
@@ -0,0 +1,64 @@
+/** @fileoverview The product's own interface towards backend servers. */
+
+import type {Effect, Generation, Slice} from '@jackdawfall/core';
+
+import {toRecord} from '../bodies/headers.js';
+import type {ServerProtocol} from '../edges/types.js';
+
+const STATUS_UNAVAILABLE = 503;
+const GRANT_TIMEOUT_MS = 1000;
+
+/** Speaks to backend servers in the product's own way. */
+export const SERVER_PROTOCOL: ServerProtocol = {
+  headersOf(dispatch, run) {
+    const record = toRecord(dispatch.headers);
+    record['x-jackdawfall-request'] = dispatch.request;
+    record['x-jackdawfall-attempt'] = dispatch.attempt;
+    record['x-jackdawfall-service'] = dispatch.service;
+    record['x-jackdawfall-generation'] = String(run.generation);
+    record['x-jackdawfall-deadline-ms'] = String(Math.floor(run.budgetMs));
+    if (dispatch.slice !== null) {
+      record['x-jackdawfall-slice'] = String(dispatch.slice);
+    }
+    return record;
+  },
+  judge(_dispatch, incoming) {
+    const refused =
+      incoming.statusCode === STATUS_UNAVAILABLE &&
+      incoming.headers['x-not-run'] === '1';
+    return refused ? 'refused' : 'answer';
+  },
+  grant(server, effect, confirmed) {
+    const {service, ttlMs, grants} = effect;
+    const outgoing = server.open({
+      method: 'POST',
+      path: '/grants',
+      headers: {'content-type': 'application/json'},
+      signal: AbortSignal.timeout(GRANT_TIMEOUT_MS),
+    });
+    outgoing.on('response', incoming => {
+      incoming.resume();
+      if ((incoming.statusCode ?? 0) < 300) grants.forEach(confirmed);
+    });
+    // An unconfirmed grant is sent again with the next renewal.
+    outgoing.on('error', () => undefined);
+    outgoing.end(JSON.stringify({service, ...listSlices(effect), ttlMs}));
+  },
+  /** These servers let grants lapse; nothing is asked of them. */
+  release: () => undefined,
+};
+
+function listSlices({grants}: Extract<Effect, {kind: 'grant'}>): {
+  slices: Slice[];
+  generations: Generation[];
+} {
+  const slices: Slice[] = [];
+  const generations: Generation[] = [];
+  for (const {first, count, generation} of grants) {
+    for (let step = 0; step < count; step++) {
+      slices.push((first + step) as Slice);
+      generations.push(generation);
+    }
+  }
+  return {slices, generations};
+}
--- a/packages/emulator/src/bench/links/worker.ts
+++ b/packages/emulator/src/bench/links/worker.ts
@@ -208,6 +208,7 @@
     priority: 'interactive',
     idempotencyKey: null,
     budgetMs: 900,
+    objectiveMs: 0,
     version: 12 as Version,
     body: BODY,
     bodyEnds: true,
--- a/packages/emulator/src/bench/map/worker.ts
+++ b/packages/emulator/src/bench/map/worker.ts
@@ -124,7 +124,9 @@
   const member = memberOf(n);
   const zone = `zone-${n % ZONES}` as ZoneName;
   const address = `10.0.${n >> 8}.${n & 255}:7101` as Address;
-  apply(filled, {kind: 'joined', member, zone, address, operators: address});
+  const operators = address;
+  const replaces = null;
+  apply(filled, {kind: 'joined', member, zone, address, operators, replaces});
   apply(filled, {
     kind: 'offered',
     member,
@@ -164,6 +166,7 @@
     kind: 'released',
     service: SERVICE,
     slices: [...moves.keys()],
+    handovers: [],
   });
 }
 
--- a/packages/emulator/src/requests/daemon.ts
+++ b/packages/emulator/src/requests/daemon.ts
@@ -101,6 +101,7 @@
         connections: this.around.slots * 5,
         checksGrants: false,
         leaving: false,
+        coldStart: null,
       },
     });
   }
@@ -229,6 +230,7 @@
       case 'dropLink':
       case 'callStore':
       case 'grant':
+      case 'releaseKeys':
       case 'log':
       case 'measure':
       case 'reply':
@@ -253,6 +255,7 @@
       priority: taken.priority,
       idempotencyKey: taken.idempotencyKey,
       budgetMs: effect.budgetMs,
+      objectiveMs: 0,
       version: effect.version,
       body: new Uint8Array(),
       bodyEnds: true,
--- a/packages/emulator/src/requests/faults.spec.ts
+++ b/packages/emulator/src/requests/faults.spec.ts
@@ -83,6 +83,7 @@
       idempotent: draw() < 0.4,
       priority: draw() < 0.2 ? 'deferrable' : 'interactive',
       timeoutMs: TIMEOUT_MS,
+      maxAttempts: null,
       idempotencyKey: null,
     });
   }
--- a/packages/emulator/src/requests/load.ts
+++ b/packages/emulator/src/requests/load.ts
@@ -96,6 +96,7 @@
       idempotent: load.idempotent,
       priority: 'interactive',
       timeoutMs: load.timeoutMs,
+      maxAttempts: null,
       idempotencyKey: null,
     });
   });
--- a/packages/emulator/src/requests/map_copy.ts
+++ b/packages/emulator/src/requests/map_copy.ts
@@ -46,6 +46,7 @@
     retryShare: 0.1,
     maxMovingSlices: 1,
     drainMs: DRAIN_MS,
+    idleMs: 5000,
   },
 };
 
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -39,6 +39,8 @@
 export const ZONES = ['a', 'b', 'c'] as unknown as readonly ZoneName[];
 
 const LINK_MS = 1.5;
+/** Time of an exchange with the backend server on the same host. */
+const SERVER_MS = 2;
 const STORE_MS = 3;
 const ANNOUNCE_MS = 500;
 const LAPSE_MS = 2000;
@@ -385,6 +387,18 @@
         return;
       case 'grant':
         this.checks.noteGrant(this.now, node, effect.ttlMs);
+        for (const grant of effect.grants) {
+          const {service} = effect;
+          this.deliverSoon(node, {kind: 'keysGranted', service, grant});
+        }
+        return;
+      case 'releaseKeys':
+        for (const grant of effect.grants) {
+          const {service} = effect;
+          const handover = null;
+          const kind = 'keysReleased';
+          this.deliverSoon(node, {kind, service, grant, handover});
+        }
         return;
       case 'leave':
         node.alive = false;
@@ -404,6 +418,11 @@
     }
   }
 
+  /** The answer of the backend server beside the process. */
+  private deliverSoon(node: Node, event: Event): void {
+    this.agenda.add(this.now + SERVER_MS, () => this.deliver(node, event));
+  }
+
   private send(node: Node, to: MemberId, message: Message): void {
     this.traffic.messages += 1;
     this.traffic.bytes += this.settings.sizeOf?.(message) ?? 0;
--- a/packages/emulator/src/soak/node.ts
+++ b/packages/emulator/src/soak/node.ts
@@ -176,6 +176,7 @@
       connections: 16,
       checksGrants: true,
       leaving: false,
+      coldStart: null,
     };
   }
 
--- a/packages/wire/src/codec/logic.spec.ts
+++ b/packages/wire/src/codec/logic.spec.ts
@@ -25,6 +25,7 @@
   ['double', fc.double({noNaN: true})],
   ['boolean', fc.boolean()],
   [LOGICAL.octets, fc.uint8Array().map(bytes => Buffer.from(bytes))],
+  [LOGICAL.names, fc.array(TEXT)],
   [LOGICAL.headers, fc.array(fc.record({name: TEXT, value: TEXT}))],
   [
     LOGICAL.entries,
--- a/packages/wire/src/codec/logic.ts
+++ b/packages/wire/src/codec/logic.ts
@@ -224,6 +224,7 @@
 }
 
 function weighItem(item: unknown): number {
+  if (typeof item === 'string') return FIXED_BYTES / 16 + weighText(item);
   if (typeof item !== 'object' || item === null) return FIXED_BYTES / 16;
   let bytes = FIXED_BYTES / 8;
   for (const field of Object.values(item) as unknown[]) {
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -9,7 +9,7 @@
 import type {Hello} from './types.js';
 
 /** Number of the protocol; daemons that speak another one are refused. */
-export const PROTOCOL = 1;
+export const PROTOCOL = 2;
 
 /** An Avro schema of one field. */
 export type FieldSchema = string | readonly string[] | {readonly type: string};
@@ -80,6 +80,7 @@
   octets: {type: 'bytes', logicalType: 'octets'},
   headers: {type: 'array', logicalType: 'headers', items: header()},
   entries: {type: 'array', logicalType: 'entries', items: entry()},
+  names: {type: 'array', items: 'string'},
   integers: {type: 'bytes', logicalType: 'integers'},
   doubles: {type: 'bytes', logicalType: 'doubles'},
   error: {type: 'int', logicalType: 'error'},
@@ -109,6 +110,7 @@
       priority: LOGICAL.priority,
       idempotencyKey: ['null', 'string'],
       budgetMs: 'double',
+      objectiveMs: 'double',
       version: LOGICAL.count,
       body: LOGICAL.octets,
       bodyEnds: 'boolean',
@@ -184,6 +186,14 @@
     fields: {member: 'string', row: LOGICAL.count, quietMs: 'double'},
   },
   cleared: {code: 19, fields: {member: 'string'}},
+  configuration: {
+    code: 20,
+    fields: {
+      number: LOGICAL.count,
+      document: 'string',
+      zonesOut: LOGICAL.names,
+    },
+  },
 };
 
 /** The schema of the first frame. */
--- a/packages/wire/src/links/liveness.ts
+++ b/packages/wire/src/links/liveness.ts
@@ -139,6 +139,7 @@
     case 'closed':
     case 'suspect':
     case 'cleared':
+    case 'configuration':
       return 'plain';
   }
 }
