--- a/packages/core/src/admission/logic.spec.ts
+++ b/packages/core/src/admission/logic.spec.ts
@@ -74,7 +74,7 @@
   const attempt = id as AttemptId;
   return offer(
     gate,
-    {attempt, priority, deadline, shared: false, objectiveMs: 0},
+    {attempt, priority, deadline, shared: false, urgency: 0, objectiveMs: 0},
     now,
   );
 }
@@ -225,6 +225,7 @@
       priority: 'interactive',
       deadline: 1e9,
       shared,
+      urgency: 0,
       objectiveMs: 0,
     } as const;
     offer(gate, {...asking, attempt: 'a' as AttemptId}, clock);
--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -128,18 +128,27 @@
  * @returns Whether it starts, waits in the gate's queue, or is refused.
  */
 export function offer(gate: Admission, asking: Asking, now: number): Decision {
-  const {attempt, priority, deadline} = asking;
+  const {attempt, priority, deadline, urgency, objectiveMs} = asking;
   const queue = gate.queues[priority];
   noteEmpty(gate, now);
   if (queue.length === 0 && hasSlot(gate, priority, now)) return 'start';
   if (queue.length >= gate.ceiling * gate.policy.queueFactor) return 'refuse';
   const queueMs = queueTimeMs(gate, asking, now);
-  if (expectedWaitMs(gate, priority) > queueMs) return 'refuse';
   const until = Math.min(deadline, now + queueMs);
-  queue.push({attempt, since: now, until});
+  const due = now + objectiveMs;
+  const waiting = {attempt, since: now, until, urgency, due};
+  const ahead = queue.findLastIndex(each => !goesBefore(waiting, each)) + 1;
+  if (expectedWaitMs(gate, ahead) > queueMs) return 'refuse';
+  queue.splice(ahead, 0, waiting);
   return 'wait';
 }
 
+/** The most urgent first; of those alike, the one that is due first. */
+function goesBefore(a: Waiting, b: Waiting): boolean {
+  if (a.urgency !== b.urgency) return a.urgency < b.urgency;
+  return a.due < b.due;
+}
+
 /**
  * Counts a run that begins.
  *
@@ -372,9 +381,8 @@
 }
 
 /** What would wait in vain is refused at once, so that others may take it. */
-function expectedWaitMs(gate: Admission, priority: Priority): number {
+function expectedWaitMs(gate: Admission, ahead: number): number {
   if (gate.limit === 0) return 0;
-  const ahead = gate.queues[priority].length;
   return (ahead * gate.meanMs) / gate.limit;
 }
 
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -11,6 +11,9 @@
 export interface Waiting {
   readonly attempt: AttemptId;
   readonly since: number;
+  readonly urgency: number;
+  /** Monotonic time by which its answer is worth most, in milliseconds. */
+  readonly due: number;
   /** Monotonic time at which it is refused, in milliseconds. */
   readonly until: number;
 }
@@ -74,6 +77,8 @@
   readonly deadline: number;
   /** Whether another server may run it. */
   readonly shared: boolean;
+  /** Rank among what waits; 0 goes first. */
+  readonly urgency: number;
   /** Time within which its answer is worth most, in milliseconds; 0 if none. */
   readonly objectiveMs: number;
 }
--- a/packages/core/src/balance/keeper.ts
+++ b/packages/core/src/balance/keeper.ts
@@ -9,7 +9,7 @@
 import type {Context, Ownership} from '../ownership/state.js';
 import {currentRanks} from '../ownership/state.js';
 import {planMoves} from './logic.js';
-import type {MemberLoad, Meter} from './types.js';
+import type {MemberLoad} from './types.js';
 
 /** Length of a window of measurement. */
 const WINDOW_MS = 2000;
@@ -19,8 +19,8 @@
 const NEWS_SHARE = 0.15;
 /** Hottest slices in a report. */
 const REPORTED_SLICES = 16;
-/** Smoothed rate below which a slice is forgotten, in dispatches a second. */
-const LEAST_RATE = 0.05;
+/** Slots kept busy by a slice below which it is forgotten. */
+const LEAST_RATE = 0.001;
 /** Time between two rounds of moves, so that reports catch up. */
 const ROUND_MS = 5000;
 /** Time between two looks while nothing is to be moved. */
@@ -29,24 +29,8 @@
 const STAY_MS = 30_000;
 /** Age at which a report counts no more. */
 const OLD_MS = 60_000;
-/** Reported work below which the number of slices decides. */
-const LEAST_TOTAL = 1;
-
-/**
- * Counts a dispatch that this daemon was asked for as owner.
- *
- * @param meter - The meter.
- * @param service - The service.
- * @param slice - The slice.
- */
-export function countDispatch(
-  meter: Meter,
-  service: ServiceName,
-  slice: Slice,
-): void {
-  meter.service = service;
-  meter.counts.set(slice, (meter.counts.get(slice) ?? 0) + 1);
-}
+/** Busy slots of a whole service below which the number of slices decides. */
+const LEAST_TOTAL = 0.5;
 
 /**
  * Ends windows and reports to the coordinator.
@@ -54,10 +38,13 @@
  * @param context - The step.
  */
 export function reportLoad(context: Context): void {
-  const {state, at} = context;
+  const {state, at, work} = context;
   const {meter} = state.balance;
   const elapsed = at.monotonic - meter.windowAt;
-  if (elapsed < WINDOW_MS || meter.service === null) return;
+  if (elapsed < WINDOW_MS) return;
+  meter.service = state.announcement?.service ?? meter.service;
+  if (meter.service === null) return;
+  meter.busyMs = work.takeBusyMs();
   closeWindow(state, elapsed);
   meter.windowAt = at.monotonic;
   const total = sum(meter.rates);
@@ -183,16 +170,14 @@
 
 function closeWindow(state: Ownership, elapsedMs: number): void {
   const {meter} = state.balance;
-  const seen = new Set([...meter.counts.keys(), ...meter.rates.keys()]);
+  const seen = new Set([...meter.busyMs.keys(), ...meter.rates.keys()]);
   for (const slice of seen) {
-    const count = meter.counts.get(slice) ?? 0;
-    const rate = (count * 1000) / elapsedMs;
+    const rate = (meter.busyMs.get(slice) ?? 0) / elapsedMs;
     const known = meter.rates.get(slice) ?? rate;
     const smoothed = (known + rate) / 2;
     if (smoothed < LEAST_RATE) meter.rates.delete(slice);
     else meter.rates.set(slice, smoothed);
   }
-  meter.counts.clear();
 }
 
 function sum(rates: ReadonlyMap<Slice, number>): number {
--- a/packages/core/src/balance/state.ts
+++ b/packages/core/src/balance/state.ts
@@ -10,7 +10,7 @@
 export function createBalance(): Balance {
   return {
     meter: {
-      counts: new Map(),
+      busyMs: new Map(),
       rates: new Map(),
       service: null,
       windowAt: 0,
--- a/packages/core/src/balance/types.ts
+++ b/packages/core/src/balance/types.ts
@@ -4,9 +4,9 @@
 
 /** An owner's count of its own work. */
 export interface Meter {
-  /** Dispatches since the last window, by slice. */
-  readonly counts: Map<Slice, number>;
-  /** Smoothed dispatches a second, by slice. */
+  /** Time spent on runs in the last window, by slice, in milliseconds. */
+  busyMs: ReadonlyMap<Slice, number>;
+  /** Smoothed number of slots kept busy, by slice. */
   readonly rates: Map<Slice, number>;
   service: ServiceName | null;
   /** Monotonic time at which the current window began. */
@@ -20,7 +20,7 @@
 /** What one owner reported. */
 export interface Report {
   readonly service: ServiceName;
-  /** All its work, in dispatches a second. */
+  /** All its work, in busy slots. */
   readonly total: number;
   /** Its hottest slices. */
   readonly rates: ReadonlyMap<Slice, number>;
--- a/packages/core/src/execution/definition.spec.ts
+++ b/packages/core/src/execution/definition.spec.ts
@@ -113,6 +113,7 @@
     priority: 'interactive',
     idempotencyKey: null,
     budgetMs: 5000,
+    urgency: 0,
     objectiveMs: 0,
     version: 1 as never,
     body: new Uint8Array(),
--- a/packages/core/src/execution/endings.ts
+++ b/packages/core/src/execution/endings.ts
@@ -142,7 +142,11 @@
  * @param job - The job.
  */
 export function leaveSlice(turn: Turn, job: Job): void {
-  const {running} = turn.state;
+  const {running, busyMs} = turn.state;
+  if (job.slice !== null) {
+    const spentMs = turn.now - job.startedAt;
+    busyMs.set(job.slice, (busyMs.get(job.slice) ?? 0) + spentMs);
+  }
   const key = sliceKey(job.service, job.slice);
   const left = (running.get(key) ?? 0) - 1;
   if (left > 0) running.set(key, left);
--- a/packages/core/src/execution/intake.ts
+++ b/packages/core/src/execution/intake.ts
@@ -155,6 +155,7 @@
     slice,
     idempotent: dispatch.idempotent,
     priority: dispatch.priority,
+    urgency: dispatch.urgency,
     objectiveMs: dispatch.objectiveMs,
     key,
     signature: `${dispatch.method} ${dispatch.path}`,
@@ -236,9 +237,9 @@
 }
 
 function askingOf(job: Job): Asking {
-  const {attempt, priority, deadline, slice, objectiveMs} = job;
+  const {attempt, priority, deadline, slice, urgency, objectiveMs} = job;
   const shared = slice === null;
-  return {attempt, priority, deadline, shared, objectiveMs};
+  return {attempt, priority, deadline, shared, urgency, objectiveMs};
 }
 
 /** A joined attempt still wants the run that its first origin gave up. */
--- a/packages/core/src/execution/state.ts
+++ b/packages/core/src/execution/state.ts
@@ -34,6 +34,7 @@
     gate: createAdmission(settings.admission),
     jobs: new Map(),
     running: new Map(),
+    busyMs: new Map(),
     movingSince: new Map(),
     memory: createMemory(),
     lastAt: null,
@@ -55,6 +56,11 @@
     inFlight: (service, slice) =>
       execution.running.get(sliceKey(service, slice)) ?? 0,
     inFlightTotal: () => execution.jobs.size,
+    takeBusyMs: () => {
+      const {busyMs} = execution;
+      execution.busyMs = new Map();
+      return busyMs;
+    },
   };
 }
 
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -31,6 +31,8 @@
   readonly slice: Slice | null;
   readonly idempotent: boolean;
   readonly priority: Priority;
+  /** Rank among what waits; 0 goes first. */
+  readonly urgency: number;
   /** Time within which its answer is worth most, in milliseconds; 0 if none. */
   readonly objectiveMs: number;
   /** Entry in the index of idempotency keys, or null. */
@@ -106,6 +108,8 @@
   readonly jobs: Map<AttemptId, Job>;
   /** Runs in flight for each slice. */
   readonly running: Map<string, number>;
+  /** Time spent on runs of each slice since it was last asked for. */
+  busyMs: Map<Slice, number>;
   /** Monotonic time at which a slice with runs began to move. */
   readonly movingSince: Map<string, number>;
   readonly memory: Memory;
--- a/packages/core/src/leases/holder.spec.ts
+++ b/packages/core/src/leases/holder.spec.ts
@@ -26,7 +26,11 @@
   state.lease.writeAfter = Infinity;
   state.lease.grantors = [GRANTOR];
   state.lease.promises.set(GRANTOR, SENT);
-  const work = {inFlight: () => 0, inFlightTotal: () => 0};
+  const work = {
+    inFlight: () => 0,
+    inFlightTotal: () => 0,
+    takeBusyMs: () => new Map(),
+  };
   return {state, at: SENT, effects: [], work, random: () => 0};
 }
 
--- a/packages/core/src/logs/view.spec.ts
+++ b/packages/core/src/logs/view.spec.ts
@@ -22,7 +22,7 @@
   });
 }
 
-const SOURCES = sourcesOf('packages')
+const SOURCES = [...sourcesOf('packages'), ...sourcesOf('platform')]
   .filter(path => !path.endsWith('logs/catalogue.ts'))
   .map(path => readFileSync(new URL(path, ROOT), 'utf8'))
   .join('\n');
@@ -44,7 +44,7 @@
   const entries = readdirSync(new URL(folder, ROOT), {recursive: true});
   return entries
     .map(String)
-    .filter(path => /^[a-z]+\/src\/.*\.ts$/.test(path))
+    .filter(path => /^([a-z]+\/)?src\/.*\.ts$/.test(path))
     .filter(path => !path.endsWith('.spec.ts'))
     .map(path => `${folder}/${path}`);
 }
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -38,6 +38,8 @@
   readonly idempotencyKey: string | null;
   /** Time left until the caller's deadline, in milliseconds. */
   readonly budgetMs: number;
+  /** Rank among work that waits for the same server; 0 goes first. */
+  readonly urgency: number;
   /** Time within which an answer is worth most, in milliseconds; 0 if none. */
   readonly objectiveMs: number;
   /** Log version of the sender's map. */
@@ -177,14 +179,14 @@
       /** Log version of the sender. */
       readonly version: Version;
     }
-  /** Load per slice, reported to the coordinator. */
+  /** Busy slots per slice, reported to the coordinator. */
   | {
       readonly kind: 'load';
       readonly service: ServiceName;
       readonly slices: readonly Slice[];
-      /** Requests per second, in the order of `slices`. */
+      /** Slots kept busy, in the order of `slices`. */
       readonly rates: readonly number[];
-      /** Requests per second of all slices of the sender. */
+      /** Slots kept busy by all slices of the sender. */
       readonly total: number;
     };
 
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -2,7 +2,7 @@
 
 import {takeAudit} from '../commands/audit.js';
 import {renderStatus} from '../commands/view.js';
-import {countDispatch, takeLoad} from '../balance/keeper.js';
+import {takeLoad} from '../balance/keeper.js';
 import type {MemberId} from '../ids/types.js';
 import {memberOf} from '../ids/logic.js';
 import {
@@ -203,10 +203,6 @@
       takeLoad(context, from, message);
       return;
     case 'dispatch':
-      if (message.slice !== null) {
-        countDispatch(state.balance.meter, message.service, message.slice);
-      }
-      return;
     case 'body':
     case 'head':
     case 'data':
--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -35,8 +35,8 @@
 import type {Context, Ownership, Wanted} from './state.js';
 import {currentRanks, inForce} from './state.js';
 
-/** Time between two grants to the backend server. */
-const GRANT_GAP_MS = 500;
+/** Time between two grants to the backend server, as a share of a lease. */
+const GRANT_SHARE = 1 / 3;
 /** Part of a planned stop that is kept for committing the own end. */
 const LAST_END_MS = 3000;
 /** First ranks that may act as coordinator when those before are silent. */
@@ -262,8 +262,8 @@
   const text = JSON.stringify([announcement.instance, grants]);
   if (text === state.grantsText && at.monotonic < state.grantAt) return;
   state.grantsText = text;
-  state.grantAt = at.monotonic + GRANT_GAP_MS;
-  const {marginMs} = state.settings.tuning.leases;
+  const {marginMs, leaseMs} = state.settings.tuning.leases;
+  state.grantAt = at.monotonic + leaseMs * GRANT_SHARE;
   if (announcement.checksGrants) {
     state.grantedUntil = held.until.monotonic + marginMs;
   }
--- a/packages/core/src/ownership/types.ts
+++ b/packages/core/src/ownership/types.ts
@@ -65,4 +65,6 @@
 export interface WorkView {
   inFlight(service: ServiceName, slice: Slice): number;
   inFlightTotal(): number;
+  /** Time spent on runs of each slice since the last call, in milliseconds. */
+  takeBusyMs(): ReadonlyMap<Slice, number>;
 }
--- a/packages/core/src/workspace/schema.ts
+++ b/packages/core/src/workspace/schema.ts
@@ -80,6 +80,7 @@
   priority: z.enum(['interactive', 'deferrable']),
   timeoutMs: z.int().min(1).max(MAX_TIMEOUT_MS),
   objectiveMs: z.number().min(0).default(0),
+  urgency: z.int().min(0).default(0),
   maxAttempts: z.int().min(1).nullable().default(null),
 });
 
--- a/packages/core/src/workspace/types.ts
+++ b/packages/core/src/workspace/types.ts
@@ -38,6 +38,8 @@
   readonly timeoutMs: number;
   /** Time within which an answer is worth most, in milliseconds; 0 if none. */
   readonly objectiveMs: number;
+  /** Rank among work that waits for the same server; 0 goes first. */
+  readonly urgency: number;
   /** Servers that one request may be sent to, or null for the default. */
   readonly maxAttempts: number | null;
 }
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -149,6 +149,7 @@
       priority: pending.route.priority,
       idempotencyKey: pending.idempotencyKey,
       budgetMs,
+      urgency: pending.route.urgency,
       objectiveMs: pending.route.objectiveMs,
       version,
       body,
--- /dev/null
+++ b/packages/daemon/src/runs/closing.spec.ts
@@ -0,0 +1,64 @@
+/** @fileoverview Tests of answers that end with their connection. */
+
+import {Agent, request} from 'node:http';
+import type {IncomingMessage} from 'node:http';
+import {createServer} from 'node:net';
+import type {AddressInfo, Socket} from 'node:net';
+
+import test from 'ava';
+
+import {endsWithConnection, watchClosing} from './closing.js';
+
+const HEAD = 'HTTP/1.1 200 OK\r\n\r\n';
+const PAUSE_MS = 50;
+
+const CASES: ReadonlyArray<{
+  name: string;
+  finish: (socket: Socket) => void;
+  inOrder: boolean;
+}> = [
+  {name: 'closed', finish: socket => socket.end(), inOrder: true},
+  {
+    name: 'closed later',
+    finish: socket => void setTimeout(() => socket.end(), PAUSE_MS),
+    inOrder: true,
+  },
+  {
+    name: 'reset together with the last bytes',
+    finish: socket => socket.resetAndDestroy(),
+    inOrder: false,
+  },
+  {
+    name: 'reset later',
+    finish: socket => void setTimeout(() => socket.resetAndDestroy(), PAUSE_MS),
+    inOrder: false,
+  },
+];
+
+for (const {name, finish, inOrder} of CASES) {
+  test(`a connection that is ${name}: in order is ${inOrder}`, async t => {
+    const server = createServer(socket => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => {
+        socket.write(`${HEAD}part`);
+        finish(socket);
+      });
+    });
+    await new Promise<void>(resolve =>
+      server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = server.address() as AddressInfo;
+    const agent = new Agent({keepAlive: true});
+    const incoming = await new Promise<IncomingMessage>(resolve => {
+      const outgoing = request({host: '127.0.0.1', port, agent}, resolve);
+      outgoing.on('error', () => undefined);
+      outgoing.end();
+    });
+    incoming.on('error', () => undefined);
+    incoming.resume();
+    t.true(endsWithConnection(incoming));
+    t.is(await watchClosing(incoming), inOrder);
+    agent.destroy();
+    server.close();
+  });
+}
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -24,6 +24,7 @@
 import type {ServerProtocol} from '../edges/types.js';
 import {KeptAnswers} from './answers.js';
 import type {KeptBounds} from './answers.js';
+import {endsWithConnection, watchClosing} from './closing.js';
 import {Connections} from './connections.js';
 import type {Arrival, Run, Stream} from './types.js';
 
@@ -346,7 +347,9 @@
     }
     const shed = judgement === 'refused';
     incoming.on('error', error => this.lose(arrival, run, error.message));
-    incoming.on('close', () => this.lose(arrival, run, 'answer cut short'));
+    incoming.on('close', () => {
+      if (!incoming.complete) this.lose(arrival, run, 'answer cut short');
+    });
     if (shed) {
       incoming.resume();
       this.settle(arrival, run);
@@ -361,7 +364,17 @@
       this.context.transmit(stream.to, message);
     }
     incoming.on('data', (bytes: Buffer) => this.data(arrival, run, bytes));
-    incoming.on('end', () => this.end(arrival, run));
+    if (!endsWithConnection(incoming)) {
+      incoming.on('end', () => this.end(arrival, run));
+      return;
+    }
+    const closing = watchClosing(incoming);
+    incoming.on('end', () => {
+      void closing.then(inOrder => {
+        if (inOrder) this.end(arrival, run);
+        else this.lose(arrival, run, 'reset before the end of the answer');
+      });
+    });
   }
 
   private data(arrival: Arrival, run: Run, bytes: Buffer): void {
--- a/packages/emulator/src/bench/links/worker.ts
+++ b/packages/emulator/src/bench/links/worker.ts
@@ -208,6 +208,7 @@
     priority: 'interactive',
     idempotencyKey: null,
     budgetMs: 900,
+    urgency: 0,
     objectiveMs: 0,
     version: 12 as Version,
     body: BODY,
--- a/packages/emulator/src/requests/daemon.ts
+++ b/packages/emulator/src/requests/daemon.ts
@@ -255,6 +255,7 @@
       priority: taken.priority,
       idempotencyKey: taken.idempotencyKey,
       budgetMs: effect.budgetMs,
+      urgency: 0,
       objectiveMs: 0,
       version: effect.version,
       body: new Uint8Array(),
--- a/packages/emulator/src/soak/node.ts
+++ b/packages/emulator/src/soak/node.ts
@@ -198,6 +198,7 @@
   private workView(now: number): {
     inFlight: (service: ServiceName, slice: Slice) => number;
     inFlightTotal: () => number;
+    takeBusyMs: () => Map<Slice, number>;
   } {
     this.work = this.work.filter(each => each.endsAt > now);
     return {
@@ -205,6 +206,7 @@
         this.work.filter(e => e.service === service && e.slice === slice)
           .length,
       inFlightTotal: () => this.work.length,
+      takeBusyMs: () => new Map(),
     };
   }
 }
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -110,6 +110,7 @@
       priority: LOGICAL.priority,
       idempotencyKey: ['null', 'string'],
       budgetMs: 'double',
+      urgency: 'int',
       objectiveMs: 'double',
       version: LOGICAL.count,
       body: LOGICAL.octets,
