--- a/packages/core/src/balance/keeper.ts
+++ b/packages/core/src/balance/keeper.ts
@@ -9,7 +9,7 @@
 import type {Context, Ownership} from '../ownership/state.js';
 import {currentRanks} from '../ownership/state.js';
 import {planMoves} from './logic.js';
-import type {MemberLoad} from './types.js';
+import type {Balance, MemberLoad, Report} from './types.js';
 
 /** Length of a window of measurement. */
 const WINDOW_MS = 2000;
@@ -22,7 +22,7 @@
 /** Slots kept busy by a slice below which it is forgotten. */
 const LEAST_RATE = 0.001;
 /** Time between two rounds of moves, so that reports catch up. */
-const ROUND_MS = 5000;
+const ROUND_MS = 3000;
 /** Time between two looks while nothing is to be moved. */
 const LOOK_MS = 1000;
 /** Time for which a slice that was moved for its load stays. */
@@ -62,6 +62,7 @@
     slices: top.map(([slice]) => slice),
     rates: top.map(([, rate]) => rate),
     total,
+    runMs: work.meanRunMs(),
   };
   const coordinator = currentRanks(state)[0];
   if (coordinator === state.self) takeLoad(context, state.self, message);
@@ -84,9 +85,9 @@
   const rates = new Map(
     message.slices.map((slice, index) => [slice, message.rates[index]]),
   );
-  const {service, total} = message;
+  const {service, total, runMs} = message;
   const at = context.at.monotonic;
-  balance.reports.set(from, {service, total, rates, at});
+  balance.reports.set(from, {service, total, rates, runMs, at});
   for (const id of balance.reports.keys()) {
     if (!map.members.has(id)) balance.reports.delete(id);
   }
@@ -157,10 +158,29 @@
     if (owner?.id === member.id && !stays) slices.set(slice, rate);
   }
   const total = fresh ? report.total : 0;
-  const capacity = Math.max(1, member.offer?.slots ?? 1);
+  const slots = Math.max(1, member.offer?.slots ?? 1);
+  const capacity = slots / slownessOf(balance, service.name, report);
   return {member: member.id, capacity, total, slices};
 }
 
+/**
+ * How much longer runs take than at the fastest server of the service: of two
+ * servers with room, the faster one answers sooner.
+ */
+function slownessOf(
+  {reports}: Balance,
+  service: ServiceName,
+  report: Report | undefined,
+): number {
+  let fastestMs = Infinity;
+  for (const each of reports.values()) {
+    if (each.service !== service || each.runMs === 0) continue;
+    fastestMs = Math.min(fastestMs, each.runMs);
+  }
+  if (report === undefined || report.runMs === 0) return 1;
+  return Math.max(1, report.runMs / fastestMs);
+}
+
 function forgetMoved(context: Context): void {
   const {moved} = context.state.balance;
   for (const [key, movedAt] of moved) {
--- a/packages/core/src/balance/types.ts
+++ b/packages/core/src/balance/types.ts
@@ -22,6 +22,8 @@
   readonly service: ServiceName;
   /** All its work, in busy slots. */
   readonly total: number;
+  /** Mean time of a run, in milliseconds; 0 if unknown. */
+  readonly runMs: number;
   /** Its hottest slices. */
   readonly rates: ReadonlyMap<Slice, number>;
   /** Monotonic time of arrival. */
--- a/packages/core/src/execution/state.ts
+++ b/packages/core/src/execution/state.ts
@@ -56,6 +56,7 @@
     inFlight: (service, slice) =>
       execution.running.get(sliceKey(service, slice)) ?? 0,
     inFlightTotal: () => execution.jobs.size,
+    meanRunMs: () => execution.gate.meanMs,
     takeBusyMs: () => {
       const {busyMs} = execution;
       execution.busyMs = new Map();
--- a/packages/core/src/leases/holder.spec.ts
+++ b/packages/core/src/leases/holder.spec.ts
@@ -30,6 +30,7 @@
     inFlight: () => 0,
     inFlightTotal: () => 0,
     takeBusyMs: () => new Map(),
+    meanRunMs: () => 0,
   };
   return {state, at: SENT, effects: [], work, random: () => 0};
 }
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -188,6 +188,8 @@
       readonly rates: readonly number[];
       /** Slots kept busy by all slices of the sender. */
       readonly total: number;
+      /** Mean time of a run at the sender, in milliseconds; 0 if unknown. */
+      readonly runMs: number;
     };
 
 /** Everything a link carries between two daemons. */
--- a/packages/core/src/ownership/types.ts
+++ b/packages/core/src/ownership/types.ts
@@ -67,4 +67,6 @@
   inFlightTotal(): number;
   /** Time spent on runs of each slice since the last call, in milliseconds. */
   takeBusyMs(): ReadonlyMap<Slice, number>;
+  /** Mean time of a run, in milliseconds; 0 before the first. */
+  meanRunMs(): number;
 }
--- a/packages/emulator/src/soak/node.ts
+++ b/packages/emulator/src/soak/node.ts
@@ -199,6 +199,7 @@
     inFlight: (service: ServiceName, slice: Slice) => number;
     inFlightTotal: () => number;
     takeBusyMs: () => Map<Slice, number>;
+    meanRunMs: () => number;
   } {
     this.work = this.work.filter(each => each.endsAt > now);
     return {
@@ -207,6 +208,7 @@
           .length,
       inFlightTotal: () => this.work.length,
       takeBusyMs: () => new Map(),
+      meanRunMs: () => 0,
     };
   }
 }
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -180,6 +180,7 @@
       slices: LOGICAL.integers,
       rates: LOGICAL.doubles,
       total: 'double',
+      runMs: 'double',
     },
   },
   suspect: {
