--- a/packages/core/src/admission/logic.spec.ts
+++ b/packages/core/src/admission/logic.spec.ts
@@ -328,3 +328,81 @@
   );
   t.pass();
 });
+
+/** A server that tells its cold start. */
+function reportingGate(remainingMs: number, perSecond: number): Admission {
+  const gate = createAdmission(POLICY);
+  const coldStart = {remainingMs, perSecond};
+  announce(gate, announcement('i1', {coldStart}), 0);
+  return gate;
+}
+
+test('a warm server that reports its cold start gets its slots at once', t => {
+  t.is(reportingGate(0, 9).limit, SLOTS);
+});
+
+const PACES: ReadonlyArray<[remainingMs: number, started: number]> = [
+  [0, SLOTS],
+  [5000, 2],
+  [500, SLOTS],
+];
+
+for (const [remainingMs, started] of PACES) {
+  test(`cold for ${remainingMs} ms: ${started} starts 0.9 s later`, t => {
+    const gate = reportingGate(remainingMs, 1);
+    let count = 0;
+    for (const now of [0, 900, 1001]) {
+      for (let i = 0; i < SLOTS; i++) {
+        const asking = {
+          attempt: `${now}/${i}` as AttemptId,
+          priority: 'interactive',
+          deadline: 1e9,
+          shared: false,
+          urgency: 0,
+          objectiveMs: 0,
+        } as const;
+        if (offer(gate, asking, now) !== 'start') continue;
+        begin(gate, 'interactive', now);
+        count += 1;
+      }
+      gate.queues.interactive.length = 0;
+    }
+    t.is(count, started);
+  });
+}
+
+test('a slot is left for work that goes first, once it is frequent', t => {
+  const gate = reportingGate(0, 9);
+  const ask = (urgency: number, now: number): string => {
+    const priority = 'interactive';
+    const attempt = `${urgency}/${now}` as AttemptId;
+    const claim = {attempt, priority, urgency, objectiveMs: 100} as const;
+    return offer(gate, {...claim, deadline: 1e9, shared: false}, now);
+  };
+  for (let now = 0; now <= 1200; now += 100) ask(1, now);
+  for (let i = 0; i < SLOTS - 1; i++) begin(gate, 'interactive', 1200);
+  t.is(ask(2, 1201), 'wait');
+  t.is(ask(1, 1202), 'wait');
+  gate.queues.interactive.length = 0;
+  t.is(ask(1, 1203), 'start');
+});
+
+test('the more urgent waits in front, of those alike the one due first', t => {
+  const gate = reportingGate(0, 9);
+  for (let i = 0; i < SLOTS; i++) begin(gate, 'interactive', 0);
+  const asked = [
+    {attempt: 'late', urgency: 2, objectiveMs: 900},
+    {attempt: 'soon', urgency: 2, objectiveMs: 400},
+    {attempt: 'urgent', urgency: 1, objectiveMs: 900},
+  ];
+  for (const {attempt, urgency, objectiveMs} of asked) {
+    const priority = 'interactive';
+    const common = {priority, deadline: 1e9, shared: false} as const;
+    const id = attempt as AttemptId;
+    offer(gate, {...common, attempt: id, urgency, objectiveMs}, 0);
+  }
+  t.deepEqual(
+    gate.queues.interactive.map(({attempt}) => String(attempt)),
+    ['urgent', 'soon', 'late'],
+  );
+});
--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -20,6 +20,13 @@
 
 const MAX_CAUTION = 8;
 const SECOND_MS = 1000;
+/** Ranks of one urgency, by objective; a longer objective counts as this. */
+const RANKS_PER_URGENCY = 100_000;
+const MAX_OBJECTIVE_MS = RANKS_PER_URGENCY - 1;
+/** Arrivals in a second from which on a slot is left for a rank. */
+const FREQUENT = 3;
+/** Limit below which no slot is left free. */
+const LEAST_SHARED_LIMIT = 4;
 /** Fewest completions that a latency decision is taken from. */
 const MIN_WINDOW = 16;
 /** Shorter latencies count as this one, in milliseconds. */
@@ -45,6 +52,7 @@
     instance: null,
     ceiling: 0,
     limit: 0,
+    arrivals: new Map(),
     running: 0,
     coldStarts: [],
     runningDeferrable: 0,
@@ -131,12 +139,13 @@
   const {attempt, priority, deadline, urgency, objectiveMs} = asking;
   const queue = gate.queues[priority];
   noteEmpty(gate, now);
-  if (queue.length === 0 && hasSlot(gate, priority, now)) return 'start';
+  noteArrival(gate, asking, now);
+  if (queue.length === 0 && hasSlot(gate, asking, now)) return 'start';
   if (queue.length >= gate.ceiling * gate.policy.queueFactor) return 'refuse';
   const queueMs = queueTimeMs(gate, asking, now);
   const until = Math.min(deadline, now + queueMs);
   const due = now + objectiveMs;
-  const waiting = {attempt, since: now, until, urgency, due};
+  const waiting = {attempt, since: now, until, urgency, objectiveMs, due};
   const ahead = queue.findLastIndex(each => !goesBefore(waiting, each)) + 1;
   if (expectedWaitMs(gate, ahead) > queueMs) return 'refuse';
   queue.splice(ahead, 0, waiting);
@@ -175,7 +184,8 @@
 ): {readonly waiting: Waiting; readonly priority: Priority} | null {
   for (const priority of ['interactive', 'deferrable'] as const) {
     const [waiting] = gate.queues[priority];
-    if (waiting === undefined || !hasSlot(gate, priority, now)) continue;
+    if (waiting === undefined) continue;
+    if (!hasSlot(gate, {...waiting, priority}, now)) continue;
     gate.queues[priority].shift();
     return {waiting, priority};
   }
@@ -362,8 +372,12 @@
   return sorted[Math.floor(sorted.length / 2)];
 }
 
-function hasSlot(gate: Admission, priority: Priority, now: number): boolean {
-  if (gate.running >= gate.limit) return false;
+/** What decides about a slot. */
+type Claim = Pick<Asking, 'priority' | 'urgency' | 'objectiveMs'>;
+
+function hasSlot(gate: Admission, claim: Claim, now: number): boolean {
+  const {priority} = claim;
+  if (gate.running >= gate.limit - keptFree(gate, claim, now)) return false;
   if (isCold(gate, now) && !mayStartCold(gate, now)) return false;
   if (priority === 'interactive') return true;
   if (gate.queues.interactive.length > 0) return false;
@@ -371,6 +385,40 @@
   return gate.runningDeferrable < Math.max(1, share);
 }
 
+/** Of two ranks the lower goes first: urgency, then the tighter objective. */
+function rankOf({urgency, objectiveMs}: Claim): number {
+  return urgency * RANKS_PER_URGENCY + Math.min(objectiveMs, MAX_OBJECTIVE_MS);
+}
+
+function noteArrival(gate: Admission, claim: Claim, now: number): void {
+  if (gate.cold === null) return;
+  const rank = rankOf(claim);
+  const known = gate.arrivals.get(rank);
+  if (known === undefined || now - known.since > 2 * SECOND_MS) {
+    gate.arrivals.set(rank, {since: now, count: 1, frequent: false});
+    return;
+  }
+  known.count += 1;
+  if (now - known.since < SECOND_MS) return;
+  known.frequent = known.count >= FREQUENT;
+  known.since = now;
+  known.count = 0;
+}
+
+/**
+ * Slots left for work that goes first: short calls of running requests would
+ * else wait for long runs to end, and their requests with them.
+ */
+function keptFree(gate: Admission, claim: Claim, now: number): number {
+  if (gate.cold === null || gate.limit < LEAST_SHARED_LIMIT) return 0;
+  const rank = rankOf(claim);
+  for (const [other, {frequent, since}] of gate.arrivals) {
+    if (other >= rank || !frequent || now - since > 2 * SECOND_MS) continue;
+    return 1;
+  }
+  return 0;
+}
+
 function isCold({cold}: Admission, now: number): boolean {
   return cold !== null && now < cold.until;
 }
@@ -396,7 +444,8 @@
   if (asking.priority === 'deferrable') return policy.deferrableQueueMs;
   const share = asking.shared ? SHARED_WAIT : 1;
   if (gate.cold !== null && asking.objectiveMs > 0) {
-    return policy.objectiveShare * asking.objectiveMs;
+    const shareMs = policy.objectiveShare * asking.objectiveMs;
+    return Math.max(policy.leastQueueMs, shareMs);
   }
   if (gate.ramping) return policy.rampQueueMs * share;
   if (now - gate.emptyAt > STANDING_MS) return policy.queueMs * share;
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -12,6 +12,7 @@
   readonly attempt: AttemptId;
   readonly since: number;
   readonly urgency: number;
+  readonly objectiveMs: number;
   /** Monotonic time by which its answer is worth most, in milliseconds. */
   readonly due: number;
   /** Monotonic time at which it is refused, in milliseconds. */
@@ -24,6 +25,15 @@
   samples: number;
 }
 
+/** How often work of one rank arrived. */
+export interface Arrivals {
+  /** Monotonic time at which counting began, in milliseconds. */
+  since: number;
+  count: number;
+  /** Whether it arrived often in the second before. */
+  frequent: boolean;
+}
+
 /** The cold start of a server that reports it. */
 export interface Cold {
   /** Monotonic time at which it is warm, in milliseconds. */
@@ -43,6 +53,8 @@
   ceiling: number;
   /** Runs allowed at the same time. */
   limit: number;
+  /** Arrivals of each rank in the present second. */
+  readonly arrivals: Map<number, Arrivals>;
   /** Runs given to the server and not yet over. */
   running: number;
   /** Monotonic times of the starts in the last second of a cold start. */
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -149,6 +149,8 @@
     /** Longest wait in the queue of a server that reports its cold start, as
      * a share of the latency objective. */
     objectiveShare: 0.25,
+    /** Least of these longest waits. */
+    leastQueueMs: 150,
   },
   logs: {
     level: 'info' as 'trace' | 'debug' | 'info' | 'warn' | 'error',
