--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -6,6 +6,7 @@
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
+import {setImmediate} from 'node:timers/promises';
 
 import {failure} from '@jackdawfall/core';
 import type {
@@ -243,6 +244,11 @@
     const request = this.nextId(incoming);
     const pending = await this.admit(request, incoming, outgoing);
     if (pending === null) return;
+    await untilReadsAreDone();
+    if (incoming.socket.destroyed || outgoing.destroyed) {
+      this.budget.release(pending.body.length);
+      return;
+    }
     this.pending.set(request, pending);
     outgoing.once('close', () => this.hungUp(pending));
     this.onHangUp(incoming.socket, pending);
@@ -387,3 +393,13 @@
     for (const attempt of pending.attempts) this.incoming.delete(attempt);
   }
 }
+
+/**
+ * Lets the loop read what has arrived meanwhile: a caller that has hung up by
+ * now is not served any more. The end of a connection is read in the turn
+ * after its last bytes.
+ */
+async function untilReadsAreDone(): Promise<void> {
+  await setImmediate();
+  await setImmediate();
+}
--- a/packages/daemon/src/runs/logic.spec.ts
+++ b/packages/daemon/src/runs/logic.spec.ts
@@ -156,6 +156,16 @@
   t.is(asked, 0);
 });
 
+test('a run that is cancelled in the same turn is never written', async t => {
+  let asked = 0;
+  const bench = await setUp(t, () => (asked += 1));
+  bench.start(true);
+  bench.runs.cancel(ATTEMPT);
+  await new Promise(resolve => setTimeout(resolve, 50));
+  t.is(asked, 0);
+  t.deepEqual(bench.events, []);
+});
+
 test('a cancelled run reports nothing more and closes', async t => {
   let closed = false;
   const bench = await setUp(t, incoming => {
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -108,17 +108,33 @@
    */
   run(effect: Extract<Effect, {kind: 'run'}>): void {
     const arrival = this.arrivals.get(effect.attempt);
-    const {announcement} = this;
-    if (arrival === undefined || !announcement || !this.connections) {
+    if (arrival === undefined) {
       this.reportLost(effect.attempt, 'not-run', 'no backend server');
       return;
     }
-    if (arrival.run !== null) return;
+    if (arrival.run !== null || arrival.starting) return;
+    arrival.starting = true;
     if (effect.keep) this.kept.start(arrival);
-    const {attempt, origin, budgetMs} = effect;
+    const {attempt, origin} = effect;
     const credit = this.context.windowBytes;
     arrival.streams = [{attempt, to: origin, credit}];
-    const outgoing = this.connections.open({
+    // A cancellation that has arrived as well is read before.
+    setImmediate(() => this.begin(arrival, effect));
+  }
+
+  private begin(
+    arrival: Arrival,
+    effect: Extract<Effect, {kind: 'run'}>,
+  ): void {
+    if (!arrival.starting) return;
+    arrival.starting = false;
+    const {announcement, connections} = this;
+    if (announcement === null || connections === null) {
+      this.reportLost(effect.attempt, 'not-run', 'no backend server');
+      return;
+    }
+    const {budgetMs} = effect;
+    const outgoing = connections.open({
       method: arrival.dispatch.method,
       path: arrival.dispatch.path,
       headers: this.context.protocol.headersOf(
@@ -148,6 +164,7 @@
    */
   cancel(attempt: AttemptId): void {
     const arrival = this.arrivals.get(attempt);
+    if (arrival !== undefined) arrival.starting = false;
     if (!arrival?.run || arrival.run.settled) return;
     this.settle(arrival, arrival.run);
     arrival.run.outgoing.destroy();
@@ -188,6 +205,7 @@
   forget(attempt: AttemptId): void {
     const arrival = this.arrivals.get(attempt);
     if (arrival === undefined) return;
+    arrival.starting = false;
     this.kept.drop(arrival);
     this.arrivals.delete(attempt);
   }
@@ -251,6 +269,7 @@
       dispatch,
       parts: dispatch.body.length > 0 ? [dispatch.body] : [],
       bodyEnded: dispatch.bodyEnds,
+      starting: false,
       run: null,
       streams: [],
       kept: null,
--- a/packages/daemon/src/runs/types.ts
+++ b/packages/daemon/src/runs/types.ts
@@ -11,6 +11,8 @@
   /** Parts of the body that no backend connection has taken yet. */
   readonly parts: Uint8Array[];
   bodyEnded: boolean;
+  /** Whether its run is about to begin. */
+  starting: boolean;
   run: Run | null;
   /** Where the answer goes. */
   streams: Stream[];
