--- a/packages/core/src/coordinator/logic.ts
+++ b/packages/core/src/coordinator/logic.ts
@@ -140,7 +140,8 @@
     if (current !== undefined && eligible.has(current)) continue;
     const target =
       eligible.get(service.standby[slice]) ?? leastLoaded(candidates, counts);
-    if (memberAt(map, owner) === null) continue;
+    const holder = memberAt(map, owner);
+    if (holder === null || holder.awaited) continue;
     counts.set(target.index, (counts.get(target.index) ?? 0) + 1);
     if (!moves.add(slice, target.id)) break;
   }
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -89,6 +89,7 @@
         operators: change.operators,
         offer: null,
         draining: false,
+        awaited: change.replaces !== null,
       });
       if (change.replaces !== null) {
         replaceMember(map, change.replaces, change.member, now);
@@ -101,7 +102,10 @@
       applyOffer(map, change);
       return;
     case 'withdrawn':
-      withMember(map, change.member, member => (member.offer = null));
+      withMember(map, change.member, member => {
+        member.offer = null;
+        member.awaited = false;
+      });
       return;
     case 'draining':
       withMember(map, change.member, member => (member.draining = true));
@@ -142,6 +146,7 @@
       member.offer === null || member.offer.instance !== change.instance;
     if (restarted) member.draining = false;
     if (restarted) raiseGenerations(map, member.index);
+    member.awaited = false;
     member.offer = {
       service: change.service,
       instance: change.instance,
@@ -231,7 +236,7 @@
     for (let slice = run.first; slice < run.first + run.count; slice++) {
       if (service.owner[slice] === NO_MEMBER) {
         service.owner[slice] = owner;
-        changeGeneration(service, slice as Slice);
+        changeGeneration(service, slice);
       }
       if (service.owner[slice] === owner) service.standby[slice] = standby;
     }
--- a/packages/core/src/map/types.ts
+++ b/packages/core/src/map/types.ts
@@ -34,6 +34,8 @@
   readonly rankHash: number;
   offer: Offer | null;
   draining: boolean;
+  /** True from replacing a member until it says what it offers. */
+  awaited: boolean;
 }
 
 /** Placement of one keyed service: index arrays by slice. */
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -331,6 +331,7 @@
   const {change} = committed.entry;
   if (change.kind === 'joined' && change.member === state.self) {
     state.phase = 'joined';
+    noteJoined(context, change.replaces !== null);
     const {append} = state.journal;
     const sentAt = append?.firstSent ?? null;
     settleRow(context, committed.revision, [], sentAt);
@@ -348,6 +349,13 @@
   if (change.members.includes(state.self)) onOwnEnd(context);
 }
 
+/** What the predecessor granted last holds for as long as its lease could. */
+function noteJoined({state, at}: Context, replaces: boolean): void {
+  const {leaseMs, marginMs} = state.settings.tuning.leases;
+  state.joinedAt = at.monotonic;
+  if (replaces) state.grantedUntil = at.monotonic + leaseMs + marginMs;
+}
+
 function onOwnEnd(context: Context): void {
   const {state} = context;
   if (state.leaves) {
--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -147,7 +147,7 @@
   const {announcement, self} = state;
   const offer = state.map.members.get(self)?.offer ?? null;
   if (announcement === null) {
-    if (offer === null) return null;
+    if (offer === null && !isOverdue(context)) return null;
     return {change: {kind: 'withdrawn', member: self}, by: self};
   }
   const {service, instance, slots, leaving} = announcement;
@@ -164,6 +164,13 @@
   };
 }
 
+/** A successor's server has not announced itself in time. */
+function isOverdue({state, at}: Context): boolean {
+  if (state.map.members.get(state.self)?.awaited !== true) return false;
+  const {ttlMs} = state.settings.tuning.announcements;
+  return at.monotonic - state.joinedAt > ttlMs;
+}
+
 function wantedDrain(state: Ownership): Wanted | null {
   const {self, phase} = state;
   if (phase !== 'stopping') return null;
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -172,6 +172,8 @@
   granted: Map<string, number>;
   /** What was granted last, to notice changes. */
   grantsText: string;
+  /** Monotonic time at which this incarnation joined. */
+  joinedAt: number;
   /** Monotonic time until which a grant at the backend server may hold. */
   grantedUntil: number;
   /** Newest state of the outside configuration source, or null. */
@@ -243,6 +245,7 @@
     grantAt: 0,
     granted: new Map(),
     grantsText: '',
+    joinedAt: 0,
     grantedUntil: 0,
     sourced: null,
     watchAt: 0,
--- a/packages/daemon/src/exchange/logic.ts
+++ b/packages/daemon/src/exchange/logic.ts
@@ -1,5 +1,6 @@
 /** @fileoverview HTTP exchanges with a service that may go silent. */
 
+import {setMaxListeners} from 'node:events';
 import {Agent, request} from 'node:http';
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 
@@ -28,7 +29,10 @@
   private agent = createAgent();
 
   /** @param signal - Ends every exchange. */
-  constructor(private readonly signal: AbortSignal) {}
+  constructor(private readonly signal: AbortSignal) {
+    // Each exchange under way listens to it.
+    setMaxListeners(0, signal);
+  }
 
   /**
    * Makes one exchange.
--- a/packages/daemon/src/process/logic.ts
+++ b/packages/daemon/src/process/logic.ts
@@ -63,15 +63,7 @@
     member,
   });
   const ending = new AbortController();
-  const daemon = createDaemon({
-    workspace: settings.workspace,
-    host: settings.host,
-    zone: settings.zone,
-    address: addressOf(settings),
-    ...operatorsAddress(settings),
-    incarnation,
-    tuning: settings.tuning,
-  });
+  const daemon = createDaemon(identityOf(settings, incarnation));
   const left = new AbortController();
   const metrics = createMetrics();
   const edges = createEdges(ending.signal);
@@ -114,6 +106,21 @@
   }
 }
 
+function identityOf(
+  settings: Settings,
+  incarnation: string,
+): Parameters<typeof createDaemon>[0] {
+  return {
+    workspace: settings.workspace,
+    host: settings.host,
+    zone: settings.zone,
+    address: addressOf(settings),
+    ...operatorsAddress(settings),
+    incarnation,
+    tuning: settings.tuning,
+  };
+}
+
 function ownEdges(settings: Settings, ending: AbortSignal): Edges {
   return {
     store: new Platform(settings.platform.addresses, ending),
--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -239,8 +239,7 @@
         this.callers.relay(effect.request, effect.attempt);
         return;
       case 'fail':
-        this.parts.metrics.count('failures', effect.failure.kind);
-        this.callers.fail(effect.request, effect.failure);
+        this.fail(effect);
         return;
       case 'grant':
         this.runs.grant(effect);
@@ -267,6 +266,11 @@
     }
   }
 
+  private fail({request, failure}: Extract<Effect, {kind: 'fail'}>): void {
+    this.parts.metrics.count('failures', failure.kind);
+    this.callers.fail(request, failure);
+  }
+
   private send(effect: Extract<Effect, {kind: 'send'}>): void {
     const {to, address, message} = effect;
     if (to === this.self) this.receive(to, message);
