The callers' spec waits for events in place of fixed times

Cause: beside load a hang-up after 20 ms came before the request was taken. The events expected are the same, each is now brought about by the one before.

--- a/packages/daemon/src/callers/logic.spec.ts
+++ b/packages/daemon/src/callers/logic.spec.ts
@@ -1,7 +1,8 @@
 /** @fileoverview Tests of requests whose callers hang up. */
 
 import {connect} from 'node:net';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 import {compileRoutes, parseWorkspace} from '@jackdawfall/core';
 import type {Event} from '@jackdawfall/core';
@@ -10,7 +11,9 @@
 import {Callers} from './logic.js';
 import {CALLER_PROTOCOL} from './protocol.js';
 
-const SETTLE_MS = 60;
+const SETTLE_MS = 100;
+const STEP_MS = 5;
+const GIVE_UP_MS = 10_000;
 const REQUEST = 'GET /records/1 HTTP/1.1\r\nHost: a\r\n\r\n';
 
 const DOCUMENT = JSON.stringify({
@@ -39,56 +42,35 @@
 
 const CASES: ReadonlyArray<{
   name: string;
-  act: (socket: Socket) => void;
+  requests: number;
+  hangsUp: 'never' | 'at once' | 'once taken';
   events: readonly Event['kind'][];
 }> = [
-  {
-    name: 'waits',
-    act: socket => void socket.write(REQUEST),
-    events: ['taken'],
-  },
+  {name: 'waits', requests: 1, hangsUp: 'never', events: ['taken']},
   {
     name: 'hung up together with its request',
-    act: socket => {
-      socket.write(REQUEST);
-      socket.destroy();
-    },
+    requests: 1,
+    hangsUp: 'at once',
     events: [],
   },
   {
     name: 'hangs up later',
-    act: socket => {
-      socket.write(REQUEST);
-      setTimeout(() => socket.destroy(), SETTLE_MS / 3);
-    },
+    requests: 1,
+    hangsUp: 'once taken',
     events: ['taken', 'hungUp'],
   },
   {
     name: 'hangs up with two requests behind each other',
-    act: socket => {
-      socket.write(REQUEST + REQUEST);
-      setTimeout(() => socket.destroy(), SETTLE_MS / 3);
-    },
+    requests: 2,
+    hangsUp: 'once taken',
     events: ['taken', 'taken', 'hungUp', 'hungUp'],
   },
 ];
 
-for (const {name, act, events} of CASES) {
+for (const {name, requests, hangsUp, events} of CASES) {
   test(`a caller that ${name}: ${events.join(', ') || 'nothing'}`, async t => {
-    const parsed = parseWorkspace(DOCUMENT);
-    if (parsed.kind === 'invalid') throw new Error('invalid document');
-    const {workspace} = parsed;
     const seen: string[] = [];
-    const callers = new Callers({
-      emit: event => void seen.push(event.kind),
-      transmit: () => undefined,
-      configuration: () => ({workspace, router: compileRoutes(workspace)}),
-      protocol: CALLER_PROTOCOL,
-      windowBytes: 1024,
-      tickMs: 50,
-      idPrefix: 'test',
-    });
-    const {server} = callers;
+    const {server} = callersFor(event => void seen.push(event.kind));
     await new Promise<void>(resolve =>
       server.listen(0, '127.0.0.1', () => resolve()),
     );
@@ -96,11 +78,37 @@
     const socket = connect(port, '127.0.0.1');
     socket.on('error', () => undefined);
     await new Promise(resolve => socket.once('connect', resolve));
-    act(socket);
-    await new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+    socket.write(REQUEST.repeat(requests));
+    if (hangsUp === 'at once') socket.destroy();
+    if (hangsUp === 'once taken') {
+      await until(() => seen.length >= requests);
+      socket.destroy();
+    }
+    await until(() => seen.length >= events.length);
+    await sleep(SETTLE_MS);
     t.deepEqual(seen, events);
     socket.destroy();
-    server.close();
     server.closeAllConnections();
+    await new Promise(resolve => server.close(resolve));
+  });
+}
+
+function callersFor(emit: (event: Event) => void): Callers {
+  const parsed = parseWorkspace(DOCUMENT);
+  if (parsed.kind === 'invalid') throw new Error('invalid document');
+  const {workspace} = parsed;
+  return new Callers({
+    emit,
+    transmit: () => undefined,
+    configuration: () => ({workspace, router: compileRoutes(workspace)}),
+    protocol: CALLER_PROTOCOL,
+    windowBytes: 1024,
+    tickMs: 50,
+    idPrefix: 'test',
   });
 }
+
+async function until(holds: () => boolean): Promise<void> {
+  const giveUpAt = performance.now() + GIVE_UP_MS;
+  while (!holds() && performance.now() < giveUpAt) await sleep(STEP_MS);
+}
