--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -7,6 +7,9 @@
 
 import type {AttemptId} from '../ids/types.js';
 import type {Announcement, ColdStart} from '../loop/types.js';
+import {isCold, knownUntil, mayStartCold} from './cold.js';
+import {keptFree, noteArrival} from './ranks.js';
+import type {Claim} from './ranks.js';
 import type {Priority} from '../workspace/types.js';
 import type {
   Admission,
@@ -19,14 +22,6 @@
 } from './types.js';
 
 const MAX_CAUTION = 8;
-const SECOND_MS = 1000;
-/** Ranks of one urgency, by objective; a longer objective counts as this. */
-const RANKS_PER_URGENCY = 100_000;
-const MAX_OBJECTIVE_MS = RANKS_PER_URGENCY - 1;
-/** Arrivals in a second from which on a slot is left for a rank. */
-const FREQUENT = 3;
-/** Limit below which no slot is left free. */
-const LEAST_SHARED_LIMIT = 4;
 /** Fewest completions that a latency decision is taken from. */
 const MIN_WINDOW = 16;
 /** Shorter latencies count as this one, in milliseconds. */
@@ -111,11 +106,6 @@
   gate.cold = {until, perSecond};
 }
 
-/** A report that was under way for long never shortens the cold start. */
-function knownUntil(gate: Admission, {instance}: Announcement): number {
-  return gate.instance === instance ? (gate.cold?.until ?? 0) : 0;
-}
-
 /**
  * Closes the gate: the server is gone.
  *
@@ -372,9 +362,6 @@
   return sorted[Math.floor(sorted.length / 2)];
 }
 
-/** What decides about a slot. */
-type Claim = Pick<Asking, 'priority' | 'urgency' | 'objectiveMs'>;
-
 function hasSlot(gate: Admission, claim: Claim, now: number): boolean {
   const {priority} = claim;
   if (gate.running >= gate.limit - keptFree(gate, claim, now)) return false;
@@ -385,49 +372,6 @@
   return gate.runningDeferrable < Math.max(1, share);
 }
 
-/** Of two ranks the lower goes first: urgency, then the tighter objective. */
-function rankOf({urgency, objectiveMs}: Claim): number {
-  return urgency * RANKS_PER_URGENCY + Math.min(objectiveMs, MAX_OBJECTIVE_MS);
-}
-
-function noteArrival(gate: Admission, claim: Claim, now: number): void {
-  if (gate.cold === null) return;
-  const rank = rankOf(claim);
-  const known = gate.arrivals.get(rank);
-  if (known === undefined || now - known.since > 2 * SECOND_MS) {
-    gate.arrivals.set(rank, {since: now, count: 1, frequent: false});
-    return;
-  }
-  known.count += 1;
-  if (now - known.since < SECOND_MS) return;
-  known.frequent = known.count >= FREQUENT;
-  known.since = now;
-  known.count = 0;
-}
-
-/**
- * Slots left for work that goes first: short calls of running requests would
- * else wait for long runs to end, and their requests with them.
- */
-function keptFree(gate: Admission, claim: Claim, now: number): number {
-  if (gate.cold === null || gate.limit < LEAST_SHARED_LIMIT) return 0;
-  const rank = rankOf(claim);
-  for (const [other, {frequent, since}] of gate.arrivals) {
-    if (other >= rank || !frequent || now - since > 2 * SECOND_MS) continue;
-    return 1;
-  }
-  return 0;
-}
-
-function isCold({cold}: Admission, now: number): boolean {
-  return cold !== null && now < cold.until;
-}
-
-function mayStartCold(gate: Admission, now: number): boolean {
-  gate.coldStarts = gate.coldStarts.filter(at => now - at < SECOND_MS);
-  return gate.coldStarts.length < (gate.cold?.perSecond ?? 0);
-}
-
 /** What would wait in vain is refused at once, so that others may take it. */
 function expectedWaitMs(gate: Admission, ahead: number): number {
   if (gate.limit === 0) return 0;
--- a/packages/core/src/balance/keeper.ts
+++ b/packages/core/src/balance/keeper.ts
@@ -20,7 +20,7 @@
 /** Hottest slices in a report. */
 const REPORTED_SLICES = 16;
 /** Slots kept busy by a slice below which it is forgotten. */
-const LEAST_RATE = 0.001;
+const LEAST_RATE = 0.0005;
 /** Time between two rounds of moves, so that reports catch up. */
 const ROUND_MS = 3000;
 /** Time between two looks while nothing is to be moved. */
@@ -30,7 +30,7 @@
 /** Age at which a report counts no more. */
 const OLD_MS = 60_000;
 /** Busy slots of a whole service below which the number of slices decides. */
-const LEAST_TOTAL = 0.5;
+const LEAST_TOTAL = 0.01;
 
 /**
  * Ends windows and reports to the coordinator.
--- a/packages/daemon/src/exchange/logic.ts
+++ b/packages/daemon/src/exchange/logic.ts
@@ -2,7 +2,9 @@
 
 import {setMaxListeners} from 'node:events';
 import {Agent, request} from 'node:http';
-import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
+import type {IncomingHttpHeaders} from 'node:http';
+
+import {readText} from '../bodies/text.js';
 
 /** Largest body that is read. */
 const MAX_BODY_BYTES = 64 * 1024 * 1024;
@@ -77,7 +79,7 @@
         `http://${address}${path}`,
         {method, headers, agent: this.agent, signal: this.signal},
         incoming => {
-          readText(incoming)
+          readText(incoming, MAX_BODY_BYTES)
             .then(text =>
               resolve({
                 status: incoming.statusCode ?? 0,
@@ -105,16 +107,3 @@
 function createAgent(): Agent {
   return new Agent({keepAlive: true, maxSockets: MAX_SOCKETS});
 }
-
-async function readText(incoming: IncomingMessage): Promise<string> {
-  const parts: Buffer[] = [];
-  let bytes = 0;
-  for await (const part of incoming) {
-    const buffer = part as Buffer;
-    bytes += buffer.length;
-    if (bytes > MAX_BODY_BYTES) throw new Error('reply too large');
-    parts.push(buffer);
-  }
-  if (!incoming.complete) throw new Error('reply cut short');
-  return Buffer.concat(parts).toString('utf8');
-}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -7,6 +7,7 @@
 export type * from './settings/types.js';
 export {SettingsError, parseSettings, readSettings} from './settings/logic.js';
 export type * from './edges/types.js';
+export {readText} from './bodies/text.js';
 export {endToEndHeaders, toRecord} from './bodies/headers.js';
 export {Exchanges} from './exchange/logic.js';
 export type {Exchange, Reply} from './exchange/logic.js';
--- a/packages/daemon/src/operators/logic.ts
+++ b/packages/daemon/src/operators/logic.ts
@@ -9,6 +9,7 @@
 import type {Announcement, Command} from '@jackdawfall/core';
 import {z} from 'zod';
 
+import {readText} from '../bodies/text.js';
 import type {DaemonPort} from '../edges/types.js';
 
 const MAX_BODY_BYTES = 4 * 1024 * 1024;
@@ -102,15 +103,7 @@
   schema: z.ZodType<Checked>,
   convert: (checked: Checked) => Result,
 ): Promise<Result> {
-  const parts: Buffer[] = [];
-  let bytes = 0;
-  for await (const part of incoming) {
-    const buffer = part as Buffer;
-    bytes += buffer.length;
-    if (bytes > MAX_BODY_BYTES) throw new Error('body too large');
-    parts.push(buffer);
-  }
-  const value: unknown = JSON.parse(Buffer.concat(parts).toString('utf8'));
+  const value: unknown = JSON.parse(await readText(incoming, MAX_BODY_BYTES));
   const checked = schema.safeParse(value);
   if (!checked.success) throw new Error(z.prettifyError(checked.error));
   return convert(checked.data);
