--- a/packages/daemon/src/bodies/headers.ts
+++ b/packages/daemon/src/bodies/headers.ts
@@ -1,6 +1,6 @@
 /** @fileoverview Which headers go on from one hop to the next. */
 
-import type {IncomingHttpHeaders} from 'node:http';
+import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 
 import type {Header} from '@jackdawfall/core';
 
@@ -20,6 +20,21 @@
   'upgrade',
 ]);
 
+/**
+ * Finds a header that a message carries once.
+ *
+ * @param incoming - The message.
+ * @param name - Name in lower case.
+ * @returns The value, or null if it is absent or a list.
+ */
+export function headerOf(
+  incoming: IncomingMessage,
+  name: string,
+): string | null {
+  const value = incoming.headers[name];
+  return typeof value === 'string' ? value : null;
+}
+
 /**
  * Lists the headers that go on to the next hop. Headers in the system's own
  * name are dropped, so that no caller can pretend to be a daemon.
--- a/packages/daemon/src/callers/protocol.ts
+++ b/packages/daemon/src/callers/protocol.ts
@@ -1,10 +1,8 @@
 /** @fileoverview The product's own interface towards callers. */
 
-import type {IncomingMessage} from 'node:http';
-
 import {ANSWERS} from '@jackdawfall/core';
 
-import {endToEndHeaders} from '../bodies/headers.js';
+import {endToEndHeaders, headerOf} from '../bodies/headers.js';
 import type {CallerProtocol} from '../edges/types.js';
 
 const TIMEOUT_HEADER = 'x-timeout-ms';
@@ -34,8 +32,3 @@
   },
   addedHeaders: request => ({'x-request-id': request}),
 };
-
-function headerOf(incoming: IncomingMessage, name: string): string | null {
-  const value = incoming.headers[name];
-  return typeof value === 'string' ? value : null;
-}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -8,7 +8,7 @@
 export {SettingsError, parseSettings, readSettings} from './settings/logic.js';
 export type * from './edges/types.js';
 export {readText} from './bodies/text.js';
-export {endToEndHeaders, toRecord} from './bodies/headers.js';
+export {endToEndHeaders, headerOf, toRecord} from './bodies/headers.js';
 export {Exchanges} from './exchange/logic.js';
 export type {Exchange, Reply} from './exchange/logic.js';
 export {lostReply} from './platform/logic.js';
