A member ends itself only once its server holds nothing; releases follow grants

Cause: a member whose grantors had all closed it committed its own end while grants to its backend server still ran; its successor granted the same keys at once. Besides: a release could overtake a grant on another connection, an unanswered grant did not keep its slice, the time to live was taken when the reducer ran and not when the call was written, and renewals of other slices put a move off.

--- /dev/null
+++ b/packages/core/src/grants/state.ts
@@ -0,0 +1,19 @@
+/** @fileoverview Initial state of grants. */
+
+import type {Grants} from './types.js';
+
+/**
+ * Creates the state of a daemon that has granted nothing.
+ *
+ * @returns The state.
+ */
+export function createGrants(): Grants {
+  return {
+    confirmed: new Map(),
+    heldUntil: new Map(),
+    inheritedUntil: 0,
+    open: new Map(),
+    round: 0,
+    renewAt: 0,
+  };
+}
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -150,7 +150,12 @@
   /** The backend server beside this daemon announced itself (again). */
   | {readonly kind: 'announced'; readonly announcement: Announcement}
   /** It did not announce itself in time. */
-  | {readonly kind: 'announcementLapsed'; readonly instance: InstanceId}
+  | {
+      readonly kind: 'announcementLapsed';
+      readonly instance: InstanceId;
+      /** Whether its process is known to have ended: nothing listens there. */
+      readonly ended: boolean;
+    }
   /** A caller's request; its body is held by the runner. */
   | {readonly kind: 'taken'; readonly taken: TakenRequest}
   /** The caller hung up before its answer was whole; not after `fail`. */
@@ -198,6 +203,8 @@
       readonly kind: 'keysGranted';
       readonly service: ServiceName;
       readonly grant: KeyGrant;
+      /** Round of the `grant` effect. */
+      readonly round: number;
     }
   /** The backend server gave slices back; nothing runs on them any more. */
   | {
@@ -358,7 +365,13 @@
       /** Number of slices of the whole service. */
       readonly slices: number;
       readonly grants: readonly KeyGrant[];
-      readonly ttlMs: number;
+      /** Number of this effect. */
+      readonly round: number;
+      /**
+       * End of the lease. The time to live is what is left of it when the
+       * call is written; after it nothing is written.
+       */
+      readonly until: Instant;
     }
   /**
    * Ask the backend server to give slices back; report `keysReleased` for
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -1,8 +1,14 @@
 /** @fileoverview The owner's side of planned moves (R6). */
 
-import type {Generation, ServiceName, Slice} from '../ids/types.js';
+import {
+  grantsOf,
+  mayAskRelease,
+  mayHold,
+  noteReleased,
+} from '../grants/logic.js';
+import type {ServiceName, Slice} from '../ids/types.js';
 import type {Change, Handover} from '../log/types.js';
-import type {Event, KeyGrant} from '../loop/types.js';
+import type {Event} from '../loop/types.js';
 import type {ServiceMap} from '../map/types.js';
 import {log} from '../ownership/effects.js';
 import type {Context, Drain, Ownership, Wanted} from '../ownership/state.js';
@@ -64,14 +70,16 @@
  * @param context - The step.
  */
 export function releaseKeys(context: Context): void {
-  const {state, effects, work} = context;
+  const {state, effects, work, at} = context;
   if (state.announcement?.checksGrants !== true) return;
   const asked = new Map<ServiceMap, Slice[]>();
   for (const drain of state.drains.values()) {
-    if (drain.asked || drain.released) continue;
+    if (drain.asked) continue;
     if (work.inFlight(drain.service, drain.slice) > 0) continue;
     const service = state.map.services.get(drain.service);
     if (service === undefined) continue;
+    const {name} = service;
+    if (!mayAskRelease(state.grants, name, drain.slice, at.monotonic)) continue;
     drain.asked = true;
     asked.set(service, [...(asked.get(service) ?? []), drain.slice]);
   }
@@ -87,22 +95,6 @@
   }
 }
 
-/**
- * Notes which generations the backend server holds.
- *
- * @param state - The state.
- * @param event - Which slices, under which generation.
- */
-export function noteGranted(
-  state: Ownership,
-  event: Extract<Event, {kind: 'keysGranted'}>,
-): void {
-  const {first, count, generation} = event.grant;
-  for (let slice = first; slice < first + count; slice++) {
-    state.granted.set(`${event.service}/${slice}`, generation);
-  }
-}
-
 /**
  * Takes in that the backend server gave slices back.
  *
@@ -120,41 +112,12 @@
     const drain = state.drains.get(`${event.service}/${slice}`);
     if (drain === undefined) continue;
     if (service?.generation[slice] !== generation) continue;
-    drain.released = true;
     drain.handover = event.handover;
   }
+  noteReleased(state.grants, event.service, event.grant);
   state.dirty = true;
 }
 
-/**
- * Joins slices with the same generation and handover into grants.
- *
- * @param service - The service's placement.
- * @param slices - Slices in ascending order.
- * @returns One grant for each row of neighbours that are alike.
- */
-export function grantsOf(
-  service: ServiceMap,
-  slices: readonly Slice[],
-): KeyGrant[] {
-  const grants: KeyGrant[] = [];
-  for (const slice of slices) {
-    const generation = service.generation[slice] as Generation;
-    const handover = service.handovers.get(slice) ?? null;
-    const last = grants.at(-1);
-    const alike =
-      last !== undefined &&
-      last.first + last.count === slice &&
-      last.generation === generation &&
-      last.handover === handover;
-    if (alike) grants.pop();
-    const first = alike ? last.first : slice;
-    const count = alike ? last.count + 1 : 1;
-    grants.push({first, count, generation, handover});
-  }
-  return grants;
-}
-
 /**
  * Whether nothing of this member can run on a slice any more: no run is in
  * flight, and its server gave the slice back or its last grant has lapsed.
@@ -165,7 +128,7 @@
     noteLate(context, drain);
     return false;
   }
-  return drain.released || at.monotonic >= state.grantedUntil;
+  return !mayHold(state.grants, drain.service, drain.slice, at.monotonic);
 }
 
 function newDrain(service: ServiceName, slice: Slice, since: number): Drain {
@@ -175,7 +138,6 @@
     since,
     late: false,
     asked: false,
-    released: false,
     handover: null,
   };
 }
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -3,6 +3,7 @@
 import {takeAudit} from '../commands/audit.js';
 import {renderStatus} from '../commands/view.js';
 import {takeLoad} from '../balance/keeper.js';
+import {forgetConfirmed, forgetHeld, noteGranted} from '../grants/logic.js';
 import type {MemberId} from '../ids/types.js';
 import {memberOf} from '../ids/logic.js';
 import {
@@ -47,7 +48,7 @@
   takeNewerRows,
 } from '../membership/endings.js';
 import type {ControlMessage, Message} from '../messages/types.js';
-import {noteGranted, takeReleased} from '../moves/logic.js';
+import {takeReleased} from '../moves/logic.js';
 import type {CallId} from '../ids/types.js';
 import {
   takeLoadPointer,
@@ -116,16 +117,14 @@
       return;
     case 'announced':
       if (state.announcement?.instance !== event.announcement.instance) {
-        state.granted.clear();
+        forgetConfirmed(state.grants);
       }
       state.announcement = event.announcement;
       state.dirty = true;
       return;
     case 'announcementLapsed':
       if (state.announcement?.instance === event.instance) {
-        state.announcement = null;
-        state.granted.clear();
-        state.dirty = true;
+        noteServerGone(state, event.ended);
       }
       return;
     case 'commanded':
@@ -135,7 +134,7 @@
       takeSourced(context, event.configuration);
       return;
     case 'keysGranted':
-      noteGranted(state, event);
+      noteGranted(state.grants, event);
       return;
     case 'keysReleased':
       takeReleased(context, event);
@@ -161,6 +160,15 @@
   }
 }
 
+/** A server that has ended holds nothing; a silent one may. */
+function noteServerGone(state: Ownership, ended: boolean): void {
+  const leaves = state.announcement?.leaving === true;
+  state.announcement = null;
+  if (ended && !leaves) forgetHeld(state.grants);
+  else forgetConfirmed(state.grants);
+  state.dirty = true;
+}
+
 function takeMessage(context: Context, from: MemberId, message: Message): void {
   const {state, at} = context;
   state.heard.set(from, at.monotonic);
@@ -353,7 +361,8 @@
 function noteJoined({state, at}: Context, replaces: boolean): void {
   const {leaseMs, marginMs} = state.settings.tuning.leases;
   state.joinedAt = at.monotonic;
-  if (replaces) state.grantedUntil = at.monotonic + leaseMs + marginMs;
+  if (!replaces) return;
+  state.grants.inheritedUntil = at.monotonic + leaseMs + marginMs;
 }
 
 function onOwnEnd(context: Context): void {
--- a/packages/core/src/ownership/duties.ts
+++ b/packages/core/src/ownership/duties.ts
@@ -1,8 +1,8 @@
 /** @fileoverview What a daemon does on its own as time passes. */
 
-import {timeLeftMs} from '../clock/logic.js';
+import {grantServer, mayHoldAny} from '../grants/logic.js';
 import {hostOf} from '../ids/logic.js';
-import type {MemberId, Slice} from '../ids/types.js';
+import type {MemberId} from '../ids/types.js';
 import {readIfDue} from '../journal/reader.js';
 import {beginAppend, retryAppend} from '../journal/writer.js';
 import {isClosedOut, keepLease, mayOffer} from '../leases/holder.js';
@@ -17,26 +17,18 @@
   spreadSlices,
 } from '../coordinator/logic.js';
 import type {Change} from '../log/types.js';
-import type {ServiceMap} from '../map/types.js';
 import {
   pursueEndings,
   suspectMember,
   wantedEnd,
 } from '../membership/endings.js';
-import {
-  grantsOf,
-  releaseKeys,
-  trackDrains,
-  wantedRelease,
-} from '../moves/logic.js';
+import {releaseKeys, trackDrains, wantedRelease} from '../moves/logic.js';
 import {storeIfDue} from '../snapshots/keeper.js';
 import {reviewCommands, wantedByOperators} from './commands.js';
 import {log, send} from './effects.js';
 import type {Context, Ownership, Wanted} from './state.js';
 import {currentRanks, inForce} from './state.js';
 
-/** Time between two grants to the backend server, as a share of a lease. */
-const GRANT_SHARE = 1 / 3;
 /** Part of a planned stop that is kept for committing the own end. */
 const LAST_END_MS = 3000;
 /** First ranks that may act as coordinator when those before are silent. */
@@ -128,11 +120,12 @@
   return null;
 }
 
-/** The own end, once nothing that was dispatched under the lease runs. */
+/** The own end, once no run of the lease and no grant under it is left. */
 function wantedOwnEnd(context: Context): Wanted | null {
   const {state, at, work} = context;
   const mayRun = standing(state, at).source !== 'none';
   if (mayRun && work.inFlightTotal() > 0) return null;
+  if (mayHoldAny(state.grants, at.monotonic)) return null;
   const {self, lease} = state;
   return {
     change: {kind: 'ended', members: [self]},
@@ -254,44 +247,6 @@
   else state.heldBackSince ??= at.monotonic;
 }
 
-/** Renews the backend server's grants before they lapse, or as they change. */
-function grantServer(context: Context): void {
-  const {state, at} = context;
-  const {announcement} = state;
-  if (announcement === null) return;
-  const held = standing(state, at);
-  if (held.source === 'none') return;
-  const service = state.map.services.get(announcement.service);
-  const self = state.map.members.get(state.self);
-  if (service === undefined || self === undefined) return;
-  if (self.offer?.instance !== announcement.instance) return;
-  const grants = grantsOf(service, ownedSlices(service, self.index));
-  const text = JSON.stringify([announcement.instance, grants]);
-  if (text === state.grantsText && at.monotonic < state.grantAt) return;
-  state.grantsText = text;
-  const {marginMs, leaseMs} = state.settings.tuning.leases;
-  state.grantAt = at.monotonic + leaseMs * GRANT_SHARE;
-  if (announcement.checksGrants) {
-    state.grantedUntil = held.until.monotonic + marginMs;
-  }
-  context.effects.push({
-    kind: 'grant',
-    service: announcement.service,
-    slices: service.slices,
-    grants,
-    ttlMs: Math.floor(timeLeftMs(held.until, at)),
-  });
-}
-
-function ownedSlices(service: ServiceMap, owner: number): Slice[] {
-  const slices: Slice[] = [];
-  for (let slice = 0; slice < service.slices; slice++) {
-    if (service.owner[slice] !== owner) continue;
-    if (!service.moves.has(slice as Slice)) slices.push(slice as Slice);
-  }
-  return slices;
-}
-
 /** Ends itself when stopped and drained, or when no grantor is left (R7). */
 function reviewOwnEnd(context: Context): void {
   const {state, at, work} = context;
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -22,6 +22,8 @@
 } from '../ids/types.js';
 import {createBalance} from '../balance/state.js';
 import type {Balance} from '../balance/types.js';
+import {createGrants} from '../grants/state.js';
+import type {Grants} from '../grants/types.js';
 import {memberOf} from '../ids/logic.js';
 import type {Journal, Sync} from '../journal/types.js';
 import {createJournal, createSync} from '../journal/state.js';
@@ -119,8 +121,6 @@
   late: boolean;
   /** Whether the backend server was asked to give it back. */
   asked: boolean;
-  /** Whether the backend server has given it back. */
-  released: boolean;
   /** What the backend server handed over with it, or null. */
   handover: string | null;
 }
@@ -167,15 +167,9 @@
   watchedChanges: number;
   /** Version at which the coordinator found nothing to place. */
   settledVersion: number;
-  grantAt: number;
-  /** Generation of each slice that the backend server has confirmed. */
-  granted: Map<string, number>;
-  /** What was granted last, to notice changes. */
-  grantsText: string;
+  readonly grants: Grants;
   /** Monotonic time at which this incarnation joined. */
   joinedAt: number;
-  /** Monotonic time until which a grant at the backend server may hold. */
-  grantedUntil: number;
   /** Newest state of the outside configuration source, or null. */
   sourced: SourcedConfiguration | null;
   /** Monotonic time of the next look at the ranks before this member. */
@@ -242,11 +236,8 @@
     ring: {changes: -1, ring: EMPTY_RING, ranks: []},
     watchedChanges: -1,
     settledVersion: -1,
-    grantAt: 0,
-    granted: new Map(),
-    grantsText: '',
+    grants: createGrants(),
     joinedAt: 0,
-    grantedUntil: 0,
     sourced: null,
     watchAt: 0,
     actsAsCoordinator: false,
--- a/packages/core/src/ownership/view.ts
+++ b/packages/core/src/ownership/view.ts
@@ -1,6 +1,7 @@
 /** @fileoverview Answers to other subjects. */
 
 import type {Instant} from '../clock/types.js';
+import {isConfirmed} from '../grants/logic.js';
 import {NO_VERSION} from '../ids/logic.js';
 import type {
   Address,
@@ -83,7 +84,7 @@
   if (isHeldBack(state, at)) return denied('moving');
   const generation = placement.generation[slice];
   const checks = state.announcement?.checksGrants === true;
-  if (checks && state.granted.get(`${service}/${slice}`) !== generation) {
+  if (checks && !isConfirmed(state.grants, service, slice, generation)) {
     return denied('moving');
   }
   return underLease(state, generation, at);
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -13,3 +13,4 @@
 export type {Exchange, Reply} from './exchange/logic.js';
 export {lostReply} from './platform/logic.js';
 export {ListenError, runProcess} from './process/logic.js';
+export {endOnceConnected, timeToLiveMs} from './runs/grants.js';
--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -120,7 +120,7 @@
       silenceMs: tuning.links.silenceMs,
       silentRunMs: tuning.execution.silentRunMs,
       protocol: edges.servers,
-      unreachable: server => this.lapse(server, 'connection refused'),
+      unreachable: server => this.lapse(server, 'connection refused', true),
       kept: {
         answerBytes: tuning.execution.keptAnswerBytes,
         totalBytes: tuning.execution.keptTotalBytes,
@@ -360,16 +360,20 @@
     if (announcement === null) return;
     const {ttlMs} = this.parts.settings.tuning.announcements;
     if (performance.now() - this.announcedMs < ttlMs) return;
-    this.lapse(announcement, 'no announcement');
+    this.lapse(announcement, 'no announcement', false);
   }
 
-  private lapse(announcement: Announcement, reason: string): void {
+  private lapse(
+    announcement: Announcement,
+    reason: string,
+    ended: boolean,
+  ): void {
     const {instance} = announcement;
     if (this.announcement?.instance !== instance) return;
     this.log('serverLost', {instance, reason});
     this.announcement = null;
     this.runs.setServer(null);
-    this.loop.emit({kind: 'announcementLapsed', instance});
+    this.loop.emit({kind: 'announcementLapsed', instance, ended});
   }
 
   private mayWrite(service: ServiceName, slice: Slice | null): boolean {
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -231,11 +231,11 @@
    */
   grant(effect: Extract<Effect, {kind: 'grant'}>): void {
     if (this.connections === null) return;
-    const {service} = effect;
+    const {service, round} = effect;
     const server = this.announcement;
     this.context.protocol.grant(this.connections, effect, grant => {
       if (this.announcement?.instance !== server?.instance) return;
-      this.context.emit({kind: 'keysGranted', service, grant});
+      this.context.emit({kind: 'keysGranted', service, grant, round});
     });
   }
 
--- a/packages/daemon/src/runs/protocol.ts
+++ b/packages/daemon/src/runs/protocol.ts
@@ -4,6 +4,7 @@
 
 import {toRecord} from '../bodies/headers.js';
 import type {ServerProtocol} from '../edges/types.js';
+import {endOnceConnected, timeToLiveMs} from './grants.js';
 
 const STATUS_UNAVAILABLE = 503;
 const GRANT_TIMEOUT_MS = 1000;
@@ -29,7 +30,7 @@
     return refused ? 'refused' : 'answer';
   },
   grant(server, effect, confirmed) {
-    const {service, ttlMs, grants} = effect;
+    const {service, until, grants} = effect;
     const outgoing = server.open({
       method: 'POST',
       path: '/grants',
@@ -42,7 +43,11 @@
     });
     // An unconfirmed grant is sent again with the next renewal.
     outgoing.on('error', () => undefined);
-    outgoing.end(JSON.stringify({service, ...listSlices(effect), ttlMs}));
+    endOnceConnected(outgoing, () => {
+      const ttlMs = timeToLiveMs(until);
+      if (ttlMs === null) return null;
+      return JSON.stringify({service, ...listSlices(effect), ttlMs});
+    });
   },
   /** These servers let grants lapse; nothing is asked of them. */
   release: () => undefined,
--- a/packages/emulator/src/soak/checks.ts
+++ b/packages/emulator/src/soak/checks.ts
@@ -1,6 +1,11 @@
 /** @fileoverview The invariants that every moment of a run must keep. */
 
-import type {CommandResult, ServiceName, Slice} from '@jackdawfall/core';
+import type {
+  CommandResult,
+  Instant,
+  ServiceName,
+  Slice,
+} from '@jackdawfall/core';
 import {standing, timeLeftMs} from '@jackdawfall/core';
 
 import type {Node} from './node.js';
@@ -76,10 +81,11 @@
    *
    * @param now - Global time.
    * @param node - The process that gives it.
-   * @param ttlMs - Time to live, in milliseconds.
+   * @param until - When it lapses at the latest.
    */
-  noteGrant(now: number, node: Node, ttlMs: number): void {
+  noteGrant(now: number, node: Node, until: Instant): void {
     const at = node.instant(now);
+    const ttlMs = timeLeftMs(until, at);
     const held = standing(node.state, at);
     const leftMs = held.source === 'none' ? 0 : timeLeftMs(held.until, at);
     if (ttlMs <= leftMs) return;
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -13,6 +13,7 @@
   Effect,
   Event,
   HostName,
+  KeyGrant,
   MemberId,
   Message,
   Rule,
@@ -30,6 +31,7 @@
 import {Checks} from './checks.js';
 import {Node} from './node.js';
 import {Agenda} from './queue.js';
+import {Servers} from './servers.js';
 import {Table} from './table.js';
 import type {Passage, StoreMode, Violation} from './types.js';
 
@@ -48,6 +50,8 @@
 const REMEMBERED_LINES = 200;
 const UINT32 = 2 ** 32;
 
+type GrantEffect = Extract<Effect, {kind: 'grant'}>;
+
 /** What a cluster is made of. */
 export interface ClusterSettings {
   readonly seed: number;
@@ -57,6 +61,8 @@
   readonly tuning?: Tuning;
   /** Size of a message on the wire, in bytes; not counted when absent. */
   readonly sizeOf?: (message: Message) => number;
+  /** Whether servers may be slow to take grants. */
+  readonly lateGrants?: boolean;
   /** Whether owners are compared after every event; true when absent. */
   readonly checked?: boolean;
 }
@@ -89,11 +95,13 @@
     mode: {kind: 'up'},
     until: 0,
   };
+  private readonly servers: Servers;
   private started = 0;
   private nextToken = 1;
 
   constructor(readonly settings: ClusterSettings) {
     this.random = xoroshiro128plus(settings.seed);
+    this.servers = new Servers(settings.seed, settings.lateGrants === true);
     this.checks = new Checks(settings.slices);
   }
 
@@ -240,7 +248,8 @@
     if (node.serverUp === up) return;
     node.serverUp = up;
     if (up) node.instance += 1;
-    else this.agenda.add(this.now + LAPSE_MS, () => this.lapse(node));
+    else this.servers.end(node.host);
+    if (!up) this.agenda.add(this.now + LAPSE_MS, () => this.lapse(node));
   }
 
   /**
@@ -338,7 +347,7 @@
   private lapse(node: Node): void {
     if (node.serverUp) return;
     const {instance} = node.announcement();
-    this.deliver(node, {kind: 'announcementLapsed', instance});
+    this.deliver(node, {kind: 'announcementLapsed', instance, ended: false});
   }
 
   private tryWork(node: Node): void {
@@ -386,19 +395,11 @@
         this.checks.fail(this.now, effect.invariant, effect.detail);
         return;
       case 'grant':
-        this.checks.noteGrant(this.now, node, effect.ttlMs);
-        for (const grant of effect.grants) {
-          const {service} = effect;
-          this.deliverSoon(node, {kind: 'keysGranted', service, grant});
-        }
+        this.checks.noteGrant(this.now, node, effect.until);
+        for (const grant of effect.grants) this.grant(node, effect, grant);
         return;
       case 'releaseKeys':
-        for (const grant of effect.grants) {
-          const {service} = effect;
-          const handover = null;
-          const kind = 'keysReleased';
-          this.deliverSoon(node, {kind, service, grant, handover});
-        }
+        for (const grant of effect.grants) this.release(node, effect, grant);
         return;
       case 'leave':
         node.alive = false;
@@ -418,9 +419,42 @@
     }
   }
 
-  /** The answer of the backend server beside the process. */
-  private deliverSoon(node: Node, event: Event): void {
-    this.agenda.add(this.now + SERVER_MS, () => this.deliver(node, event));
+  /** Sends a grant; its time to live is what is left when it is written. */
+  private grant(node: Node, effect: GrantEffect, grant: KeyGrant): void {
+    const {service, round, until} = effect;
+    const life = this.servers.lifeOf(node.host);
+    const {connectMs, lateMs} = this.servers.draw();
+    const write = (): void => {
+      if (!node.alive || this.servers.lifeOf(node.host) !== life) return;
+      if (this.now < node.frozenUntil) {
+        this.agenda.add(node.frozenUntil, write);
+        return;
+      }
+      const ttlMs = Math.floor(timeLeftMs(until, node.instant(this.now)));
+      if (ttlMs <= 0) return;
+      const arrived = this.now;
+      this.agenda.add(this.now + lateMs, () => {
+        if (this.servers.lifeOf(node.host) !== life) return;
+        const {now, servers} = this;
+        const seen = servers.take(now, node.host, grant, arrived, ttlMs);
+        if (seen !== null) this.checks.fail(now, 'one-holder', seen);
+        if (lateMs > 0) return;
+        this.deliver(node, {kind: 'keysGranted', service, grant, round});
+      });
+    };
+    this.agenda.add(this.now + connectMs, write);
+  }
+
+  private release(
+    node: Node,
+    {service}: Extract<Effect, {kind: 'releaseKeys'}>,
+    grant: KeyGrant,
+  ): void {
+    this.agenda.add(this.now + SERVER_MS, () => {
+      this.servers.release(node.host, grant);
+      const handover = null;
+      this.deliver(node, {kind: 'keysReleased', service, grant, handover});
+    });
   }
 
   private send(node: Node, to: MemberId, message: Message): void {
--- a/packages/emulator/src/soak/run.ts
+++ b/packages/emulator/src/soak/run.ts
@@ -49,7 +49,12 @@
   settings: RunSettings,
   steps: readonly Step[],
 ): RunResult {
-  const cluster = new Cluster({...settings, slices: SLICES, tuning: TUNING});
+  const cluster = new Cluster({
+    ...settings,
+    slices: SLICES,
+    tuning: TUNING,
+    lateGrants: true,
+  });
   for (let host = 0; host < settings.hosts; host++) cluster.start(host);
   cluster.run(FORM_MS);
   applyDocument(cluster, cluster.nodes[0]);
