Log lines for each step of a request, bounded and never blocking; retries saved up are shared by all daemons

Cause: single requests could not be followed at the default level, a reader that doesn't read would have blocked the loop, and 64 daemons together could save up more retries than the bound of their deployment allows. Change: flows request and failure with an allowance a second each, event 516 for what is left out; standard output as a non-blocking stream; burst divided by live members. Specs fail without each.

--- a/packages/core/src/execution/endings.ts
+++ b/packages/core/src/execution/endings.ts
@@ -65,6 +65,7 @@
 ): void {
   const {run} = settle(job.place, job.idempotent);
   const failed = {error, run, detail};
+  logFailed(turn, job, failed);
   endJob(turn, job, {kind: 'failed', ...failed});
   if (run === 'not-run') clearTraces(turn, job);
   turn.effects.push({kind: 'forget', attempt: job.attempt});
@@ -74,6 +75,24 @@
   }
 }
 
+function logFailed(turn: Turn, job: Job, {error, run, detail}: Fault): void {
+  const {state, effects, now} = turn;
+  const {attempt, request, place, arrivedAt, deadline} = job;
+  const fields = {
+    request,
+    attempt,
+    error,
+    run,
+    detail,
+    place,
+    ageMs: Math.round(now - arrivedAt),
+    leftMs: Math.round(deadline - now),
+    running: state.gate.running,
+    limit: state.gate.limit,
+  };
+  effects.push({kind: 'log', event: 'attemptFailed', fields});
+}
+
 /**
  * Aborts a run, if any, and ends its job with an error.
  *
--- a/packages/core/src/execution/intake.ts
+++ b/packages/core/src/execution/intake.ts
@@ -234,6 +234,15 @@
   job.place = 'queued';
   if (job.key !== null) state.memory.keys.set(job.key, attempt);
   if (decision === 'start') startJob(turn, job);
+  else logQueued(turn, job);
+}
+
+function logQueued(turn: Turn, {attempt, request, urgency}: Job): void {
+  const {gate} = turn.state;
+  const waiting = gate.queues.interactive.length;
+  const {running, limit} = gate;
+  const fields = {request, attempt, urgency, waiting, running, limit};
+  turn.effects.push({kind: 'log', event: 'attemptQueued', fields});
 }
 
 function askingOf(job: Job): Asking {
--- a/packages/core/src/execution/runs.ts
+++ b/packages/core/src/execution/runs.ts
@@ -85,6 +85,22 @@
   });
   const waitedMs = now - job.arrivedAt;
   effects.push({kind: 'measure', histogram: 'queue', valueMs: waitedMs});
+  logStart(turn, job, waitedMs);
+}
+
+function logStart(turn: Turn, job: Job, waitedMs: number): void {
+  const {state, effects} = turn;
+  const {attempt, request, generation, deadline} = job;
+  const fields = {
+    request,
+    attempt,
+    generation,
+    waitedMs: Math.round(waitedMs),
+    leftMs: Math.round(deadline - turn.now),
+    running: state.gate.running,
+    limit: state.gate.limit,
+  };
+  effects.push({kind: 'log', event: 'runStarted', fields});
 }
 
 /**
@@ -173,6 +189,9 @@
   state.answeredStart = Math.max(state.answeredStart, job.startedAt);
   const valueMs = now - job.startedAt;
   effects.push({kind: 'measure', histogram: 'run', valueMs});
+  const {attempt, request} = job;
+  const fields = {request, attempt, runMs: Math.round(valueMs)};
+  effects.push({kind: 'log', event: 'runEnded', fields});
   endJob(turn, job, {kind: 'done', kept: isKept(job)});
 }
 
--- a/packages/core/src/logs/catalogue.ts
+++ b/packages/core/src/logs/catalogue.ts
@@ -11,6 +11,12 @@
   readonly level: 'debug' | 'info' | 'warn' | 'error';
   /** What it means, in one sentence. */
   readonly text: string;
+  /**
+   * What it is written for: `state` for a change of what the process knows;
+   * `request` for a step of one request, of which a bounded number a second is
+   * written; `failure` for a step that went wrong, bounded apart.
+   */
+  readonly flow: 'state' | 'request' | 'failure';
 }
 
 /** Every log event by name. */
@@ -26,26 +32,32 @@
   drainLate: event(203, 'warn', 'A moving slice has work past its bound.'),
   snapshotStored: event(204, 'info', 'A snapshot of the map was stored.'),
   configurationInForce: event(601, 'info', 'A configuration is in force.'),
-  requestFailed: event(301, 'debug', 'A caller was answered with an error.'),
-  requestRetried: event(302, 'debug', 'Another attempt was made.'),
-  requestHedged: event(
-    303,
-    'debug',
-    'A slow lookup was sent to a second server.',
-  ),
-  attemptInquired: event(304, 'info', 'A lost link left an attempt open.'),
+  requestFailed: failed(301, 'A caller was answered with an error.'),
+  requestRetried: failed(302, 'Another attempt follows one that failed.'),
+  requestHedged: step(303, 'A slow lookup was sent to a second server.'),
+  attemptInquired: failed(304, 'A lost link left an attempt open.'),
+  attemptSent: step(305, 'A request was sent to a daemon as an attempt.'),
+  requestWaits: failed(306, 'A request waits for an owner or a server.'),
+  requestAnswered: step(307, 'A caller has the whole answer of a server.'),
+  requestDropped: failed(308, 'A caller hung up before its answer.'),
+  requestRejected: failed(309, 'A request was refused before it was placed.'),
   limitFellBack: event(401, 'info', 'The limit of the backend server is 1.'),
   limitReached: event(402, 'info', 'The backend server takes its full load.'),
   serverLeaving: event(403, 'info', 'The backend server takes no new work.'),
-  runsSilent: event(404, 'warn', 'A silent run was aborted.'),
-  leaseLostRun: event(405, 'warn', 'A run was aborted: its slice is not held.'),
+  runsSilent: failed(404, 'A silent run was aborted.'),
+  leaseLostRun: failed(405, 'A run was aborted: its slice is not held.'),
   serverLost: event(407, 'warn', 'The backend server is gone or silent.'),
-  lateAttempt: event(406, 'info', 'A late attempt was refused.'),
+  lateAttempt: failed(406, 'A late attempt was refused.'),
+  runStarted: step(411, 'An attempt was given to the backend server.'),
+  runEnded: step(412, 'The backend server answered an attempt.'),
+  attemptFailed: failed(413, 'An attempt ended here without an answer.'),
+  attemptQueued: step(414, 'An attempt waits for a slot.'),
   processStarted: event(501, 'info', 'The process accepts callers and links.'),
   processLeaving: event(502, 'info', 'The process has handed over and leaves.'),
   invariantBroken: event(503, 'error', 'An invariant broke; the process ends.'),
   linkLost: event(510, 'warn', 'A link to another daemon was lost.'),
   platformFailed: event(511, 'warn', 'The platform does not answer.'),
+  linesDropped: event(516, 'warn', 'Log lines were left out for volume.'),
   platformAnswers: event(512, 'info', 'The platform answers again.'),
   announcementRefused: event(
     408,
@@ -80,5 +92,13 @@
 export type LogName = keyof typeof LOGS;
 
 function event(code: number, level: LogEvent['level'], text: string): LogEvent {
-  return {code, level, text};
+  return {code, level, text, flow: 'state'};
+}
+
+function step(code: number, text: string): LogEvent {
+  return {code, level: 'info', text, flow: 'request'};
+}
+
+function failed(code: number, text: string): LogEvent {
+  return {code, level: 'info', text, flow: 'failure'};
 }
--- a/packages/core/src/logs/view.ts
+++ b/packages/core/src/logs/view.ts
@@ -11,12 +11,15 @@
 \`workspace\`, \`host\` and \`member\`. \`tuning.logs.level\` of the settings is the
 least level that is written. A number is never used for another event.
 
+Of the flows \`request\` and \`failure\` a bounded number of lines a second is
+written; event 516 counts what was left out, also when nobody reads the output.
+
 Numbers: 1xx membership and leases, 2xx map and coordinator, 3xx routing, 4xx
 execution and admission, 5xx process, links and platform, 6xx configuration and
 operators.
 
-| code | name | level | meaning |
-| --- | --- | --- | --- |
+| code | name | level | flow | meaning |
+| --- | --- | --- | --- | --- |
 `;
 
 /**
@@ -31,8 +34,8 @@
   const rows = Object.entries(events)
     .sort(([, a], [, b]) => a.code - b.code)
     .map(
-      ([name, {code, level, text}]) =>
-        `| ${code} | ${name} | ${level} | ${text} |\n`,
+      ([name, {code, level, flow, text}]) =>
+        `| ${code} | ${name} | ${level} | ${flow} | ${text} |\n`,
     );
   return HEAD + rows.join('');
 }
--- a/packages/core/src/ownership/types.ts
+++ b/packages/core/src/ownership/types.ts
@@ -47,6 +47,8 @@
   /** This daemon's member id, or null while it has not joined. */
   readonly self: MemberId | null;
   readonly version: Version;
+  /** Number of live members. */
+  readonly members: number;
   /** The configuration in force here, or null before the first. */
   readonly workspace: Workspace | null;
   placement(service: ServiceName, slice: Slice): Placement;
--- a/packages/core/src/ownership/view.ts
+++ b/packages/core/src/ownership/view.ts
@@ -45,6 +45,9 @@
     get version() {
       return state.map.version ?? NO_VERSION;
     },
+    get members() {
+      return state.map.members.size;
+    },
     get workspace() {
       return state.map.configuration?.workspace ?? null;
     },
--- /dev/null
+++ b/packages/core/src/retry/logic.spec.ts
@@ -0,0 +1,25 @@
+/** @fileoverview Tests of the retry budget. */
+
+import test from 'ava';
+
+import {RetryBudget, burstOf} from './logic.js';
+
+const BURSTS = [
+  {retryBurst: 20, sharedRetryBurst: 0, daemons: 300, burst: 20},
+  {retryBurst: 20, sharedRetryBurst: 30, daemons: 1, burst: 20},
+  {retryBurst: 20, sharedRetryBurst: 84, daemons: 60, burst: 1.4},
+  {retryBurst: 20, sharedRetryBurst: 84, daemons: 300, burst: 1},
+] as const;
+
+for (const {daemons, burst, ...policy} of BURSTS) {
+  const {sharedRetryBurst} = policy;
+  test(`${daemons} daemons that share ${sharedRetryBurst}: ${burst}`, t => {
+    t.is(burstOf(policy, daemons), burst);
+  });
+}
+
+test('what is saved up falls to the bound as daemons join', t => {
+  const budget = new RetryBudget(20);
+  budget.earn(0.1, 2);
+  t.is(budget.available, 2);
+});
--- a/packages/core/src/retry/logic.ts
+++ b/packages/core/src/retry/logic.ts
@@ -10,6 +10,8 @@
   readonly maxBackoffMs: number;
   /** Retries that may be saved up. */
   readonly retryBurst: number;
+  /** The same for all daemons together; 0 is no bound. */
+  readonly sharedRetryBurst: number;
 }
 
 /** Retries and hedges a daemon may still make; a share of its requests. */
@@ -30,9 +32,10 @@
    * Adds the share that one new request earns.
    *
    * @param share - Retries for each request, 0 to 1.
+   * @param burst - Retries that may be saved up at this time.
    */
-  earn(share: number): void {
-    this.left = Math.min(this.burst, this.left + share);
+  earn(share: number, burst = this.burst): void {
+    this.left = Math.min(burst, this.left + share);
   }
 
   /**
@@ -47,6 +50,23 @@
   }
 }
 
+/**
+ * Divides what all daemons together may save up.
+ *
+ * @param policy - Bounds for one daemon and for all; 0 is no bound for all.
+ * @param daemons - Live daemons.
+ * @returns Retries that one daemon may save up, at least 1.
+ */
+export function burstOf(
+  policy: Pick<RetryPolicy, 'retryBurst' | 'sharedRetryBurst'>,
+  daemons: number,
+): number {
+  const {retryBurst, sharedRetryBurst} = policy;
+  if (sharedRetryBurst === 0) return retryBurst;
+  const part = sharedRetryBurst / Math.max(1, daemons);
+  return Math.min(retryBurst, Math.max(1, part));
+}
+
 /**
  * Finds the wait before a retry: exponential, with full jitter above half.
  *
--- a/packages/core/src/routing/answers.ts
+++ b/packages/core/src/routing/answers.ts
@@ -59,5 +59,8 @@
   if (pending === undefined) return;
   const valueMs = turn.now - pending.takenAt;
   turn.effects.push({kind: 'measure', histogram: 'request', valueMs});
+  const attempt = pending.relayed ?? '';
+  const fields = {request, attempt, ageMs: Math.round(valueMs)};
+  turn.effects.push({kind: 'log', event: 'requestAnswered', fields});
   dropRequest(turn, pending);
 }
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -7,6 +7,7 @@
 import type {Effect, Event, TakenRequest} from '../loop/types.js';
 import type {Message} from '../messages/types.js';
 import type {OwnershipView} from '../ownership/types.js';
+import {burstOf} from '../retry/logic.js';
 import {takeAnswered, takeEnd, takeHead} from './answers.js';
 import {cancelOpen, dropRequest, tell, tellLate} from './endings.js';
 import {endAttempt, takeFailed} from './faults.js';
@@ -107,13 +108,17 @@
   }
   state.requests.set(taken.request, pending);
   const share = ownership.workspace?.limits.retryShare ?? FIRST_RETRY_SHARE;
-  state.budget.earn(share);
+  state.budget.earn(share, burstOf(state.settings.routing, ownership.members));
   place(turn, pending);
 }
 
 function hangUp(turn: Turn, request: RequestId): void {
   const pending = turn.state.requests.get(request);
-  if (pending !== undefined) dropRequest(turn, pending);
+  if (pending === undefined) return;
+  const ageMs = Math.round(turn.now - pending.takenAt);
+  const fields = {request, attempts: pending.made, ageMs};
+  turn.effects.push({kind: 'log', event: 'requestDropped', fields});
+  dropRequest(turn, pending);
 }
 
 /** What comes from another member than the one asked is discarded. */
--- a/packages/core/src/routing/endings.ts
+++ b/packages/core/src/routing/endings.ts
@@ -17,7 +17,14 @@
   const {effects} = turn;
   const {request} = pending.taken;
   const run = pending.mayHaveRun ? 'unknown' : told.run;
-  const fields = {request, error: told.kind, run};
+  const fields = {
+    request,
+    error: told.kind,
+    run,
+    detail: told.detail,
+    attempts: pending.made,
+    ageMs: Math.round(turn.now - pending.takenAt),
+  };
   dropRequest(turn, pending);
   effects.push({kind: 'log', event: 'requestFailed', fields});
   const failed = failure(told.kind, run, told.detail);
--- a/packages/core/src/routing/faults.ts
+++ b/packages/core/src/routing/faults.ts
@@ -97,7 +97,15 @@
     return;
   }
   state.retries += 1;
-  const fields = {request, error: failed.kind};
+  const {kind: error, detail} = failed;
+  const fields = {
+    request,
+    error,
+    detail,
+    from,
+    course,
+    left: state.budget.available,
+  };
   effects.push({kind: 'log', event: 'requestRetried', fields});
   if (slice === null) retryElsewhere(turn, pending, failed, from);
   else if (pending.hint !== null) place(turn, pending);
--- a/packages/core/src/routing/placing.ts
+++ b/packages/core/src/routing/placing.ts
@@ -29,6 +29,7 @@
   pending.waiting = target === null || ownership.self === null;
   if (target === null || ownership.self === null) {
     state.waiting.add(request);
+    if (pending.waitingSince === null) logWaiting(turn, pending);
     pending.waitingSince ??= turn.now;
     return;
   }
@@ -129,6 +130,37 @@
     budgetMs: pending.deadline - now,
     version: ownership.version,
   });
+  logSent(turn, pending, attempt);
+}
+
+function logSent(turn: Turn, pending: Pending, attempt: Attempt): void {
+  const {ownership, now, effects} = turn;
+  const {request, service, slice} = pending.taken;
+  const fields = {
+    request,
+    attempt: attempt.id,
+    service,
+    to: attempt.to,
+    by: slice === null ? 'load' : `slice ${slice}`,
+    map: ownership.version,
+    configuration: ownership.workspace?.version ?? 0,
+    ageMs: Math.round(now - pending.takenAt),
+    leftMs: Math.round(pending.deadline - now),
+  };
+  effects.push({kind: 'log', event: 'attemptSent', fields});
+}
+
+function logWaiting(turn: Turn, {taken}: Pending): void {
+  const {ownership, effects} = turn;
+  const {request, service, slice} = taken;
+  const fields = {
+    request,
+    service,
+    slice: slice ?? -1,
+    joined: ownership.self !== null,
+    map: ownership.version,
+  };
+  effects.push({kind: 'log', event: 'requestWaits', fields});
 }
 
 function armHedge(turn: Turn, pending: Pending): void {
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -98,6 +98,8 @@
     inquireMs: 250,
     /** Retries that may be saved up while none are needed. */
     retryBurst: 20,
+    /** The same for all daemons together; 0 leaves them without a bound. */
+    sharedRetryBurst: 0,
     /** Shortest wait before a hedge. */
     minHedgeMs: 2,
     /** Time after which a latency counts half in the choice of a server. */
--- a/packages/core/src/testing/ownership.ts
+++ b/packages/core/src/testing/ownership.ts
@@ -66,6 +66,7 @@
     get version() {
       return fixed.version as Version;
     },
+    members: 1,
     workspace: {
       name: 'test' as never,
       version: 1,
--- a/packages/daemon/src/callers/logic.spec.ts
+++ b/packages/daemon/src/callers/logic.spec.ts
@@ -100,6 +100,7 @@
   return new Callers({
     emit,
     transmit: () => undefined,
+    log: () => undefined,
     configuration: () => ({workspace, router: compileRoutes(workspace)}),
     protocol: CALLER_PROTOCOL,
     windowBytes: 1024,
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -13,6 +13,7 @@
   AttemptId,
   Event,
   Failure,
+  LogName,
   MemberId,
   Message,
   RequestId,
@@ -23,6 +24,7 @@
 
 import type {AnswerMessage} from '../bodies/messages.js';
 import type {CallerProtocol} from '../edges/types.js';
+import type {LogFields} from '../logs/types.js';
 import {Answers, writeFailure} from './answers.js';
 import {BodyBudget, readBody} from './intake.js';
 import {Pressure} from './pressure.js';
@@ -50,6 +52,7 @@
   emit(event: Event): void;
   /** Sends to a member; a message to this daemon itself is handled here. */
   transmit(to: MemberId, message: Message): void;
+  log(event: LogName, fields: LogFields): void;
   /** The configuration in force, or null before the first. */
   configuration(): Configuration | null;
   readonly protocol: CallerProtocol;
@@ -283,6 +286,15 @@
     const {protocol} = this.context;
     const askedMs = protocol.timeoutMsOf(incoming) ?? Infinity;
     const refuse = (failed: Failure) => {
+      const {kind: error, detail} = failed;
+      const {method = '', url = ''} = incoming;
+      this.context.log('requestRejected', {
+        request,
+        method,
+        url,
+        error,
+        detail,
+      });
       incoming.resume();
       writeFailure(outgoing, protocol.answerOf(request, failed, askedMs));
       return null;
--- a/packages/daemon/src/logs/logic.spec.ts
+++ b/packages/daemon/src/logs/logic.spec.ts
@@ -1,12 +1,21 @@
 /** @fileoverview Tests of the log lines. */
 
+import {Socket, createServer} from 'node:net';
+import type {AddressInfo} from 'node:net';
+
 import {LOGS} from '@jackdawfall/core';
 import test from 'ava';
 
 import {createLogger} from './logic.js';
+import {Output} from './output.js';
+import type {Sink} from './types.js';
 
 const CONTEXT = {workspace: 'taipei', host: 'h1', member: ''};
 
+function sinkTo(written: string[]): Sink {
+  return {write: line => void written.push(line), takeLost: () => 0};
+}
+
 const LEVELS = [
   {level: 'info', lines: 2},
   {level: 'error', lines: 1},
@@ -15,7 +24,7 @@
 for (const {level, lines} of LEVELS) {
   test(`at level ${level} ${lines} of two events are written`, t => {
     const written: string[] = [];
-    const logger = createLogger(level, CONTEXT, line => written.push(line));
+    const logger = createLogger(level, CONTEXT, sinkTo(written));
     logger.log('memberJoined', {zone: 'a'});
     logger.setContext({member: 'h1#7'});
     logger.log('invariantBroken', {invariant: 'one owner'});
@@ -29,3 +38,40 @@
     t.true(written.every(line => line.endsWith('\n')));
   });
 }
+
+const FLOWS = [
+  {name: 'attemptSent', bounded: true},
+  {name: 'requestFailed', bounded: true},
+  {name: 'leaseLost', bounded: false},
+] as const;
+
+for (const {name, bounded} of FLOWS) {
+  const often = 5000;
+  test(`${often} events ${name} at once: bounded ${bounded}`, t => {
+    const written: string[] = [];
+    const logger = createLogger('info', CONTEXT, sinkTo(written));
+    for (let time = 0; time < often; time++) logger.log(name);
+    t.is(written.length < often / 2, bounded);
+    logger.log('leaseHeld');
+    const said = written.filter(line => line.includes('"linesDropped"'));
+    t.is(said.length, bounded ? 1 : 0);
+  });
+}
+
+test('a reader that does not read never blocks the writer', async t => {
+  const server = createServer(socket => socket.pause());
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const {port} = server.address() as AddressInfo;
+  const socket = new Socket().connect(port, '127.0.0.1');
+  const output = new Output(socket);
+  const line = `${'x'.repeat(1000)}\n`;
+  const begun = performance.now();
+  for (let time = 0; time < 50_000; time++) output.write(line);
+  const spentMs = performance.now() - begun;
+  t.true(spentMs < 1000, `${spentMs} ms`);
+  t.true(socket.writableLength < 1_000_000);
+  socket.destroy();
+  server.close();
+});
--- a/packages/daemon/src/logs/logic.ts
+++ b/packages/daemon/src/logs/logic.ts
@@ -1,38 +1,59 @@
 /** @fileoverview Structured log lines through the log library. */
 
 import {LOGS} from '@jackdawfall/core';
-import type {Tuning} from '@jackdawfall/core';
+import type {LogName, Tuning} from '@jackdawfall/core';
 import loglevel from 'loglevel';
 
-import type {LogContext, Logger} from './types.js';
+import {Allowance} from './allowance.js';
+import type {LogContext, LogFields, Logger, Sink} from './types.js';
+
+/** Time between two reports of lines that were left out. */
+const REPORT_MS = 1000;
 
 /**
  * Creates the daemon's logger.
  *
  * @param level - The least level that is written.
  * @param context - What each line says of its author.
- * @param write - Receives each line with its line end.
+ * @param sink - Receives each line with its line end.
  * @returns The logger.
  */
 export function createLogger(
   level: Tuning['logs']['level'],
   context: LogContext,
-  write: (line: string) => void = line => process.stdout.write(line),
+  sink: Sink,
 ): Logger {
   const library = loglevel.getLogger(Symbol('jackdawfalld'));
   library.methodFactory =
     () =>
     (...parts: unknown[]) => {
-      write(`${parts.join(' ')}\n`);
+      sink.write(`${parts.join(' ')}\n`);
     };
   library.setLevel(level, false);
   let author = context;
+  const allowance = new Allowance(performance.now());
+  let dropped = 0;
+  let reportedMs = -REPORT_MS;
+  const write = (name: LogName, fields: LogFields): void => {
+    const {code, level: severity, text} = LOGS[name];
+    const time = new Date().toISOString();
+    const line = {time, code, level: severity, name, text, fields, ...author};
+    library[severity](JSON.stringify(line));
+  };
+  const reportDropped = (nowMs: number): void => {
+    if (nowMs - reportedMs < REPORT_MS) return;
+    const unread = sink.takeLost();
+    if (dropped + unread === 0) return;
+    reportedMs = nowMs;
+    write('linesDropped', {overVolume: dropped, unread});
+    dropped = 0;
+  };
   return {
     log(name, fields = {}) {
-      const {code, level: severity, text} = LOGS[name];
-      const time = new Date().toISOString();
-      const line = {time, code, level: severity, name, text, fields, ...author};
-      library[severity](JSON.stringify(line));
+      const nowMs = performance.now();
+      reportDropped(nowMs);
+      if (allowance.take(LOGS[name].flow, nowMs)) write(name, fields);
+      else dropped += 1;
     },
     setContext(change) {
       author = {...author, ...change};
--- a/packages/daemon/src/logs/types.ts
+++ b/packages/daemon/src/logs/types.ts
@@ -29,3 +29,15 @@
    */
   setContext(change: Partial<LogContext>): void;
 }
+
+/** Where lines go. */
+export interface Sink {
+  /**
+   * Writes a line; never blocks.
+   *
+   * @param line - The line with its end.
+   */
+  write(line: string): void;
+  /** Lines left out since the last call, since nobody read. */
+  takeLost(): number;
+}
--- a/packages/daemon/src/process/logic.ts
+++ b/packages/daemon/src/process/logic.ts
@@ -13,6 +13,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
 import {createLogger} from '../logs/logic.js';
+import {openOutput} from '../logs/output.js';
 import type {Logger} from '../logs/types.js';
 import {createMetrics} from '../metrics/logic.js';
 import {createOperatorServer} from '../operators/logic.js';
@@ -26,6 +27,8 @@
 const INCARNATION_BYTES = 6;
 const LEAVE_WAIT_MS = 5000;
 const EXIT_FAILURE = 1;
+/** Descriptor of standard output. */
+const STANDARD_OUTPUT = 1;
 
 /** A port that could not be had. */
 export class ListenError extends Error {
@@ -57,11 +60,10 @@
 ): Promise<void> {
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
   const member = memberOf(settings.host, incarnation);
-  const logger = createLogger(settings.tuning.logs.level, {
-    workspace: settings.workspace,
-    host: settings.host,
-    member,
-  });
+  const {workspace, host} = settings;
+  const {level} = settings.tuning.logs;
+  const author = {workspace, host, member};
+  const logger = createLogger(level, author, openOutput(STANDARD_OUTPUT));
   const ending = new AbortController();
   const daemon = createDaemon(identityOf(settings, incarnation));
   const left = new AbortController();
--- a/packages/daemon/src/runner/logic.ts
+++ b/packages/daemon/src/runner/logic.ts
@@ -111,6 +111,7 @@
       ...shared,
       protocol: edges.callers,
       tickMs: tuning.loop.tickMs,
+      log: (event, fields) => this.log(event, fields),
       configuration: () => this.currentConfiguration(),
       idPrefix: this.self,
     });
--- a/packages/emulator/src/requests/map_copy.ts
+++ b/packages/emulator/src/requests/map_copy.ts
@@ -61,18 +61,23 @@
 
   /**
    * @param self - The daemon whose copy this is.
-   * @param members - All daemons; each has a server.
+   * @param daemons - All daemons; each has a server.
    */
   constructor(
     readonly self: MemberId,
-    private readonly members: readonly MemberId[],
+    private readonly daemons: readonly MemberId[],
   ) {
     for (let slice = 0; slice < SLICES; slice++) {
-      const owner = members[slice % members.length];
+      const owner = daemons[slice % daemons.length];
       this.slices.push({owner, generation: 1, moving: false});
     }
   }
 
+  /** @returns Daemons that have not ended. */
+  get members(): number {
+    return this.daemons.length - this.ended.size;
+  }
+
   /**
    * Applies the next change.
    *
@@ -127,7 +132,7 @@
   }
 
   serversOf() {
-    const live = this.members.filter(member => !this.ended.has(member));
+    const live = this.daemons.filter(member => !this.ended.has(member));
     return live.map(member => ({
       member,
       address: this.addressOf(member),
@@ -138,7 +143,7 @@
 
   private end(member: MemberId): void {
     this.ended.add(member);
-    const live = this.members.filter(other => !this.ended.has(other));
+    const live = this.daemons.filter(other => !this.ended.has(other));
     this.slices.forEach((held, slice) => {
       if (held.owner !== member || live.length === 0) return;
       held.owner = live[slice % live.length];
