--- a/packages/core/src/execution/definition.spec.ts
+++ b/packages/core/src/execution/definition.spec.ts
@@ -16,12 +16,14 @@
 const USUAL_MS = 6;
 
 class Owner {
-  readonly state = createExecution(DEFAULTS);
+  readonly state;
   readonly ownership = fixedOwnership(SELF, SELF);
   now = 1000;
   wallAhead = 0;
 
-  constructor(checksGrants = false) {
+  constructor(checksGrants = false, abortsSilentRuns = true) {
+    const execution = {...DEFAULTS.execution, abortsSilentRuns};
+    this.state = createExecution({...DEFAULTS, execution});
     this.announce({checksGrants});
   }
 
@@ -477,3 +479,14 @@
   owner.wait(2100);
   t.deepEqual(gist(owner.dispatch(3)), ['stopping not-run']);
 });
+
+for (const aborts of [true, false]) {
+  test(`a run much longer than usual is aborted: ${aborts}`, t => {
+    const owner = new Owner(false, aborts);
+    for (let sequence = 1; sequence <= 4; sequence++) owner.run(sequence);
+    owner.dispatch(5);
+    owner.written(5);
+    const found = gist(owner.wait(1200));
+    t.deepEqual(found, aborts ? ['cancelRun', 'server-lost unknown'] : []);
+  });
+}
--- a/packages/core/src/execution/watch.ts
+++ b/packages/core/src/execution/watch.ts
@@ -131,6 +131,7 @@
  */
 function isSilent(turn: Turn, job: Job): boolean {
   const {state, now} = turn;
+  if (!state.settings.execution.abortsSilentRuns) return false;
   if (job.place === 'answering') return false;
   const usualMs = usualLatencyMs(state.gate, labelOf(job));
   if (usualMs === 0) return false;
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -116,6 +116,8 @@
     maxAttempts: 1024,
     /** Silence of a run after which its connection is no longer reused. */
     silentRunMs: 1000,
+    /** Whether a run that is silent for long is aborted before its deadline. */
+    abortsSilentRuns: true,
     /** Time an outcome or tombstone is remembered. */
     outcomeMs: 10000,
     /** Time an outcome with an idempotency key is remembered. */
