--- a/packages/core/src/balance/keeper.ts
+++ b/packages/core/src/balance/keeper.ts
@@ -11,8 +11,6 @@
 import {planMoves} from './logic.js';
 import type {Balance, MemberLoad, Report} from './types.js';
 
-/** Length of a window of measurement. */
-const WINDOW_MS = 2000;
 /** Longest time between two reports. */
 const REPORT_MS = 20_000;
 /** A total that differs this much is reported at once. */
@@ -21,12 +19,8 @@
 const REPORTED_SLICES = 16;
 /** Slots kept busy by a slice below which it is forgotten. */
 const LEAST_RATE = 0.0005;
-/** Time between two rounds of moves, so that reports catch up. */
-const ROUND_MS = 3000;
 /** Time between two looks while nothing is to be moved. */
 const LOOK_MS = 1000;
-/** Time for which a slice that was moved for its load stays. */
-const STAY_MS = 30_000;
 /** Age at which a report counts no more. */
 const OLD_MS = 60_000;
 /** Busy slots of a whole service below which the number of slices decides. */
@@ -41,7 +35,7 @@
   const {state, at, work} = context;
   const {meter} = state.balance;
   const elapsed = at.monotonic - meter.windowAt;
-  if (elapsed < WINDOW_MS) return;
+  if (elapsed < state.settings.tuning.balance.windowMs) return;
   meter.service = state.announcement?.service ?? meter.service;
   if (meter.service === null) return;
   meter.busyMs = work.takeBusyMs();
@@ -126,10 +120,11 @@
   if (at.monotonic < balance.notBefore || service.moves.size > 0) return null;
   const budget = map.configuration?.workspace.limits.maxMovingSlices ?? 0;
   const loads = candidates.map(member => loadOf(context, service, member));
-  const planned = planMoves(loads, budget);
+  const {hotShare, roundMs} = state.settings.tuning.balance;
+  const planned = planMoves(loads, budget, hotShare);
   balance.notBefore = at.monotonic + LOOK_MS;
   if (planned.length === 0) return null;
-  balance.notBefore = at.monotonic + ROUND_MS;
+  balance.notBefore = at.monotonic + roundMs;
   const moves: Move[] = planned.map(({slice, to}) => {
     balance.moved.set(`${service.name}/${slice}`, at.monotonic);
     return {first: slice, count: 1, to};
@@ -143,7 +138,8 @@
   service: ServiceMap,
   member: Member,
 ): MemberLoad {
-  const {balance, map} = context.state;
+  const {balance, map, settings} = context.state;
+  const {stayMs} = settings.tuning.balance;
   const now = context.at.monotonic;
   const report = balance.reports.get(member.id);
   const fresh =
@@ -154,13 +150,14 @@
   for (const [slice, rate] of fresh ? report.rates : []) {
     const owner = memberAt(map, service.owner[slice]);
     const movedAt = balance.moved.get(`${service.name}/${slice}`);
-    const stays = movedAt !== undefined && now - movedAt < STAY_MS;
+    const stays = movedAt !== undefined && now - movedAt < stayMs;
     if (owner?.id === member.id && !stays) slices.set(slice, rate);
   }
   const total = fresh ? report.total : 0;
   const slots = Math.max(1, member.offer?.slots ?? 1);
-  const capacity = slots / slownessOf(balance, service.name, report);
-  return {member: member.id, capacity, total, slices};
+  const slowness = slownessOf(balance, service.name, report);
+  const capacity = slots / slowness;
+  return {member: member.id, capacity, slowness, total, slices};
 }
 
 /**
@@ -182,9 +179,11 @@
 }
 
 function forgetMoved(context: Context): void {
-  const {moved} = context.state.balance;
+  const {balance, settings} = context.state;
+  const {moved} = balance;
+  const {stayMs} = settings.tuning.balance;
   for (const [key, movedAt] of moved) {
-    if (context.at.monotonic - movedAt >= STAY_MS) moved.delete(key);
+    if (context.at.monotonic - movedAt >= stayMs) moved.delete(key);
   }
 }
 
--- a/packages/core/src/balance/logic.spec.ts
+++ b/packages/core/src/balance/logic.spec.ts
@@ -3,15 +3,19 @@
 import test from 'ava';
 
 import type {MemberId, Slice} from '../ids/types.js';
+import {DEFAULTS} from '../settings/defaults.js';
 import {imbalanceOf, planMoves} from './logic.js';
 import type {MemberLoad} from './types.js';
 
+const HOT_SHARE = DEFAULTS.balance.hotShare;
+
 /** Loads from rates by slice; slices are numbered through. */
 function loadsOf(rates: readonly number[][], capacity = 1): MemberLoad[] {
   let next = 0;
   return rates.map((own, index) => ({
     member: `h${index}#1` as MemberId,
     capacity,
+    slowness: 1,
     total: own.reduce((a, b) => a + b, 0),
     slices: new Map(own.map(rate => [next++ as Slice, rate])),
   }));
@@ -68,7 +72,7 @@
 
 for (const {name, rates, budget, moved} of CASES) {
   test(`moves for load: ${name}`, t => {
-    const moves = planMoves(loadsOf(rates), budget);
+    const moves = planMoves(loadsOf(rates), budget, HOT_SHARE);
     t.deepEqual(
       moves.map(move => Number(move.slice)),
       [...moved],
@@ -82,7 +86,7 @@
     [8, 8],
   ]);
   const loads = [small, {...large, capacity: 2}];
-  t.deepEqual(planMoves(loads, 8), []);
+  t.deepEqual(planMoves(loads, 8, HOT_SHARE), []);
   t.is(imbalanceOf(loads), 1);
 });
 
@@ -90,7 +94,7 @@
   const rates = [[30, 20, 9, 3], [8, 1], [2], [1, 1]];
   const loads = loadsOf(rates);
   const before = imbalanceOf(loads);
-  for (const {slice, from, to} of planMoves(loads, 8)) {
+  for (const {slice, from, to} of planMoves(loads, 8, HOT_SHARE)) {
     const source = loads.findIndex(load => load.member === from);
     const target = loads.findIndex(load => load.member === to);
     const rate = loads[source].slices.get(slice) ?? 0;
@@ -99,3 +103,15 @@
   }
   t.true(imbalanceOf(loads) < before);
 });
+
+test('work that moves to a faster member keeps fewer slots busy there', t => {
+  const [slow, fast] = loadsOf([
+    [2, 2, 2],
+    [3, 3],
+  ]);
+  const loads = [
+    {...slow, slowness: 3, capacity: 3},
+    {...fast, slowness: 1, capacity: 9},
+  ];
+  t.is(planMoves(loads, 8, HOT_SHARE).length, 2);
+});
--- a/packages/core/src/balance/logic.ts
+++ b/packages/core/src/balance/logic.ts
@@ -3,8 +3,6 @@
 import type {Slice} from '../ids/types.js';
 import type {LoadMove, MemberLoad} from './types.js';
 
-/** A member this far above the mean is relieved. */
-const HOT_SHARE = 1.25;
 /** A move must take at least this share of the mean off the hottest. */
 const LEAST_GAIN_SHARE = 0.02;
 
@@ -21,11 +19,13 @@
  *
  * @param loads - Load of every member that takes work.
  * @param budget - Most moves.
+ * @param hotShare - A member this far above the mean is relieved.
  * @returns The moves, the best first.
  */
 export function planMoves(
   loads: readonly MemberLoad[],
   budget: number,
+  hotShare: number,
 ): LoadMove[] {
   const members = loads.map(load => ({
     load,
@@ -35,7 +35,7 @@
   const mean = meanOf(members);
   const moves: LoadMove[] = [];
   while (moves.length < budget && members.length > 1 && mean > 0) {
-    const move = bestMove(members, mean);
+    const move = bestMove(members, hotShare * mean, mean);
     if (move === null) break;
     moves.push(move);
   }
@@ -60,10 +60,14 @@
 }
 
 /** Takes the best move off the members, or returns null. */
-function bestMove(members: readonly Working[], mean: number): LoadMove | null {
+function bestMove(
+  members: readonly Working[],
+  hotLevel: number,
+  mean: number,
+): LoadMove | null {
   const hot = members.reduce((a, b) => (levelOf(b) > levelOf(a) ? b : a));
   const cold = members.reduce((a, b) => (levelOf(b) < levelOf(a) ? b : a));
-  if (levelOf(hot) < HOT_SHARE * mean) return null;
+  if (levelOf(hot) < hotLevel) return null;
   let best: {slice: Slice; rate: number; gain: number} | null = null;
   for (const [slice, rate] of hot.slices) {
     const gain = gainOf(hot, cold, rate);
@@ -72,7 +76,7 @@
   if (best === null || best.gain < LEAST_GAIN_SHARE * mean) return null;
   hot.slices.delete(best.slice);
   hot.total -= best.rate;
-  cold.total += best.rate;
+  cold.total += rateAt(hot, cold, best.rate);
   const from = hot.load.member;
   return {slice: best.slice, from, to: cold.load.member};
 }
@@ -91,11 +95,16 @@
 function gainOf(hot: Working, cold: Working, rate: number): number {
   const after = Math.max(
     (hot.total - rate) / hot.load.capacity,
-    (cold.total + rate) / cold.load.capacity,
+    (cold.total + rateAt(hot, cold, rate)) / cold.load.capacity,
   );
   return levelOf(hot) - after;
 }
 
+/** The same work keeps fewer slots busy at a faster member. */
+function rateAt(from: Working, to: Working, rate: number): number {
+  return (rate * to.load.slowness) / from.load.slowness;
+}
+
 function levelOf(member: Working): number {
   return member.total / member.load.capacity;
 }
--- a/packages/core/src/balance/types.ts
+++ b/packages/core/src/balance/types.ts
@@ -52,6 +52,8 @@
   readonly member: MemberId;
   /** Relative capacity, for example its slots. */
   readonly capacity: number;
+  /** Time of a run here over that at the fastest member, at least 1. */
+  readonly slowness: number;
   readonly total: number;
   /** Its hottest movable slices. */
   readonly slices: ReadonlyMap<Slice, number>;
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -43,6 +43,16 @@
     /** Whether a stopped daemon comes back beside the same server. */
     returnsAfterStop: false,
   },
+  balance: {
+    /** Length of a window of measurement. */
+    windowMs: 2000,
+    /** Time between two rounds of moves, so that reports catch up. */
+    roundMs: 3000,
+    /** Time for which a slice that was moved for its load stays. */
+    stayMs: 30000,
+    /** A member whose load is this far above the mean is relieved. */
+    hotShare: 1.25,
+  },
   log: {
     /** Newest entries kept in memory for other members. */
     keptEntries: 512,
