--- a/packages/core/src/ownership/restart.spec.ts
+++ b/packages/core/src/ownership/restart.spec.ts
@@ -5,6 +5,7 @@
 import type {MemberId} from '../ids/types.js';
 import type {Change} from '../log/types.js';
 import {
+  CONFIGURED,
   FINDER,
   HistoryBench,
   LEASE_MS,
@@ -19,11 +20,6 @@
 const OLD = 'a#1' as MemberId;
 const OTHER = 'b#1' as MemberId;
 
-const DOCUMENT = JSON.stringify({
-  services: [{name: 'finder', division: {kind: 'keyed', slices: 2}}],
-  limits: {drainMs: 1000, maxMovingSlices: 2},
-});
-
 const PLACED: Change = {
   kind: 'placed',
   service: FINDER,
@@ -39,7 +35,7 @@
 
 const HISTORY: readonly Change[] = [
   joined(OLD, null),
-  {kind: 'configured', number: 1, document: DOCUMENT},
+  CONFIGURED,
   offered(OLD),
   PLACED,
   joined(OTHER, null),
--- a/packages/core/src/testing/history.ts
+++ b/packages/core/src/testing/history.ts
@@ -21,6 +21,15 @@
 export const TICK_MS = 100;
 /** The divided service of the history. */
 export const FINDER = 'finder' as never;
+/** A configuration in which that service has two slices. */
+export const CONFIGURED: Change = {
+  kind: 'configured',
+  number: 1,
+  document: JSON.stringify({
+    services: [{name: 'finder', division: {kind: 'keyed', slices: 2}}],
+    limits: {drainMs: 1000, maxMovingSlices: 2},
+  }),
+};
 /** The daemon under test, the second process on its host. */
 export const SELF = memberOf('a' as never, '2');
 /** Sender of the history. */
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -30,8 +30,9 @@
 
 import {Checks} from './checks.js';
 import {Node} from './node.js';
+import {Passages} from './passages.js';
 import {Agenda} from './queue.js';
-import {Servers} from './servers.js';
+import {SERVER_MS, Servers} from './servers.js';
 import {Table} from './table.js';
 import type {Passage, StoreMode, Violation} from './types.js';
 
@@ -41,9 +42,6 @@
 export const ZONES = ['a', 'b', 'c'] as unknown as readonly ZoneName[];
 
 const LINK_MS = 1.5;
-/** Time of an exchange with the backend server on the same host. */
-const SERVER_MS = 2;
-const STORE_MS = 3;
 const ANNOUNCE_MS = 500;
 const LAPSE_MS = 2000;
 const MOST_WORK_MS = 400;
@@ -90,17 +88,14 @@
   private readonly cuts = new Map<string, number>();
   private readonly linkDelays = new Map<number, {until: number; ms: number}>();
   private readonly linkFree = new Map<string, number>();
-  private readonly storeCuts = new Map<number, number>();
-  private store: {mode: StoreMode; until: number} = {
-    mode: {kind: 'up'},
-    until: 0,
-  };
+  private readonly passages: Passages;
   private readonly servers: Servers;
   private started = 0;
   private nextToken = 1;
 
   constructor(readonly settings: ClusterSettings) {
     this.random = xoroshiro128plus(settings.seed);
+    this.passages = new Passages(() => this.uniform());
     this.servers = new Servers(settings.seed, settings.lateGrants === true);
     this.checks = new Checks(settings.slices);
   }
@@ -203,7 +198,7 @@
    * @param ms - Duration.
    */
   setStore(mode: StoreMode, ms: number): void {
-    this.store = {mode, until: this.now + ms};
+    this.passages.set(mode, this.now + ms);
   }
 
   /**
@@ -213,7 +208,7 @@
    * @param ms - Duration.
    */
   cutStore(host: number, ms: number): void {
-    this.storeCuts.set(host, this.now + ms);
+    this.passages.cut(host, this.now + ms);
   }
 
   /**
@@ -266,8 +261,7 @@
   heal(): void {
     this.cuts.clear();
     this.linkDelays.clear();
-    this.storeCuts.clear();
-    this.store = {mode: {kind: 'up'}, until: 0};
+    this.passages.heal();
   }
 
   /**
@@ -487,7 +481,7 @@
     effect: Extract<Effect, {kind: 'callStore'}>,
   ): void {
     const {call, request, timeoutMs} = effect;
-    const passage = this.passageOf(node);
+    const passage = this.passages.passageOf(this.now, node.host);
     let done = false;
     const answer = (reply: StoreReply): void => {
       if (done) return;
@@ -512,44 +506,6 @@
     this.agenda.add(this.now + passage.replyMs, () => answer(reply));
   }
 
-  private passageOf(node: Node): Passage {
-    const {mode, until} = this.store;
-    const plain = {replyLost: false, instead: null};
-    const cut = (this.storeCuts.get(node.host) ?? 0) > this.now;
-    if (cut) return this.lostPassage();
-    const kind = until > this.now ? mode.kind : 'up';
-    switch (kind) {
-      case 'up':
-        return {...plain, requestMs: STORE_MS, replyMs: STORE_MS};
-      case 'down':
-        return {
-          requestMs: STORE_MS,
-          replyMs: STORE_MS,
-          replyLost: false,
-          instead: {kind: 'refused', detail: 'outage'},
-        };
-      case 'silent':
-        return this.lostPassage();
-      case 'slow': {
-        const most = mode.kind === 'slow' ? mode.delayMs : 0;
-        const requestMs = STORE_MS + this.uniform() * most;
-        const replyMs = STORE_MS + this.uniform() * most;
-        return {...plain, requestMs, replyMs, replyLost: this.uniform() < 0.1};
-      }
-    }
-  }
-
-  /** A call that takes effect late, perhaps, and is never answered. */
-  private lostPassage(): Passage {
-    const effective = this.uniform() < 0.5;
-    return {
-      requestMs: this.uniform() * 4000,
-      replyMs: 0,
-      replyLost: true,
-      instead: effective ? null : {kind: 'unknown', detail: 'lost'},
-    };
-  }
-
   /** The violation, if there is one. */
   get violation(): Violation | null {
     return this.checks.violation;
--- a/packages/emulator/src/soak/servers.ts
+++ b/packages/emulator/src/soak/servers.ts
@@ -7,7 +7,7 @@
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
 /** Time of an exchange with the backend server on the same host. */
-const SERVER_MS = 2;
+export const SERVER_MS = 2;
 /** Longest wait for a connection, and the share of grants that have one. */
 const CONNECT_MS = 400;
 const CONNECT_SHARE = 0.05;
