Derive the partition time-out from the renewal interval

Late ticks replaced a renewal by a connectivity check (R9), the lease ran low, the member's row was written, and its grantors read it. The time is now the renewal interval plus three ticks (650 ms as before with the defaults), and the times of leases are checked against each other when settings are read. The randomised run's daemons tick at the interval of their tuning.

--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -12,6 +12,10 @@
 import {callStore, log, newWriteId, send} from '../ownership/effects.js';
 import type {OwnershipContext, OwnershipState} from '../ownership/state.js';
 import {currentRing, isRuleEnabled} from '../ownership/state.js';
+import {
+  ROW_RENEWAL_THRESHOLD_MS,
+  partitionTimeoutMs,
+} from '../settings/lease_times.js';
 import type {Row, StoreReply} from '../store/types.js';
 import {possibleGrantors, currentLease, isUnexpired} from './logic.js';
 import type {GrantorStatus, LeaseState, MemberRow, RowWrite} from './types.js';
@@ -24,14 +28,6 @@
 const GRANTOR_TIMEOUT_MS = 700;
 /** Minimum time between two writes of this member's row, before jitter. */
 const MIN_ROW_WRITE_INTERVAL_MS = 300;
-/**
- * Time without any reply after which a member counts as partitioned and pauses
- * its row writes. It has to be short: a row write just before the pause
- * restarts the time for which the row has to be unchanged before an eviction.
- * With 750 ms, the slices of a partitioned member stayed unserved for up to
- * 3.1 s; the target is 3 s.
- */
-const PARTITION_TIMEOUT_MS = 650;
 /**
  * Time for which a partitioned member doesn't write its row: long enough for
  * the others to evict it. It alternates with `ROW_ACTIVE_MS`.
@@ -42,8 +38,6 @@
  * since all others may have failed.
  */
 const ROW_ACTIVE_MS = 15_000;
-/** Remaining lease time below which a row write extends the lease. */
-const ROW_RENEWAL_THRESHOLD_MS = 800;
 
 /**
  * Maintains this member's lease as time passes: renews it, probes silent
@@ -308,7 +302,8 @@
  * keep grantors from revoking it, while their replies never arrive.
  */
 function isPartitioned(state: OwnershipState, now: number): boolean {
-  if (now - state.lease.lastReplyAt < PARTITION_TIMEOUT_MS) return false;
+  const timeoutMs = partitionTimeoutMs(state.settings.tuning);
+  if (now - state.lease.lastReplyAt < timeoutMs) return false;
   return hasMembersOnOtherHosts(state);
 }
 
@@ -327,7 +322,8 @@
  */
 function pausesRowWrites(state: OwnershipState, now: number): boolean {
   if (!isPartitioned(state, now) || !isRuleEnabled(state, 'R9')) return false;
-  const partitionedMs = now - state.lease.lastReplyAt - PARTITION_TIMEOUT_MS;
+  const timeoutMs = partitionTimeoutMs(state.settings.tuning);
+  const partitionedMs = now - state.lease.lastReplyAt - timeoutMs;
   return partitionedMs % (ROW_PAUSE_MS + ROW_ACTIVE_MS) < ROW_PAUSE_MS;
 }
 
--- a/packages/core/src/settings/logic.ts
+++ b/packages/core/src/settings/logic.ts
@@ -4,6 +4,7 @@
 
 import {DEFAULT_TUNING} from './defaults.js';
 import type {Tuning} from './defaults.js';
+import {checkLeaseTimes} from './lease_times.js';
 
 /** Tuning in which any section or value may be missing. */
 export type PartialTuning = {
@@ -23,11 +24,8 @@
       context.addIssue({code: 'custom', path, message});
     };
     if (loop.tickMs < 1) report(['loop', 'tickMs'], 'must be at least 1');
-    if (leases.renewMs * 2 > leases.leaseMs) {
-      report(['leases', 'renewMs'], 'must be at most half of leaseMs');
-    }
-    if (leases.marginMs >= leases.leaseMs) {
-      report(['leases', 'marginMs'], 'must be less than leaseMs');
+    for (const {name, message} of checkLeaseTimes({loop, leases})) {
+      report(['leases', name], message);
     }
   });
 
--- a/packages/daemon/src/settings/logic.spec.ts
+++ b/packages/daemon/src/settings/logic.spec.ts
@@ -43,6 +43,8 @@
   {path: 'tuning.loop.tickMs', edit: tuningOf({loop: {tickMs: 0}})},
   {path: 'tuning.logs.level', edit: tuningOf({logs: {level: 'loud'}})},
   {path: 'tuning.leases.renewMs', edit: tuningOf({leases: {leaseMs: 900}})},
+  {path: 'tuning.leases.leaseMs', edit: tuningOf({leases: {leaseMs: 1400}})},
+  {path: 'tuning.leases.suspectMs', edit: tuningOf({leases: {suspectMs: 600}})},
 ];
 
 for (const {path, edit} of FAULTS) {
--- /dev/null
+++ b/packages/emulator/src/soak/calm.spec.ts
@@ -0,0 +1,62 @@
+/**
+ * @fileoverview A calm cluster makes no store calls: with replies that take up
+ * to a fifth of a second, no lease runs low, no row is written and no member is
+ * suspected. The times of a tuning depend on one another, so each of those that
+ * the product ships is played.
+ */
+
+import test from 'ava';
+import {mergeTuning} from '@jackdawfall/core';
+import type {PartialTuning} from '@jackdawfall/core';
+
+import {SimulatedCluster} from './cluster.js';
+import {makeConfiguration} from './document.js';
+
+const HOSTS = 6;
+const SLICES = 12;
+const FORM_MS = 10_000;
+const CALM_MS = 60_000;
+/** Maximum added delay of a message; a reply takes up to twice this. */
+const MAX_DELAY_MS = 100;
+/** Maximum delay of a timer on a host with a quarter of a core. */
+const MAX_TICK_DELAY_MS = 30;
+
+const TUNINGS: ReadonlyArray<readonly [string, PartialTuning]> = [
+  ['the defaults', {}],
+  [
+    'the tuning of the platform',
+    {
+      loop: {tickMs: 100},
+      leases: {leaseMs: 2000, renewMs: 600, suspectMs: 1300},
+    },
+  ],
+];
+
+for (const [name, partial] of TUNINGS) {
+  test(`a calm cluster makes no store calls with ${name}`, t => {
+    const cluster = new SimulatedCluster({
+      seed: 11,
+      hosts: HOSTS,
+      slices: SLICES,
+      rulesOff: new Set(),
+      maxTickDelayMs: MAX_TICK_DELAY_MS,
+      tuning: mergeTuning(partial),
+    });
+    for (let host = 0; host < HOSTS; host++) cluster.start(host);
+    cluster.advance(FORM_MS);
+    cluster.command(cluster.nodes[0], {
+      kind: 'apply',
+      basedOn: 0,
+      document: makeConfiguration(SLICES, 1),
+      by: 'test',
+    });
+    cluster.advance(FORM_MS);
+    for (let host = 0; host < HOSTS; host++) {
+      cluster.slowLinks(host, MAX_DELAY_MS / 2, CALM_MS);
+    }
+    const {reads, writes} = cluster.store;
+    cluster.advance(CALM_MS);
+    t.is(cluster.store.writes - writes, 0);
+    t.is(cluster.store.reads - reads, 0);
+  });
+}
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -67,6 +67,8 @@
   readonly tuning?: Tuning;
   /** Size of a message on the wire, in bytes; sizes are not counted if absent. */
   readonly sizeOf?: (message: Message) => number;
+  /** Maximum delay of a timer, as on a busy host; 0 if absent. */
+  readonly maxTickDelayMs?: number;
   /** Whether servers may apply slice grants late; false if absent. */
   readonly lateGrants?: boolean;
   /** Whether invariants are checked after every event; true if absent. */
@@ -147,7 +149,7 @@
     const offset = Math.floor(this.uniform() * 2000) - 1000;
     const node = new SimulatedNode(host, state, SERVICE, this.now, offset);
     this.nodes.push(node);
-    const phase = this.uniform() * DEFAULT_TUNING.loop.tickMs;
+    const phase = this.uniform() * state.settings.tuning.loop.tickMs;
     this.queue.add(this.now + phase, () => this.tick(node));
     this.queue.add(this.now + phase, () => this.announce(node));
     return node;
@@ -337,8 +339,10 @@
     if (!node.alive) return;
     this.deliver(node, {kind: 'ticked'});
     this.startRandomRun(node);
-    const next = this.now + DEFAULT_TUNING.loop.tickMs;
-    this.queue.add(next, () => this.tick(node));
+    const {tickMs} = node.state.settings.tuning.loop;
+    const {maxTickDelayMs = 0} = this.settings;
+    const lateMs = maxTickDelayMs === 0 ? 0 : this.uniform() * maxTickDelayMs;
+    this.queue.add(this.now + tickMs + lateMs, () => this.tick(node));
   }
 
   private announce(node: SimulatedNode): void {
