Know until when the server holds a slice, and renew short grants early

Cause: a slice counted as confirmed for good once its generation was confirmed. With a lease that ran low, a grant lasted less than the fixed third of the lease until the next round: the server had lost its keys and answered 421 to whatever was sent. Rounds also granted everything again for one new generation. Confirmations now end with the lease under which the grant was sent, a round comes no later than half of a grant's time, and a new generation grants only its own slices.

--- a/packages/core/src/grants/logic.spec.ts
+++ b/packages/core/src/grants/logic.spec.ts
@@ -152,3 +152,47 @@
   t.is(harness.waitForChange('ended', LEASE_MS), null);
   t.not(harness.waitForChange('ended', MARGIN_MS + 2 * TICK_MS), null);
 });
+
+test('a server that lost its grants gets no work until it has them again', t => {
+  const {harness, sent} = createGrantingDaemon();
+  t.is(harness.permission(0).kind, 'denied');
+  harness.handle(confirmationOf(sent));
+  t.is(harness.permission(0).kind, 'granted');
+  harness.now += LEASE_MS - TICK_MS;
+  harness.renewLease();
+  const renewed = grantsIn(harness.tick());
+  harness.now += TICK_MS;
+  t.is(harness.permission(0).kind, 'denied');
+  harness.handle(confirmationOf(renewed[0]));
+  t.is(harness.permission(0).kind, 'granted');
+});
+
+test('a grant under a short lease is renewed before it expires', t => {
+  const {harness, sent} = createGrantingDaemon();
+  harness.handle(confirmationOf(sent));
+  const shortMs = 4 * TICK_MS;
+  harness.now += LEASE_MS - shortMs;
+  const [short] = grantsIn(harness.tick());
+  harness.handle(confirmationOf(short));
+  harness.renewLease();
+  harness.now += shortMs / 2;
+  t.is(grantsIn(harness.tick()).length, 1);
+});
+
+test('a slice that returns is granted without renewing the others', t => {
+  const {harness, sent} = createGrantingDaemon();
+  harness.handle(confirmationOf(sent));
+  const [service, slices] = [FINDER, [0 as never]];
+  const released: Change = {kind: 'released', service, slices, handovers: []};
+  const back: Change = {
+    kind: 'moving',
+    service: FINDER,
+    moves: [{first: 0 as never, count: 1, to: SELF}],
+  };
+  const effects = harness.receiveEntries([MOVING, released, back, released]);
+  const grants = [...grantsIn(effects), ...grantsIn(harness.tick())];
+  t.deepEqual(
+    grants.flatMap(each => each.grants.map(({first, count}) => [first, count])),
+    [[0, 1]],
+  );
+});
--- a/packages/core/src/grants/logic.ts
+++ b/packages/core/src/grants/logic.ts
@@ -12,15 +12,17 @@
 import type {OwnershipContext} from '../ownership/state.js';
 import type {SliceGrants, UnconfirmedGrant} from './types.js';
 
-/** Time between two rounds of slice grants, as a share of the lease time. */
+/** Maximum time between two rounds of slice grants, as a share of the lease. */
 const RENEW_INTERVAL_SHARE = 1 / 3;
+/** Share of a grant's time after which it is renewed at the latest. */
+const RENEW_LEFT_SHARE = 1 / 2;
 /** Time after which an unconfirmed grant no longer delays a release request. */
 const CONFIRM_TIMEOUT_MS = 600;
 
 /**
  * Grants the server the slices that this member owns, if it holds a lease. All
- * are granted again in each round, before earlier grants expire; a slice with a
- * new generation starts a round immediately.
+ * are granted again in each round, before earlier grants expire; slices with a
+ * new generation are granted immediately.
  *
  * @param context - Context of the current input.
  */
@@ -37,17 +39,21 @@
   if (self.offer?.instance !== announcement.instance) return;
   const owned = ownedSlices(service, self.index);
   const isDue = at.monotonic >= grants.renewAt;
-  if (!isDue && !owned.some(slice => needsGrant(grants, service, slice))) {
-    return;
-  }
+  const now = at.monotonic;
+  const due = isDue
+    ? owned
+    : owned.filter(slice => needsGrant(grants, service, slice, now));
   const {leaseMs, marginMs} = settings.tuning.leases;
-  grants.renewAt = at.monotonic + leaseMs * RENEW_INTERVAL_SHARE;
-  if (owned.length === 0) return;
-  const sent = groupIntoGrants(service, owned);
+  if (isDue) {
+    const leftMs = timeLeftMs(until, at);
+    const intervalMs = leaseMs * RENEW_INTERVAL_SHARE;
+    grants.renewAt = now + Math.min(intervalMs, leftMs * RENEW_LEFT_SHARE);
+  }
+  if (due.length === 0) return;
+  const sent = groupIntoGrants(service, due);
   grants.round += 1;
   if (announcement.checksGrants) {
-    const mayHoldUntil = until.monotonic + marginMs;
-    recordSent(grants, service.name, sent, at.monotonic, mayHoldUntil);
+    recordSent(grants, service.name, sent, now, until.monotonic, marginMs);
   }
   effects.push({
     kind: 'grantSlices',
@@ -60,19 +66,29 @@
 }
 
 /**
- * Records that the server confirmed a grant.
+ * Records that the server confirmed a grant. A confirmation that arrives after
+ * the grant has expired is ignored.
  *
  * @param grants - State of the grants.
  * @param event - The grant and its round.
+ * @param expires - Whether the server checks grants, which expire there.
  */
 export function confirmGrant(
   grants: SliceGrants,
   event: Extract<Event, {kind: 'slicesGranted'}>,
+  expires: boolean,
 ): void {
   const {service, grant, round} = event;
-  grants.unconfirmed.delete(unconfirmedGrantKey(round, grant));
+  const sentKey = unconfirmedGrantKey(round, grant);
+  const sent = grants.unconfirmed.get(sentKey);
+  if (sent === undefined && expires) return;
+  grants.unconfirmed.delete(sentKey);
+  const {generation} = grant;
   for (const key of sliceKeysOf(service, grant)) {
-    grants.confirmed.set(key, grant.generation);
+    const known = grants.confirmed.get(key);
+    const knownUntil = known?.generation === generation ? known.heldUntil : 0;
+    const heldUntil = Math.max(knownUntil, sent?.heldUntil ?? Infinity);
+    grants.confirmed.set(key, {generation, heldUntil});
   }
 }
 
@@ -101,12 +117,14 @@
 }
 
 /**
- * Returns whether the server has confirmed a slice under a generation.
+ * Returns whether the server holds a slice under a generation: it confirmed the
+ * grant, which has not expired.
  *
  * @param grants - State of the grants.
  * @param service - The service.
  * @param slice - The slice.
  * @param generation - The slice's current generation.
+ * @param now - Monotonic time, in milliseconds.
  * @returns Whether the server would run work on the slice.
  */
 export function isGrantConfirmed(
@@ -114,8 +132,10 @@
   service: ServiceName,
   slice: Slice,
   generation: number,
+  now: number,
 ): boolean {
-  return grants.confirmed.get(sliceKey(service, slice)) === generation;
+  const confirmed = grants.confirmed.get(sliceKey(service, slice));
+  return confirmed?.generation === generation && now < confirmed.heldUntil;
 }
 
 /**
@@ -238,10 +258,11 @@
   grants: SliceGrants,
   service: ServicePlacement,
   slice: Slice,
+  now: number,
 ): boolean {
   const generation = service.generation[slice] as Generation;
   const {name} = service;
-  if (isGrantConfirmed(grants, name, slice, generation)) return false;
+  if (isGrantConfirmed(grants, name, slice, generation, now)) return false;
   const unconfirmed = unconfirmedGrantsOf(grants, name, slice);
   return !unconfirmed.some(each => each.generation === generation);
 }
@@ -251,14 +272,17 @@
   service: ServiceName,
   sent: readonly SliceGrant[],
   now: number,
-  until: number,
+  heldUntil: number,
+  marginMs: number,
 ): void {
+  const until = heldUntil + marginMs;
   for (const grant of sent) {
-    const slices = sliceKeysOf(service, grant);
-    const {generation} = grant;
-    const added: UnconfirmedGrant = {slices, generation, sentAt: now, until};
+    const {first, count, generation} = grant;
+    const range = {service, first, count};
+    const times = {sentAt: now, until, heldUntil};
+    const added: UnconfirmedGrant = {...range, generation, ...times};
     grants.unconfirmed.set(unconfirmedGrantKey(grants.round, grant), added);
-    for (const key of slices) {
+    for (const key of sliceKeysOf(service, grant)) {
       const previous = grants.mayHoldUntil.get(key) ?? 0;
       grants.mayHoldUntil.set(key, Math.max(previous, until));
     }
@@ -276,10 +300,13 @@
   service: ServiceName,
   slice: Slice,
 ): UnconfirmedGrant[] {
-  const key = sliceKey(service, slice);
-  return [...grants.unconfirmed.values()].filter(({slices}) =>
-    slices.includes(key),
-  );
+  const found: UnconfirmedGrant[] = [];
+  for (const each of grants.unconfirmed.values()) {
+    const {first, count} = each;
+    if (each.service !== service) continue;
+    if (slice >= first && slice < first + count) found.push(each);
+  }
+  return found;
 }
 
 function unconfirmedGrantKey(round: number, {first}: SliceGrant): string {
--- a/packages/core/src/grants/types.ts
+++ b/packages/core/src/grants/types.ts
@@ -1,16 +1,28 @@
 /** @fileoverview State of slice grants to the local backend server. */
 
-import type {Generation} from '../ids/types.js';
+import type {Generation, ServiceName, Slice} from '../ids/types.js';
 
 /** A slice grant that was sent and is not confirmed. */
 export interface UnconfirmedGrant {
-  /** Its slices, as `service/slice`. */
-  readonly slices: readonly string[];
+  readonly service: ServiceName;
+  /** Its first slice. */
+  readonly first: Slice;
+  /** Number of its slices. */
+  readonly count: number;
   readonly generation: Generation;
   /** Monotonic time at which it was sent. */
   readonly sentAt: number;
   /** Monotonic time until which it may take effect. */
   readonly until: number;
+  /** Monotonic time until which the server surely holds it once confirmed. */
+  readonly heldUntil: number;
+}
+
+/** What the server has confirmed of a slice. */
+export interface ConfirmedGrant {
+  readonly generation: Generation;
+  /** Monotonic time until which the server surely holds the slice. */
+  readonly heldUntil: number;
 }
 
 /**
@@ -18,8 +30,8 @@
  * unless stated otherwise.
  */
 export interface SliceGrants {
-  /** Generation under which the server has confirmed each slice. */
-  readonly confirmed: Map<string, Generation>;
+  /** The latest confirmation of each slice. */
+  readonly confirmed: Map<string, ConfirmedGrant>;
   /** Monotonic time until which the server may hold each slice. */
   readonly mayHoldUntil: Map<string, number>;
   /**
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -144,7 +144,11 @@
       handleExternalConfiguration(context, event.configuration);
       return;
     case 'slicesGranted':
-      confirmGrant(state.grants, event);
+      confirmGrant(
+        state.grants,
+        event,
+        state.announcement?.checksGrants === true,
+      );
       return;
     case 'slicesReleased':
       handleSlicesHandedBack(context, event);
--- a/packages/core/src/ownership/view.ts
+++ b/packages/core/src/ownership/view.ts
@@ -99,7 +99,9 @@
   if (isPastDrainGrace(state, at)) return denied('moving');
   const generation = placement.generation[slice];
   const checks = state.announcement?.checksGrants === true;
-  if (checks && !isGrantConfirmed(state.grants, service, slice, generation)) {
+  const {grants} = state;
+  const now = at.monotonic;
+  if (checks && !isGrantConfirmed(grants, service, slice, generation, now)) {
     return denied('moving');
   }
   return permissionUnderLease(state, generation, at);
--- a/packages/core/src/testing/harness.ts
+++ b/packages/core/src/testing/harness.ts
@@ -4,13 +4,15 @@
  */
 
 import {makeMemberId} from '../ids/logic.js';
-import type {MemberId, Version} from '../ids/types.js';
+import type {MemberId, Slice, Version} from '../ids/types.js';
 import {toLoggedEntry} from '../log/logic.js';
 import type {Change} from '../log/types.js';
 import type {Announcement, Effect, Event} from '../loop/types.js';
 import type {Message} from '../messages/types.js';
 import {OWNERSHIP} from '../ownership/definition.js';
 import {createOwnershipState} from '../ownership/state.js';
+import type {DispatchPermission} from '../ownership/types.js';
+import {mayDispatch} from '../ownership/view.js';
 import {mergeTuning} from '../settings/logic.js';
 import type {StoreCall, StoreReply} from '../store/types.js';
 
@@ -119,6 +121,17 @@
     this.state.lease.rowLeaseStart = {monotonic: this.now, wall: this.now};
   }
 
+  /**
+   * Asks whether the daemon may dispatch work of a slice now.
+   *
+   * @param slice - The slice.
+   * @returns The permission.
+   */
+  permission(slice: number): DispatchPermission {
+    const at = {monotonic: this.now, wall: this.now};
+    return mayDispatch(this.state, FINDER, slice as Slice, at);
+  }
+
   /** Makes the daemon commit its removal from the workspace. */
   startEnding(): void {
     this.state.phase = 'ending';
