--- a/packages/core/src/balance/load.ts
+++ b/packages/core/src/balance/load.ts
@@ -13,7 +13,7 @@
 import {send} from '../ownership/effects.js';
 import type {OwnershipContext, OwnershipState} from '../ownership/state.js';
 import {currentRanks} from '../ownership/state.js';
-import {planMoves} from './logic.js';
+import {planMoves, weightBySpeed} from './logic.js';
 import type {Balance, MemberLoad, LoadReport} from './types.js';
 
 /** Maximum time between two reports. */
@@ -21,7 +21,7 @@
 /** Change of the total, as a share, that is reported without delay. */
 const MIN_REPORTED_CHANGE = 0.15;
 /** Maximum number of slices in a report; the busiest are reported. */
-const MAX_REPORTED_SLICES = 16;
+const MAX_REPORTED_SLICES = 64;
 /** Rate below which a slice is no longer tracked, in busy slots. */
 const MIN_SLICE_RATE = 0.0005;
 /** Interval of planning while there is nothing to move. */
@@ -133,8 +133,8 @@
   const {balance, map} = state;
   if (at.monotonic < balance.notBefore || service.moves.size > 0) return null;
   const maxMoves = map.configuration?.workspace.limits.maxMovingSlices ?? 0;
-  const loads = candidates.map(member =>
-    memberLoadOf(context, service, member),
+  const loads = weightBySpeed(
+    candidates.map(member => memberLoadOf(context, service, member)),
   );
   const {hotShare, roundMs} = state.settings.tuning.balance;
   const planned = planMoves(loads, maxMoves, hotShare);
@@ -174,16 +174,13 @@
     if (owner?.id === member.id && !movedRecently) slices.set(slice, rate);
   }
   const total = fresh ? report.total : 0;
-  const slots = Math.max(1, member.offer?.slots ?? 1);
+  const capacity = Math.max(1, member.offer?.slots ?? 1);
   const slowness = slownessOf(balance, service.name, report);
-  const capacity = slots / slowness;
   return {member: member.id, capacity, slowness, total, slices};
 }
 
 /**
  * Returns a member's mean run time over that of the service's fastest server.
- * Lowers the capacity of slow servers: of two servers with free slots, the
- * faster one responds sooner.
  */
 function slownessOf(
   {reports}: Balance,
--- a/packages/core/src/balance/types.ts
+++ b/packages/core/src/balance/types.ts
@@ -51,7 +51,7 @@
 /** Load of one member, as input of the planner. */
 export interface MemberLoad {
   readonly member: MemberId;
-  /** Number of slots divided by `slowness`. */
+  /** Number of slots, weighted by the member's speed. */
   readonly capacity: number;
   /** Relative run time: the mean over that of the fastest member, minimum 1. */
   readonly slowness: number;
--- a/packages/core/src/coordinator/logic.ts
+++ b/packages/core/src/coordinator/logic.ts
@@ -6,7 +6,7 @@
 import type {MemberId, ServiceName, Slice} from '../ids/types.js';
 import type {Change, SliceMove, SliceRange} from '../log/types.js';
 import {memberAt, acceptsWork} from '../map/logic.js';
-import {NO_MEMBER} from '../map/state.js';
+import {NO_MEMBER, wasNeverPlaced} from '../map/state.js';
 import type {ClusterMap, Member, ServicePlacement} from '../map/types.js';
 
 /**
@@ -14,6 +14,11 @@
  * 147,000 characters; it has to fit into a message between daemons.
  */
 const MAX_RANGES = 2048;
+/**
+ * Number of blocks of adjacent slices that an owner of ordered keys gets when
+ * it has none: more blocks spread hot keys better, fewer need fewer grants.
+ */
+const BLOCKS_PER_OWNER = 16;
 /**
  * Minimum difference between two members' numbers of slices that is worth a
  * move, as a share of the mean.
@@ -25,10 +30,16 @@
  * then moves from members that accept no work, then standbys.
  *
  * @param map - Map of the workspace.
+ * @param placesNew - Whether services that never had an owner are placed.
  * @returns The change, or null if the placement needs none.
  */
-export function nextPlacement(map: ClusterMap): Change | null {
-  const services = configuredServices(map);
+export function nextPlacement(
+  map: ClusterMap,
+  placesNew = true,
+): Change | null {
+  const services = configuredServices(map).filter(
+    service => placesNew || !wasNeverPlaced(service),
+  );
   for (const step of [placeUnowned, moveFromIneligible, placeStandbys]) {
     for (const service of services) {
       const candidates = eligibleMembers(map, service.name);
@@ -83,30 +94,53 @@
   if (unowned === 0) return null;
   const ranges = new RangeList();
   const quota = Math.ceil(service.slices / candidates.length);
-  const nextOwner = hasOrderedKeys(map, service.name)
+  const isOrdered = hasOrderedKeys(map, service.name);
+  const blockSize = isOrdered ? blockSizeOf(service, candidates) : 1;
+  const nextOwner = isOrdered
     ? roundRobinOwners(candidates, counts)
     : ownersByQuota(candidates, counts, quota);
+  let block: {owner: Member; standby: Member | null; end: number} | null = null;
   for (let slice = 0; slice < service.slices; slice++) {
-    if (service.owner[slice] !== NO_MEMBER) continue;
-    const owner = nextOwner();
+    if (service.owner[slice] !== NO_MEMBER) {
+      block = null;
+      continue;
+    }
+    if (block === null || slice === block.end) {
+      const owner = nextOwner();
+      const standby = standbyFor(owner, candidates, slice / blockSize);
+      block = {owner, standby, end: slice + blockSize};
+    }
+    const {owner, standby} = block;
     counts.set(owner.index, count(counts, owner) + 1);
-    const standby = standbyFor(owner, candidates, slice);
     if (!ranges.add(slice, owner.id, standby?.id ?? null)) break;
   }
   return placedChange(service, ranges);
 }
 
+/** Number of adjacent slices that get the same owner at first. */
+function blockSizeOf(
+  service: ServicePlacement,
+  candidates: readonly Member[],
+): number {
+  const blocks = candidates.length * BLOCKS_PER_OWNER;
+  return Math.max(1, Math.floor(service.slices / blocks));
+}
+
 /**
  * Returns whether a service has ordered keys. Adjacent slices of such keys are
  * under load at the same time, so they get different owners.
+ *
+ * @param map - Map of the workspace.
+ * @param name - The service.
+ * @returns Whether slices are ranges of numeric keys.
  */
-function hasOrderedKeys(map: ClusterMap, name: ServiceName): boolean {
+export function hasOrderedKeys(map: ClusterMap, name: ServiceName): boolean {
   const services = map.configuration?.workspace.services ?? [];
   const division = services.find(each => each.name === name)?.division;
   return division?.kind === 'keyed' && typeof division.keys === 'number';
 }
 
-/** Creates a source of owners in turn, each with the fewest slices then. */
+/** Creates a source of owners in turn, each with the fewest slices so far. */
 function roundRobinOwners(
   candidates: readonly Member[],
   counts: ReadonlyMap<number, number>,
@@ -184,6 +218,8 @@
 ): Change | null {
   const eligible = new Map(candidates.map(each => [each.index, each]));
   const zones = new Set(candidates.map(each => each.zone));
+  const isOrdered = hasOrderedKeys(map, service.name);
+  const blockSize = isOrdered ? blockSizeOf(service, candidates) : 1;
   const ranges = new RangeList();
   for (let slice = 0; slice < service.slices; slice++) {
     const owner = memberAt(map, service.owner[slice]);
@@ -193,7 +229,7 @@
     if (standby !== undefined) {
       if (standby.zone !== owner.zone || !hasOtherZone) continue;
     }
-    const chosen = standbyFor(owner, candidates, slice);
+    const chosen = standbyFor(owner, candidates, slice / blockSize);
     if (chosen === null && service.standby[slice] === NO_MEMBER) continue;
     if (!ranges.add(slice, owner.id, chosen?.id ?? null)) break;
   }
@@ -251,17 +287,18 @@
 
 /**
  * Chooses a standby in another availability zone, or else any other member. The
- * search starts at a candidate given by the slice, which spreads the standbys
- * of one owner over the other members.
+ * search starts at a candidate given by the block of slices, which spreads the
+ * standbys of one owner over the other members.
  */
 function standbyFor(
   owner: Member,
   candidates: readonly Member[],
-  slice: number,
+  block: number,
 ): Member | null {
   let fallback: Member | null = null;
+  const start = Math.floor(block);
   for (let step = 0; step < candidates.length; step++) {
-    const each = candidates[(slice + step) % candidates.length];
+    const each = candidates[(start + step) % candidates.length];
     if (each.index === owner.index) continue;
     if (each.zone !== owner.zone) return each;
     fallback ??= each;
--- a/packages/core/src/execution/completion.ts
+++ b/packages/core/src/execution/completion.ts
@@ -69,6 +69,7 @@
   const {run} = classifyFailure(job.stage, job.idempotent);
   const failed = {error, run, detail};
   logFailed(context, job, failed);
+  if (error === 'overloaded') recordRefusedLoad(context, job);
   finishJob(context, job, {kind: 'failed', ...failed});
   if (run === 'not-run') clearAtMostOnceMarks(context, job);
   context.effects.push({kind: 'discardAttempt', attempt: job.attempt});
@@ -196,6 +197,16 @@
   else running.delete(key);
 }
 
+/**
+ * Counts a refused attempt as load of its slice, so that balancing knows what
+ * the slice needs and not only what its server could run.
+ */
+function recordRefusedLoad(context: ExecutionContext, {slice}: Job): void {
+  if (slice === null) return;
+  const {busyMs, admission} = context.state;
+  busyMs.set(slice, (busyMs.get(slice) ?? 0) + admission.meanRunMs);
+}
+
 /**
  * Returns whether the runtime is executing a job.
  *
--- a/packages/core/src/map/logic.spec.ts
+++ b/packages/core/src/map/logic.spec.ts
@@ -13,11 +13,11 @@
 const SERVICE = 'finder' as never;
 const FIRST = 0 as Slice;
 
-function configured(): Change {
-  const division = {kind: 'keyed', slices: 2};
+function configured(number = 1, slices = 2): Change {
+  const division = {kind: 'keyed', slices};
   const services = [{name: 'finder', division}];
   const document = JSON.stringify({services});
-  return {kind: 'configured', number: 1, document};
+  return {kind: 'configured', number, document};
 }
 
 function joined(member: MemberId): Change {
@@ -56,7 +56,8 @@
 
 function mapAfter(changes: readonly Change[]): ClusterMap {
   const map = createMap();
-  const first = [joined(A), joined(B), joined(C), configured()];
+  const first = [joined(A), joined(B), joined(C)];
+  if (changes[0]?.kind !== 'configured') first.push(configured());
   for (const change of [...first, ...changes]) {
     const version = (map.version + 1) as Version;
     const entry = {version, writeId: '' as never, by: '', at: 0, change};
@@ -145,3 +146,29 @@
     t.deepEqual(firstSlice(parseMap(serializeMap(map), 0)), [...expected]);
   });
 }
+
+/** Slices in the configuration of this daemon, and in the log's first entry. */
+const SLICE_COUNTS: ReadonlyArray<readonly [number, number]> = [
+  [2, 4],
+  [4, 2],
+];
+
+for (const [own, agreed] of SLICE_COUNTS) {
+  test(`the log's ${agreed} slices replace ${own} of the configuration`, t => {
+    const range = {first: FIRST, count: agreed, owner: A, standby: B};
+    const first: Change = {
+      kind: 'placed',
+      service: SERVICE,
+      slices: agreed,
+      runs: [range],
+    };
+    const before = mapAfter([configured(1, own), first]);
+    const after = mapAfter([first, configured(2, own)]);
+    for (const map of [before, after]) {
+      t.is(map.services.get(SERVICE)?.slices, agreed);
+      const [service] = map.configuration?.workspace.services ?? [];
+      t.like(service.division, {kind: 'keyed', slices: agreed});
+      t.deepEqual(firstSlice(map), [A, B, 1]);
+    }
+  });
+}
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -9,6 +9,7 @@
   addMember,
   createServicePlacement,
   removeMember,
+  wasNeverPlaced,
 } from './state.js';
 import type {
   ClusterMap,
@@ -252,7 +253,7 @@
   map: ClusterMap,
   change: Extract<Change, {kind: 'placed'}>,
 ): void {
-  const service = findOrCreatePlacement(map, change.service, change.slices);
+  const service = placementForEntry(map, change);
   for (const range of change.runs) {
     const owner = map.members.get(range.owner)?.index ?? NO_MEMBER;
     const standby = indexOfMember(map, range.standby);
@@ -307,12 +308,32 @@
   configure(map, parseConfiguration(change.number, change.document));
 }
 
+/**
+ * Returns the placement to which an entry refers. The first `placed` entry in
+ * the log decides the number of slices, also if the configuration of this
+ * daemon, which may be of another release, has another one.
+ */
+function placementForEntry(
+  map: ClusterMap,
+  {service: name, slices}: Extract<Change, {kind: 'placed'}>,
+): ServicePlacement {
+  const existing = findOrCreatePlacement(map, name, slices);
+  if (existing.slices === slices || !wasNeverPlaced(existing)) return existing;
+  const created = createServicePlacement(name, slices);
+  map.services.set(name, created);
+  if (map.configuration !== null) configure(map, map.configuration);
+  return created;
+}
+
 function configure(map: ClusterMap, configuration: Configuration): void {
-  map.configuration = configuration;
-  for (const service of configuration.workspace.services) {
-    if (service.division.kind !== 'keyed') continue;
-    findOrCreatePlacement(map, service.name, service.division.slices);
-  }
+  const {workspace} = configuration;
+  const services = workspace.services.map(service => {
+    const {name, division} = service;
+    if (division.kind !== 'keyed') return service;
+    const {slices} = findOrCreatePlacement(map, name, division.slices);
+    return {...service, division: {...division, slices}};
+  });
+  map.configuration = {...configuration, workspace: {...workspace, services}};
 }
 
 function findOrCreatePlacement(
--- a/packages/core/src/map/state.ts
+++ b/packages/core/src/map/state.ts
@@ -58,6 +58,19 @@
   };
 }
 
+/**
+ * Returns whether no slice of a service ever had an owner.
+ *
+ * @param service - Placement of the service.
+ * @returns False from the first placement on, also if all owners are lost.
+ */
+export function wasNeverPlaced(service: ServicePlacement): boolean {
+  return (
+    service.owner.every(owner => owner === NO_MEMBER) &&
+    service.generation.every(generation => generation === 0)
+  );
+}
+
 /**
  * Adds a member at the lowest free index.
  *
--- a/packages/core/src/ownership/due_tasks.ts
+++ b/packages/core/src/ownership/due_tasks.ts
@@ -17,9 +17,11 @@
 import {reportSilentMembers, updateWatchedMembers} from '../leases/grantor.js';
 import {acceptsWork} from '../map/logic.js';
 import {hasEnoughLoad, reportLoad, proposeLoadMoves} from '../balance/load.js';
+import {hasFormed} from '../coordinator/formation.js';
 import {
   eligibleMembers,
   configuredServices,
+  hasOrderedKeys,
   nextPlacement,
   rebalanceSliceCounts,
 } from '../coordinator/logic.js';
@@ -211,28 +213,33 @@
 function proposePlacement(context: OwnershipContext): ProposedChange | null {
   const {state} = context;
   if (!state.actsAsCoordinator) return null;
-  const change = placementFromMap(state) ?? rebalanceByLoad(context);
+  const change = placementFromMap(context) ?? rebalanceByLoad(context);
   return change === null ? null : {change, by: state.self};
 }
 
 /**
  * Returns the next placement that depends on the map alone. A log version
- * without one isn't checked again.
+ * without one isn't checked again once the fleet has formed.
  */
-function placementFromMap(state: OwnershipState): Change | null {
-  const {map} = state;
+function placementFromMap(context: OwnershipContext): Change | null {
+  const {state, at} = context;
+  const {map, formation, settings} = state;
   if (state.placementCheckedVersion === map.version) return null;
-  const change = nextPlacement(map) ?? rebalanceByCount(state);
-  if (change === null) state.placementCheckedVersion = map.version;
+  const {formMs} = settings.tuning.membership;
+  const formed = hasFormed(formation, map, at.monotonic, formMs);
+  const change = nextPlacement(map, formed) ?? rebalanceByCount(state);
+  if (change === null && formed) state.placementCheckedVersion = map.version;
   return change;
 }
 
 /**
  * Evens out the numbers of slices for services whose load isn't known well
- * enough.
+ * enough. Numbers say nothing about the load of ordered keys, which waits until
+ * it is measured.
  */
 function rebalanceByCount(state: OwnershipState): Change | null {
   for (const service of configuredServices(state.map)) {
+    if (hasOrderedKeys(state.map, service.name)) continue;
     if (hasEnoughLoad(state, service.name)) continue;
     const candidates = eligibleMembers(state.map, service.name);
     if (candidates.length < 2) continue;
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -27,6 +27,8 @@
 import type {Balance} from '../balance/types.js';
 import {createSliceGrants} from '../grants/state.js';
 import type {SliceGrants} from '../grants/types.js';
+import {createFormation} from '../coordinator/formation.js';
+import type {Formation} from '../coordinator/formation.js';
 import {makeMemberId} from '../ids/logic.js';
 import type {LogWriter, LogReader} from '../log_replication/types.js';
 import {createLogWriter, createLogReader} from '../log_replication/state.js';
@@ -242,6 +244,7 @@
    * Log version at which the coordinator found nothing to place; -1 if none.
    */
   placementCheckedVersion: number;
+  readonly formation: Formation;
   readonly grants: SliceGrants;
   /** Monotonic time at which this incarnation joined. */
   joinedAt: number;
@@ -315,6 +318,7 @@
     ringCache: {membershipChanges: -1, ring: EMPTY_RING, ranks: []},
     watchedMembershipChanges: -1,
     placementCheckedVersion: -1,
+    formation: createFormation(),
     grants: createSliceGrants(),
     joinedAt: 0,
     externalConfiguration: null,
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -34,6 +34,11 @@
      * workspace.
      */
     touchesPerSecond: 200,
+    /**
+     * Time without a new member or server after which slices that never had an
+     * owner are placed.
+     */
+    formMs: 300,
     /** Interval at which silent grantors are asked whether they are alive. */
     probeMs: 2000,
     /**
