Send shared requests to a near server while it has room

Cause: of two random servers the better one was taken, so with one server of a service in each of four zones half of the requests never considered the near one; 27% stayed in their zone, though near servers had slots free. A server of the same zone is now taken while under 70% of its slots are known to be in use and its expected latency is within three quarters of the objective. The planner's preference for fast servers fades only once less than half of the slots are free.

--- a/packages/core/src/balance/logic.ts
+++ b/packages/core/src/balance/logic.ts
@@ -58,9 +58,9 @@
 }
 
 /**
- * Weights the slots of members by their speed. While most slots are free, work
- * goes to fast members, which respond sooner; the fuller the slots, the more
- * work slow members get, up to their share of the slots.
+ * Weights the slots of members by their speed. While half of the slots are
+ * free, work goes to fast members, which respond sooner; the fuller the slots,
+ * the more work slow members get, up to their share of the slots.
  *
  * @param loads - Load of every member; the capacities are numbers of slots.
  * @returns The loads with weighted capacities.
@@ -69,9 +69,10 @@
   const busy = loads.reduce((sum, {total}) => sum + total, 0);
   const slots = loads.reduce((sum, {capacity}) => sum + capacity, 0);
   const free = slots === 0 ? 0 : Math.max(0, 1 - busy / slots);
+  const exponent = Math.min(1, 2 * free);
   return loads.map(load => ({
     ...load,
-    capacity: load.capacity / load.slowness ** free,
+    capacity: load.capacity / load.slowness ** exponent,
   }));
 }
 
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -88,6 +88,8 @@
   readonly idempotent: boolean;
   readonly priority: Priority;
   readonly timeoutMs: number;
+  /** Latency objective of the response, in milliseconds; 0 if none. */
+  readonly objectiveMs: number;
   /** Maximum number of attempts of the request, or null for the default. */
   readonly maxAttempts: number | null;
   readonly idempotencyKey: string | null;
--- a/packages/core/src/routing/definition.spec.ts
+++ b/packages/core/src/routing/definition.spec.ts
@@ -40,6 +40,7 @@
       idempotent: false,
       priority: 'interactive',
       timeoutMs: TIMEOUT_MS,
+      objectiveMs: 0,
       maxAttempts: null,
       idempotencyKey: null,
       ...changes,
--- a/packages/core/src/routing/dispatch.ts
+++ b/packages/core/src/routing/dispatch.ts
@@ -103,6 +103,7 @@
     now,
     zone: state.zone,
     random: drawRandom(context),
+    objectiveMs: pending.accepted.objectiveMs,
     excluded:
       alsoExcluded === null
         ? pending.excludedServers
--- a/packages/core/src/selection/logic.ts
+++ b/packages/core/src/selection/logic.ts
@@ -1,8 +1,10 @@
 /**
  * @fileoverview Selects a server for a request that any server of a service
- * may run. Of two random servers it takes the one with the better score, which
- * combines outstanding work and latency ("power of two choices"). There are no
- * probes: the statistics come from attempts and their responses alone.
+ * may run. A server in the caller's availability zone is taken while it has room
+ * and is fast enough. Otherwise, of two random servers it takes the one with the
+ * better score, which combines outstanding work and latency ("power of two
+ * choices"). There are no probes: the statistics come from attempts and their
+ * responses alone.
  */
 
 import type {AttemptId, MemberId, ServiceName, ZoneName} from '../ids/types.js';
@@ -31,6 +33,13 @@
 const MEAN_WEIGHT = 0.02;
 /** Weight of a new sample that is below a server's estimated latency. */
 const DECREASE_WEIGHT = 0.2;
+/** Share of a server's slots that may be in use for it to have room. */
+const ROOM_SHARE = 0.7;
+/**
+ * Share of the latency objective that a server in the same zone may be expected
+ * to need; beyond it, a faster one in another zone may be better.
+ */
+const NEAR_LATENCY_SHARE = 0.75;
 /** Minimum number of samples before a percentile is used. */
 const MIN_SAMPLES = 20;
 
@@ -45,6 +54,8 @@
   readonly zone: ZoneName | null;
   /** Uniform in [0, 1). */
   readonly random: number;
+  /** Latency objective of the response, in milliseconds; 0 if none. */
+  readonly objectiveMs: number;
   /** Servers that must not be selected. */
   readonly excluded: readonly MemberId[];
   readonly tuning: SelectionTuning;
@@ -72,18 +83,64 @@
   servers: readonly ServingMember[],
   context: SelectionContext,
 ): ServingMember | null {
-  const {excluded, random} = context;
+  const {excluded} = context;
   const eligible =
     excluded.length === 0
       ? servers
       : servers.filter(server => !excluded.includes(server.member));
   if (eligible.length < 2) return eligible[0] ?? null;
-  const [a, b] = pickTwo(eligible, random);
+  const near = eligible.filter(server => isNear(server, context));
+  const [nearest] =
+    near.length < 2 ? near : [betterOfTwo(selection, near, context)];
+  if (nearest !== undefined && hasRoom(selection, nearest, context)) {
+    return nearest;
+  }
+  return betterOfTwo(selection, eligible, context);
+}
+
+/** Takes the better one of two random servers; there are at least two. */
+function betterOfTwo(
+  selection: SelectionState,
+  servers: readonly ServingMember[],
+  context: SelectionContext,
+): ServingMember {
+  const [a, b] = pickTwo(servers, context.random);
   const scoreA = scoreOf(selection, a, context);
   const scoreB = scoreOf(selection, b, context);
   return scoreA <= scoreB ? a : b;
 }
 
+/**
+ * Returns whether a server has free slots, accepted the latest attempts and is
+ * expected to respond well within the latency objective.
+ */
+function hasRoom(
+  selection: SelectionState,
+  {member, slots}: ServingMember,
+  context: SelectionContext,
+): boolean {
+  const known = selection.servers.get(member);
+  if (known === undefined) return true;
+  if (known.penalizedUntil > context.now) return false;
+  if (outstandingAt(known, context) >= ROOM_SHARE * slots) return false;
+  if (context.objectiveMs === 0) return true;
+  const meanMs = selection.services.get(context.service)?.meanMs ?? 0;
+  const expectedMs = expectedLatencyMs(known, meanMs, context);
+  return expectedMs <= NEAR_LATENCY_SHARE * context.objectiveMs;
+}
+
+function isNear({zone}: ServingMember, context: SelectionContext): boolean {
+  return context.zone === null || zone === context.zone;
+}
+
+/** Attempts that wait or run at a server, as far as this daemon knows. */
+function outstandingAt(known: ServerStats, context: SelectionContext): number {
+  const {latencyHalfLifeMs} = context.tuning;
+  const halfLives = (context.now - known.reportedAt) / latencyHalfLifeMs;
+  const reported = known.reportedOutstanding * 0.5 ** halfLives;
+  return Math.max(known.outstanding.size, reported);
+}
+
 /**
  * Records that an attempt was sent.
  *
@@ -269,15 +326,13 @@
   context: SelectionContext,
 ): number {
   const known = selection.servers.get(server.member);
-  const isNear = context.zone === null || server.zone === context.zone;
-  const zoneFactor = isNear ? 1 : context.tuning.otherZoneFactor;
+  const zoneFactor = isNear(server, context)
+    ? 1
+    : context.tuning.otherZoneFactor;
   const meanMs = selection.services.get(context.service)?.meanMs ?? 0;
   if (known === undefined) return Math.max(MIN_LATENCY_MS, meanMs) * zoneFactor;
   const latencyMs = expectedLatencyMs(known, meanMs, context);
-  const halfLives =
-    (context.now - known.reportedAt) / context.tuning.latencyHalfLifeMs;
-  const reported = known.reportedOutstanding * 0.5 ** halfLives;
-  const load = 1 + Math.max(known.outstanding.size, reported);
+  const load = 1 + outstandingAt(known, context);
   const penalty = known.penalizedUntil > context.now ? PENALTY_FACTOR : 1;
   return latencyMs ** LATENCY_EXPONENT * load * zoneFactor * penalty;
 }
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -269,6 +269,7 @@
         idempotent: pending.route.idempotent,
         priority: pending.route.priority,
         timeoutMs: pending.timeoutMs,
+        objectiveMs: pending.route.objectiveMs,
         maxAttempts: pending.route.maxAttempts,
         idempotencyKey: pending.idempotencyKey,
       },
--- a/packages/emulator/src/requests/faults.spec.ts
+++ b/packages/emulator/src/requests/faults.spec.ts
@@ -97,6 +97,7 @@
       idempotent: draw() < 0.4,
       priority: draw() < 0.2 ? 'deferrable' : 'interactive',
       timeoutMs: TIMEOUT_MS,
+      objectiveMs: 0,
       maxAttempts: null,
       idempotencyKey: null,
     });
--- a/packages/emulator/src/requests/load.ts
+++ b/packages/emulator/src/requests/load.ts
@@ -97,6 +97,7 @@
       idempotent: load.idempotent,
       priority: 'interactive',
       timeoutMs: load.timeoutMs,
+      objectiveMs: 0,
       maxAttempts: null,
       idempotencyKey: null,
     });
