Bound what is read from a server that sends bytes without end

Informational responses are counted, the bytes besides the body are bounded, a body that nobody needs is read up to 64 KB or 500 ms.

--- a/packages/daemon/src/runs/logic.spec.ts
+++ b/packages/daemon/src/runs/logic.spec.ts
@@ -7,28 +7,9 @@
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
 
-import type {
-  Address,
-  AttemptId,
-  Dispatch,
-  Event,
-  Generation,
-  InstanceId,
-  MemberId,
-  Message,
-  ServiceName,
-  Slice,
-} from '@jackdawfall/core';
+import type {AttemptId} from '@jackdawfall/core';
 
-import {RunExecutor} from './logic.js';
-import {SERVER_PROTOCOL} from './protocol.js';
-
-const ORIGIN = 'h1#1' as MemberId;
-const ATTEMPT = 'h1#1/1' as AttemptId;
-const SERVICE = 'finder' as ServiceName;
-const SILENCE_MS = 200;
-const BUDGET_MS = 400;
-const WAIT_TIMEOUT_MS = 3000;
+import {ATTEMPT, ORIGIN, createRunHarness} from '../testing/runs.js';
 
 type Handler = (incoming: IncomingMessage, outgoing: ServerResponse) => void;
 
@@ -209,86 +190,5 @@
     server.closeAllConnections();
     server.close();
   });
-  const events: Event[] = [];
-  const messages: Message[] = [];
-  const runs = new RunExecutor({
-    emit: event => void events.push(event),
-    transmit: (_, message) => void messages.push(message),
-    mayWrite: () => mayWrite,
-    windowBytes: 1024,
-    silenceMs: SILENCE_MS,
-    silentRunMs: SILENCE_MS,
-    protocol: SERVER_PROTOCOL,
-    onServerUnreachable: () => undefined,
-    keptLimits: {responseBytes: 100, totalBytes: 1000},
-  });
-  runs.setServer({
-    instance: 'i' as InstanceId,
-    service: SERVICE,
-    address: `127.0.0.1:${port}` as Address,
-    slots: 4,
-    connections: 4,
-    checksGrants: false,
-    leaving: false,
-    coldStart: null,
-  });
-  runs.receive(ORIGIN, dispatch());
-  return {
-    runs,
-    events,
-    start: (keep: boolean) => startRun(runs, keep),
-    kinds: (attempt: AttemptId = ATTEMPT) => messageKinds(messages, attempt),
-    waitForEvents: (count: number) =>
-      waitUntil(() => {
-        runs.tick();
-        return events.length >= count;
-      }),
-  };
-}
-
-function startRun(runs: RunExecutor, keepResponse: boolean): void {
-  runs.run({
-    kind: 'run',
-    attempt: ATTEMPT,
-    origin: ORIGIN,
-    service: SERVICE,
-    slice: 0 as Slice,
-    generation: 1 as Generation,
-    budgetMs: BUDGET_MS,
-    keepResponse,
-  });
-}
-
-function dispatch(): Dispatch {
-  return {
-    kind: 'dispatch',
-    attempt: ATTEMPT,
-    request: 'r1',
-    method: 'GET',
-    path: '/finder/a',
-    headers: [],
-    service: SERVICE,
-    slice: 0 as Slice,
-    body: new Uint8Array(),
-    bodyEnds: true,
-  } as unknown as Dispatch;
-}
-
-function messageKinds(
-  messages: readonly Message[],
-  attempt: AttemptId,
-): string[] {
-  const kinds: string[] = [];
-  for (const message of messages) {
-    if (!('attempt' in message) || message.attempt !== attempt) continue;
-    if (kinds.at(-1) !== message.kind) kinds.push(message.kind);
-  }
-  return kinds;
-}
-
-async function waitUntil(done: () => boolean): Promise<void> {
-  const end = performance.now() + WAIT_TIMEOUT_MS;
-  while (!done() && performance.now() < end) {
-    await new Promise(resolve => setTimeout(resolve, 5));
-  }
+  return createRunHarness(port, mayWrite);
 }
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -22,6 +22,11 @@
 import {endToEndHeaders} from '../http/headers.js';
 import type {AttemptMessage} from '../links/messages.js';
 import type {ServerProtocol} from '../adapters/types.js';
+import {
+  discardBody,
+  hasExcessBytes,
+  limitInformational,
+} from './excess_bytes.js';
 import {KeptResponses} from './kept.js';
 import type {KeptResponseLimits} from './kept.js';
 import {endsAtConnectionClose, waitForCleanClose} from './connection_close.js';
@@ -163,6 +168,8 @@
       finished: false,
       lastActivityMs: performance.now(),
       expiresMs: performance.now() + budgetMs,
+      bytesReadBefore: 0,
+      bodyBytes: 0,
     };
     received.run = run;
     this.active.add(received);
@@ -231,6 +238,9 @@
     for (const {run} of [...this.active]) {
       if (run === null) continue;
       if (now >= run.expiresMs) run.outgoing.destroy(new Error('time is over'));
+      else if (hasExcessBytes(run)) {
+        run.outgoing.destroy(new Error('too many bytes besides the body'));
+      }
       if (now - run.lastActivityMs < this.context.silentRunMs) continue;
       run.lastActivityMs = now;
       hasInactiveRun = true;
@@ -334,7 +344,9 @@
 
   private subscribe(received: ReceivedAttempt, run: Run): void {
     const {outgoing} = run;
+    limitInformational(outgoing);
     outgoing.on('socket', socket => {
+      run.bytesReadBefore = socket.bytesRead;
       if (!socket.connecting) {
         this.markWritten(received, run);
         return;
@@ -363,6 +375,8 @@
     );
     outgoing.on('error', error => {
       this.checkUnreachable(error);
+      // Bytes after a complete response don't belong to it.
+      if (run.incoming?.complete === true) return;
       this.failRun(received, run, error.message);
     });
   }
@@ -405,7 +419,7 @@
       if (!incoming.complete) this.failRun(received, run, 'answer cut short');
     });
     if (refused) {
-      incoming.resume();
+      discardBody(run.outgoing, incoming);
       this.finishRun(received, run);
       this.context.emit({kind: 'runHeadReceived', attempt, status, refused});
       return;
@@ -436,6 +450,7 @@
   private handleData(received: ReceivedAttempt, run: Run, bytes: Buffer): void {
     if (run.finished) return;
     run.lastActivityMs = performance.now();
+    run.bodyBytes += bytes.length;
     for (const stream of received.streams) {
       const {attempt, to} = stream;
       stream.credit -= bytes.length;
--- a/packages/daemon/src/runs/types.ts
+++ b/packages/daemon/src/runs/types.ts
@@ -50,6 +50,10 @@
   lastActivityMs: number;
   /** Monotonic time at which the run is aborted, in milliseconds. */
   readonly expiresMs: number;
+  /** Bytes that its connection had received before this request. */
+  bytesReadBefore: number;
+  /** Bytes of the response body so far. */
+  bodyBytes: number;
 }
 
 /** The head of a response. */
--- /dev/null
+++ b/packages/daemon/src/testing/runs.ts
@@ -0,0 +1,125 @@
+/** @fileoverview A run executor with recorded events and messages, for tests. */
+
+import type {
+  Address,
+  AttemptId,
+  Dispatch,
+  Event,
+  Generation,
+  InstanceId,
+  MemberId,
+  Message,
+  ServiceName,
+  Slice,
+} from '@jackdawfall/core';
+
+import {RunExecutor} from '../runs/logic.js';
+import {SERVER_PROTOCOL} from '../runs/protocol.js';
+
+/** The daemon that sent the attempt. */
+export const ORIGIN = 'h1#1' as MemberId;
+/** The attempt that `start` runs. */
+export const ATTEMPT = 'h1#1/1' as AttemptId;
+/** Time budget of the attempt. */
+export const BUDGET_MS = 400;
+
+const SERVICE = 'finder' as ServiceName;
+const SILENCE_MS = 200;
+const WAIT_TIMEOUT_MS = 3000;
+
+/**
+ * Creates an executor that has received one attempt.
+ *
+ * @param port - Port of the backend server on 127.0.0.1.
+ * @param mayWrite - Whether the lease lasts until the request is written.
+ * @returns The executor, what it reported, and functions to drive it.
+ */
+export function createRunHarness(port: number, mayWrite = true) {
+  const events: Event[] = [];
+  const messages: Message[] = [];
+  const runs = new RunExecutor({
+    emit: event => void events.push(event),
+    transmit: (_, message) => void messages.push(message),
+    mayWrite: () => mayWrite,
+    windowBytes: 1024,
+    silenceMs: SILENCE_MS,
+    silentRunMs: SILENCE_MS,
+    protocol: SERVER_PROTOCOL,
+    onServerUnreachable: () => undefined,
+    keptLimits: {responseBytes: 100, totalBytes: 1000},
+  });
+  runs.setServer({
+    instance: 'i' as InstanceId,
+    service: SERVICE,
+    address: `127.0.0.1:${port}` as Address,
+    slots: 4,
+    connections: 4,
+    checksGrants: false,
+    leaving: false,
+    coldStart: null,
+  });
+  runs.receive(ORIGIN, dispatch());
+  return {
+    runs,
+    events,
+    start: (keep: boolean) => startRun(runs, keep),
+    kinds: (attempt: AttemptId = ATTEMPT) => messageKinds(messages, attempt),
+    waitForEvents: (count: number) =>
+      waitUntil(() => {
+        runs.tick();
+        return events.length >= count;
+      }),
+  };
+}
+
+function startRun(runs: RunExecutor, keepResponse: boolean): void {
+  runs.run({
+    kind: 'run',
+    attempt: ATTEMPT,
+    origin: ORIGIN,
+    service: SERVICE,
+    slice: 0 as Slice,
+    generation: 1 as Generation,
+    budgetMs: BUDGET_MS,
+    keepResponse,
+  });
+}
+
+function dispatch(): Dispatch {
+  return {
+    kind: 'dispatch',
+    attempt: ATTEMPT,
+    request: 'r1',
+    method: 'GET',
+    path: '/finder/a',
+    headers: [],
+    service: SERVICE,
+    slice: 0 as Slice,
+    body: new Uint8Array(),
+    bodyEnds: true,
+  } as unknown as Dispatch;
+}
+
+function messageKinds(
+  messages: readonly Message[],
+  attempt: AttemptId,
+): string[] {
+  const kinds: string[] = [];
+  for (const message of messages) {
+    if (!('attempt' in message) || message.attempt !== attempt) continue;
+    if (kinds.at(-1) !== message.kind) kinds.push(message.kind);
+  }
+  return kinds;
+}
+
+/**
+ * Waits until a condition holds, for a few seconds at most.
+ *
+ * @param done - The condition.
+ */
+export async function waitUntil(done: () => boolean): Promise<void> {
+  const end = performance.now() + WAIT_TIMEOUT_MS;
+  while (!done() && performance.now() < end) {
+    await new Promise(resolve => setTimeout(resolve, 5));
+  }
+}
