--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -268,6 +268,9 @@
    * @param message - The message.
    */
   injectMessage(node: SimulatedNode, message: Message): void {
+    if (message.kind === 'dispatch' && message.slice !== null) {
+      node.recordDispatch(message.slice);
+    }
     this.deliver(node, {kind: 'messageReceived', from: node.self, message});
   }
 
--- a/packages/emulator/src/soak/node.ts
+++ b/packages/emulator/src/soak/node.ts
@@ -15,6 +15,9 @@
 } from '@jackdawfall/core';
 import {OWNERSHIP, createOwnershipView, currentLease} from '@jackdawfall/core';
 
+/** Load of a dispatch that is only counted, in milliseconds. */
+const RUN_MS = 20;
+
 /** A run in flight on the backend server of one process. */
 interface SimulatedRun {
   readonly service: ServiceName;
@@ -36,6 +39,9 @@
   /** Real time spent in the reducer, in milliseconds. */
   reduceMs = 0;
   private work: SimulatedRun[] = [];
+  /** Load of counted dispatches by slice, since the last report. */
+  private busyMs = new Map<Slice, number>();
+  private hasRun = false;
   private heldEvents: Event[] = [];
   private clockSetAt = 0;
   private monotonic: number;
@@ -208,8 +214,22 @@
         this.work.filter(e => e.service === service && e.slice === slice)
           .length,
       inFlightTotal: () => this.work.length,
-      takeBusyMs: () => new Map(),
-      meanRunMs: () => 0,
+      takeBusyMs: () => {
+        const taken = this.busyMs;
+        this.busyMs = new Map();
+        return taken;
+      },
+      meanRunMs: () => (this.hasRun ? RUN_MS : 0),
     };
   }
+
+  /**
+   * Counts the load of a dispatch, without running it.
+   *
+   * @param slice - The slice of the dispatch.
+   */
+  recordDispatch(slice: Slice): void {
+    this.hasRun = true;
+    this.busyMs.set(slice, (this.busyMs.get(slice) ?? 0) + RUN_MS);
+  }
 }
