Do not suspect members that follow a change of the ring

Whoever the ring named as a grantor counted the silence of a member from that moment, while the member renews at its former grantors for three to four seconds more; and a former grantor that heard no more renewals reported the member after the change. A ring's new grantor now allows the time in which members follow, a member that joins gets 1.5 s for its first renewal, a watcher that the ring no longer names and that heard nothing stops, and a member tells the grantors that it replaced. Ruled out on the way: the longer time for members that join, too, and a message of an evictor that holds for a valid lease.

--- a/packages/core/src/leases/grantor.ts
+++ b/packages/core/src/leases/grantor.ts
@@ -11,13 +11,19 @@
 import {currentRanks, currentRing, isRuleEnabled} from '../ownership/state.js';
 import {currentLease} from './logic.js';
 import type {ReportedRevision} from '../membership/types.js';
-import {createWatchedMember} from './state.js';
+import {MAX_FOLLOW_DELAY_MS, createWatchedMember} from './state.js';
 import type {WatchedMember} from './types.js';
 
 /** Time between two reports about the same silent member. */
 const REPORT_INTERVAL_MS = 400;
 /** Number of highest-ranked members that get the reports, round-robin. */
 const REPORT_TARGETS = 3;
+/**
+ * Time for a member that has just joined to write its row and to renew its
+ * lease for the first time. One that gets no replies may offer its server
+ * somewhat later (R9); it has to be evicted before.
+ */
+const FIRST_RENEWAL_MS = 1500;
 /** Time after which a member with an older configuration gets the new one. */
 const FORWARD_CONFIGURATION_AFTER_MS = 400;
 /**
@@ -76,7 +82,8 @@
 /**
  * Starts to watch the members whose preferred grantors include this one, so
  * that a member that became silent before its first renewal is reported, too.
- * Forgets members that are no longer in the map.
+ * Until a member follows the ring it renews at other grantors, so it is silent
+ * here for a while. Forgets members that are no longer in the map.
  *
  * @param context - Context of the current input.
  */
@@ -85,11 +92,18 @@
   const ring = currentRing(state);
   const none: ReadonlySet<MemberId> = new Set();
   for (const id of ring.order) {
-    if (id === state.self || state.watchedMembers.has(id)) continue;
-    if (!chooseGrantors(state.map, ring, id, none).includes(state.self)) {
+    if (id === state.self) continue;
+    const watched = state.watchedMembers.get(id);
+    if (watched !== undefined && watched.rowRevision > 0) continue;
+    const preferred = chooseGrantors(state.map, ring, id, none);
+    if (!preferred.includes(state.self)) {
+      // The ring named this member for a while, but `id` never followed.
+      if (watched !== undefined) state.watchedMembers.delete(id);
       continue;
     }
-    state.watchedMembers.set(id, createWatchedMember(at.monotonic));
+    if (watched !== undefined) continue;
+    const graceMs = firstRenewalMs(state, id);
+    state.watchedMembers.set(id, createWatchedMember(at.monotonic + graceMs));
   }
   for (const id of [...state.watchedMembers.keys()]) {
     if (!state.map.members.has(id)) state.watchedMembers.delete(id);
@@ -97,6 +111,14 @@
   for (const id of [...state.revokedMembers]) {
     if (state.map.ended.has(id)) state.revokedMembers.delete(id);
   }
+  state.membersWhenWatched = new Set(state.map.members.keys());
+}
+
+/** Time in which a member that is watched from now on renews its lease here. */
+function firstRenewalMs(state: OwnershipState, id: MemberId): number {
+  if (!state.membersWhenWatched.has(id)) return FIRST_RENEWAL_MS;
+  const {followRingMs} = state.settings.tuning.membership;
+  return followRingMs + MAX_FOLLOW_DELAY_MS;
 }
 
 /**
@@ -117,6 +139,10 @@
   const now = at.monotonic;
   const {suspectMs} = state.settings.tuning.leases;
   for (const [id, watched] of state.watchedMembers) {
+    if (watched.cleared) {
+      stopWatching(state, id, now);
+      continue;
+    }
     if (now - watched.lastHeardAt < suspectMs || now < watched.nextReportAt) {
       continue;
     }
@@ -152,6 +178,27 @@
   }
 }
 
+/**
+ * Handles a message that a member need not be reported. Only from the member
+ * itself, which replaced this grantor, does it hold for a lease that is still
+ * valid: others may judge by an older row, and nobody would report the member.
+ *
+ * @param state - State of ownership.
+ * @param from - The sender.
+ * @param member - The member.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function handleCleared(
+  state: OwnershipState,
+  from: MemberId,
+  member: MemberId,
+  now: number,
+): void {
+  const watched = state.watchedMembers.get(member);
+  if (watched !== undefined && from === member) watched.cleared = true;
+  stopWatching(state, member, now);
+}
+
 /**
  * Treats a member whose link was lost as unresponsive immediately.
  *
@@ -201,6 +248,7 @@
   if (!state.map.members.has(member)) return 'unknown';
   const watched = getOrAddWatchedMember(state, member, at.monotonic);
   watched.lastHeardAt = at.monotonic;
+  watched.cleared = false;
   watched.reports = 0;
   watched.version = message.version;
   if (message.row > watched.rowRevision) {
--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -18,6 +18,7 @@
 } from '../settings/lease_times.js';
 import type {Row, StoreReply} from '../store/types.js';
 import {possibleGrantors, currentLease, isUnexpired} from './logic.js';
+import {MAX_FOLLOW_DELAY_MS} from './state.js';
 import type {GrantorStatus, LeaseState, MemberRow, RowWrite} from './types.js';
 
 /** Maximum number of renewals without a reply that are kept. */
@@ -175,6 +176,7 @@
     lease.lastReplyAt = context.at.monotonic;
   }
   const changed = grantors.join() !== lease.grantors.join();
+  const former = lease.grantors.filter(id => !grantors.includes(id));
   lease.revision = revision;
   lease.grantors = grantors;
   lease.unresolvedWrites = [];
@@ -186,6 +188,8 @@
   for (const grantor of [...lease.grantedRenewals.keys()]) {
     if (!grantors.includes(grantor)) lease.grantedRenewals.delete(grantor);
   }
+  const {self} = context.state;
+  for (const id of former) send(context, id, {kind: 'cleared', member: self});
   log(context, 'grantorsChanged', {grantors: grantors.join(' ')});
 }
 
@@ -421,7 +425,7 @@
 
 /**
  * Returns whether the ring has named grantors other than the row's for
- * `followRingMs` and a random delay of up to one second.
+ * `followRingMs` and a random delay of up to `MAX_FOLLOW_DELAY_MS`.
  */
 function isGrantorChangeDue(
   context: OwnershipContext,
@@ -431,7 +435,8 @@
   const {lease} = state;
   if (!grantorsDiffer) lease.grantorChangePendingSince = null;
   else {
-    lease.grantorChangePendingSince ??= at.monotonic + context.random() * 1000;
+    const delayMs = context.random() * MAX_FOLLOW_DELAY_MS;
+    lease.grantorChangePendingSince ??= at.monotonic + delayMs;
   }
   if (lease.grantorChangePendingSince === null) return false;
   const waitMs = state.settings.tuning.membership.followRingMs;
--- a/packages/core/src/leases/state.ts
+++ b/packages/core/src/leases/state.ts
@@ -2,6 +2,12 @@
 
 import type {LeaseState, WatchedMember} from './types.js';
 
+/**
+ * Maximum random delay, beyond `followRingMs`, before a member follows a change
+ * of the ring.
+ */
+export const MAX_FOLLOW_DELAY_MS = 1000;
+
 /**
  * Creates the lease state of a member that hasn't joined.
  *
@@ -31,19 +37,20 @@
 /**
  * Creates the record of a member that was granted no lease.
  *
- * @param now - Monotonic time, in milliseconds.
- * @returns The record, with `now` as the time of its last renewal.
+ * @param heardAt - Monotonic time from which its silence counts.
+ * @returns The record.
  */
-export function createWatchedMember(now: number): WatchedMember {
+export function createWatchedMember(heardAt: number): WatchedMember {
   return {
     leaseExpiresAt: 0,
-    lastHeardAt: now,
+    lastHeardAt: heardAt,
+    cleared: false,
     nextReportAt: 0,
     reports: 0,
     outdatedConfigurationSince: null,
     version: 0,
     configuration: 0,
     rowRevision: 0,
-    revisionSeenAt: now,
+    revisionSeenAt: heardAt,
   };
 }
--- a/packages/core/src/leases/types.ts
+++ b/packages/core/src/leases/types.ts
@@ -115,6 +115,11 @@
    * `markUnresponsive`, so that the member counts as silent at once.
    */
   lastHeardAt: number;
+  /**
+   * Whether it replaced this grantor: its silence isn't reported, and it is no
+   * longer watched once the last lease granted here has expired.
+   */
+  cleared: boolean;
   /** Monotonic time before which its silence isn't reported again. */
   nextReportAt: number;
   /** Reports of its silence since its last renewal. */
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -220,8 +220,8 @@
       readonly quietMs: number;
     }
   /**
-   * Tells the sender of `suspect` that it need not report the member: its lease
-   * is granted by other members.
+   * Tells the sender of `suspect`, or a former grantor, that it need not report
+   * the member: its lease is granted by other members.
    */
   | {readonly kind: 'cleared'; readonly member: MemberId}
   /**
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -20,7 +20,7 @@
   handleAppendReply,
 } from '../log_replication/writer.js';
 import {
-  stopWatching,
+  handleCleared,
   revokeMember,
   markUnresponsive,
   handleRenew,
@@ -210,7 +210,7 @@
       }
       return;
     case 'cleared':
-      stopWatching(state, message.member, at.monotonic);
+      handleCleared(state, from, message.member, at.monotonic);
       return;
     case 'close':
       handleRevokeRequest(context, from, message);
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -240,6 +240,8 @@
   };
   /** Count of membership changes when `watchedMembers` was last updated. */
   watchedMembershipChanges: number;
+  /** Members of the map at that time. */
+  membersWhenWatched: ReadonlySet<MemberId>;
   /**
    * Log version at which the coordinator found nothing to place; -1 if none.
    */
@@ -317,6 +319,7 @@
     lastHeardAt: new Map(),
     ringCache: {membershipChanges: -1, ring: EMPTY_RING, ranks: []},
     watchedMembershipChanges: -1,
+    membersWhenWatched: new Set(),
     placementCheckedVersion: -1,
     formation: createFormation(),
     grants: createSliceGrants(),
--- a/packages/emulator/src/soak/calm.spec.ts
+++ b/packages/emulator/src/soak/calm.spec.ts
@@ -60,3 +60,30 @@
     t.is(cluster.store.reads - reads, 0);
   });
 }
+
+test('no member is suspected while a fleet grows', t => {
+  const [, [, partial]] = TUNINGS;
+  const cluster = new SimulatedCluster({
+    seed: 12,
+    hosts: 2 * HOSTS,
+    slices: SLICES,
+    rulesOff: new Set(),
+    maxTickDelayMs: MAX_TICK_DELAY_MS,
+    tuning: mergeTuning(partial),
+  });
+  const suspected = new Set<string>();
+  const observe = (ms: number): void => {
+    for (let passed = 0; passed < ms; passed += 100) {
+      cluster.advance(100);
+      for (const {state} of cluster.liveNodes()) {
+        for (const member of state.evictions.keys()) suspected.add(member);
+      }
+    }
+  };
+  for (let host = 0; host < 2 * HOSTS; host++) {
+    cluster.start(host);
+    observe(500);
+  }
+  observe(FORM_MS);
+  t.deepEqual([...suspected], []);
+});
