Same logic once: choice by score, block size, planned loads

No change of behaviour. chooseServer had a branch of its own for one near server; chooseByScore takes any number. blockSizeOf decides about hashed keys itself, instead of both callers. planMoves and imbalanceOf built the same list.

--- a/packages/core/src/balance/logic.ts
+++ b/packages/core/src/balance/logic.ts
@@ -36,11 +36,7 @@
   maxMoves: number,
   hotShare: number,
 ): LoadMove[] {
-  const members = loads.map(load => ({
-    load,
-    slices: new Map(load.slices),
-    total: load.total,
-  }));
+  const members = loads.map(createPlannedLoad);
   const mean = meanUtilization(members);
   const moves: LoadMove[] = [];
   const sources = new Set<PlannedLoad>(members);
@@ -83,16 +79,16 @@
  * @returns Highest utilization over the mean; 1 without load.
  */
 export function imbalanceOf(loads: readonly MemberLoad[]): number {
-  const members = loads.map(load => ({
-    load,
-    slices: new Map(load.slices),
-    total: load.total,
-  }));
+  const members = loads.map(createPlannedLoad);
   const mean = meanUtilization(members);
   if (mean === 0) return 1;
   return Math.max(...members.map(utilizationOf)) / mean;
 }
 
+function createPlannedLoad(load: MemberLoad): PlannedLoad {
+  return {load, slices: new Map(load.slices), total: load.total};
+}
+
 function mostUtilized(members: readonly PlannedLoad[]): PlannedLoad {
   return members.reduce((a, b) =>
     utilizationOf(b) > utilizationOf(a) ? b : a,
--- a/packages/core/src/coordinator/logic.ts
+++ b/packages/core/src/coordinator/logic.ts
@@ -94,9 +94,8 @@
   if (unowned === 0) return null;
   const ranges = new RangeList();
   const quota = Math.ceil(service.slices / candidates.length);
-  const isOrdered = hasOrderedKeys(map, service.name);
-  const blockSize = isOrdered ? blockSizeOf(service, candidates) : 1;
-  const nextOwner = isOrdered
+  const blockSize = blockSizeOf(map, service, candidates);
+  const nextOwner = hasOrderedKeys(map, service.name)
     ? roundRobinOwners(candidates, counts)
     : ownersByQuota(candidates, counts, quota);
   let block: {owner: Member; standby: Member | null; end: number} | null = null;
@@ -117,11 +116,16 @@
   return placedChange(service, ranges);
 }
 
-/** Number of adjacent slices that get the same owner at first. */
+/**
+ * Number of adjacent slices of ordered keys that get the same owner at first
+ * and the same standby; 1 for hashed keys.
+ */
 function blockSizeOf(
+  map: ClusterMap,
   service: ServicePlacement,
   candidates: readonly Member[],
 ): number {
+  if (!hasOrderedKeys(map, service.name)) return 1;
   const blocks = candidates.length * BLOCKS_PER_OWNER;
   return Math.max(1, Math.floor(service.slices / blocks));
 }
@@ -218,8 +222,7 @@
 ): Change | null {
   const eligible = new Map(candidates.map(each => [each.index, each]));
   const zones = new Set(candidates.map(each => each.zone));
-  const isOrdered = hasOrderedKeys(map, service.name);
-  const blockSize = isOrdered ? blockSizeOf(service, candidates) : 1;
+  const blockSize = blockSizeOf(map, service, candidates);
   const ranges = new RangeList();
   for (let slice = 0; slice < service.slices; slice++) {
     const owner = memberAt(map, service.owner[slice]);
--- a/packages/core/src/grants/logic.ts
+++ b/packages/core/src/grants/logic.ts
@@ -38,8 +38,8 @@
   if (service === undefined || self === undefined) return;
   if (self.offer?.instance !== announcement.instance) return;
   const owned = ownedSlices(service, self.index);
-  const isDue = at.monotonic >= grants.renewAt;
   const now = at.monotonic;
+  const isDue = now >= grants.renewAt;
   const due = isDue
     ? owned
     : owned.filter(slice => needsGrant(grants, service, slice, now));
--- a/packages/core/src/selection/logic.ts
+++ b/packages/core/src/selection/logic.ts
@@ -88,22 +88,19 @@
     excluded.length === 0
       ? servers
       : servers.filter(server => !excluded.includes(server.member));
-  if (eligible.length < 2) return eligible[0] ?? null;
-  const near = eligible.filter(server => isNear(server, context));
-  const [nearest] =
-    near.length < 2 ? near : [betterOfTwo(selection, near, context)];
-  if (nearest !== undefined && hasRoom(selection, nearest, context)) {
-    return nearest;
-  }
-  return betterOfTwo(selection, eligible, context);
+  const inZone = eligible.filter(server => isNear(server, context));
+  const near = chooseByScore(selection, inZone, context);
+  if (near !== null && hasRoom(selection, near, context)) return near;
+  return chooseByScore(selection, eligible, context);
 }
 
-/** Takes the better one of two random servers; there are at least two. */
-function betterOfTwo(
+/** Takes the better one of two random servers; returns null without any. */
+function chooseByScore(
   selection: SelectionState,
   servers: readonly ServingMember[],
   context: SelectionContext,
-): ServingMember {
+): ServingMember | null {
+  if (servers.length < 2) return servers[0] ?? null;
   const [a, b] = pickTwo(servers, context.random);
   const scoreA = scoreOf(selection, a, context);
   const scoreB = scoreOf(selection, b, context);
--- a/packages/emulator/src/soak/node.ts
+++ b/packages/emulator/src/soak/node.ts
@@ -15,7 +15,7 @@
 } from '@jackdawfall/core';
 import {OWNERSHIP, createOwnershipView, currentLease} from '@jackdawfall/core';
 
-/** Load of a dispatch that is only counted, in milliseconds. */
+/** Mean run time, and load of a dispatch that is only counted, in milliseconds. */
 const RUN_MS = 20;
 
 /** A run in flight on the backend server of one process. */
@@ -41,7 +41,6 @@
   private work: SimulatedRun[] = [];
   /** Load of counted dispatches by slice, since the last report. */
   private busyMs = new Map<Slice, number>();
-  private hasRun = false;
   private heldEvents: Event[] = [];
   private clockSetAt = 0;
   private monotonic: number;
@@ -219,7 +218,7 @@
         this.busyMs = new Map();
         return taken;
       },
-      meanRunMs: () => (this.hasRun ? RUN_MS : 0),
+      meanRunMs: () => RUN_MS,
     };
   }
 
@@ -229,7 +228,6 @@
    * @param slice - The slice of the dispatch.
    */
   recordDispatch(slice: Slice): void {
-    this.hasRun = true;
     this.busyMs.set(slice, (this.busyMs.get(slice) ?? 0) + RUN_MS);
   }
 }
