Keyed work may wait a second in a burst while the limit grows

Traced beside twelve busy processes: the requests held during a handover arrive at once (39 to 42 waiting after 0.1 s) at servers whose limit is 2 or 3 of 20, because they had little work to learn from; mean run 22 to 26 ms, so the expected wait was about 0.3 s, over the 250 ms of slow start, and the request was rejected though no other server may run it and its caller had seconds left. Ruled out: cold start, refusals by the server, a reset limit (no reset in these runs). Change: in slow start keyed work waits up to burstQueueMs (1 s) at a queue that was empty within that time. Behind a queue that stands longer, and for shared work, the wait is as before.

--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -454,6 +454,9 @@
  * - Deferrable work: `deferrableQueueMs`.
  * - Work with a latency objective at a server that reports its cold start: a
  *   share of the objective, at least `leastQueueMs`.
+ * - Keyed work in slow start, at a queue that was empty within `burstQueueMs`:
+ *   that time. Only this server may run it, and the keys of a handover arrive in
+ *   a burst at a limit that was learnt from less work.
  * - Slow start: `rampQueueMs`.
  * - An interactive queue that was not empty for `STANDING_QUEUE_MS`, which
  * means overload: `queueMs`. A longer wait would only add to the latency of
@@ -475,8 +478,12 @@
     const shareMs = tuning.objectiveShare * request.objectiveMs;
     return Math.max(tuning.leastQueueMs, shareMs);
   }
-  if (admission.inSlowStart) return tuning.rampQueueMs * share;
-  if (now - admission.queueEmptyAt > STANDING_QUEUE_MS) {
+  const standingMs = now - admission.queueEmptyAt;
+  if (admission.inSlowStart) {
+    const isBurst = !request.shared && standingMs <= tuning.burstQueueMs;
+    return isBurst ? tuning.burstQueueMs : tuning.rampQueueMs * share;
+  }
+  if (standingMs > STANDING_QUEUE_MS) {
     return tuning.queueMs * share;
   }
   return Math.max(tuning.queueMs, admission.meanRunMs) * share;
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -201,6 +201,11 @@
     queueMs: 8,
     /** Maximum wait of interactive work while the limit grows after a reset. */
     rampQueueMs: 250,
+    /**
+     * Maximum wait of keyed work while the limit grows, at a queue that was
+     * empty within this time: only this server may run it.
+     */
+    burstQueueMs: 1000,
     /** Maximum wait of deferrable work in its queue. */
     deferrableQueueMs: 1000,
     /** Queue capacity of each priority, as a multiple of the slots. */
