A delivered response is complete for the reducer: no cancel for it, its load report counts

Cause: the front end handled the 'end' of a response before the reducer did. When the whole response is there, the front end delivers it at once, so 'responseDelivered' reached the reducer before 'end': the attempt still counted as relaying, a cancel was sent for it to the executing daemon, and the later 'end' with the server's load found no attempt. Change: receiversOf(message) says which parts handle a message, in order; for 'end' the reducer comes first.

--- a/packages/daemon/src/links/messages.ts
+++ b/packages/daemon/src/links/messages.ts
@@ -71,3 +71,24 @@
 export function isStreamMessage(message: Message): boolean {
   return STREAM_KINDS.has(message.kind);
 }
+
+/** Parts of the daemon that handle a message. */
+export type MessageReceiver = 'executor' | 'callers' | 'reducer';
+
+/**
+ * Returns which parts handle a message, in order. The reducer comes last, since
+ * its effects refer to what the others hold, except for the end of a response:
+ * the front end may deliver the whole response at once, and the reducer would
+ * otherwise cancel the attempt as one that still runs.
+ *
+ * @param message - Any message.
+ * @returns The parts, in order.
+ */
+export function receiversOf(message: Message): MessageReceiver[] {
+  if (message.kind === 'end') return ['reducer', 'callers'];
+  const receivers: MessageReceiver[] = [];
+  if (isAttemptMessage(message)) receivers.push('executor');
+  if (isResponseMessage(message)) receivers.push('callers');
+  if (!isStreamMessage(message)) receivers.push('reducer');
+  return receivers;
+}
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -25,8 +25,9 @@
 import {
   isResponseMessage,
   isAttemptMessage,
-  isStreamMessage,
+  receiversOf,
 } from '../links/messages.js';
+import type {MessageReceiver} from '../links/messages.js';
 import {CallerFrontend} from '../callers/logic.js';
 import type {CompiledConfiguration} from '../callers/logic.js';
 import type {DaemonPort, Adapters} from '../adapters/types.js';
@@ -307,10 +308,27 @@
   }
 
   private receive(from: MemberId, message: Message): void {
-    if (isAttemptMessage(message)) this.executor.receive(from, message);
-    if (isResponseMessage(message)) this.callers.receive(from, message);
-    if (isStreamMessage(message)) return;
-    this.loop.emit({kind: 'messageReceived', from, message});
+    for (const receiver of receiversOf(message)) {
+      this.pass(receiver, from, message);
+    }
+  }
+
+  private pass(
+    receiver: MessageReceiver,
+    from: MemberId,
+    message: Message,
+  ): void {
+    switch (receiver) {
+      case 'executor':
+        if (isAttemptMessage(message)) this.executor.receive(from, message);
+        return;
+      case 'callers':
+        if (isResponseMessage(message)) this.callers.receive(from, message);
+        return;
+      case 'reducer':
+        this.loop.emit({kind: 'messageReceived', from, message});
+        return;
+    }
   }
 
   private handleLinkOpened(peer: MemberId): void {
