--- a/packages/core/src/grants/logic.ts
+++ b/packages/core/src/grants/logic.ts
@@ -12,21 +12,10 @@
 import type {OwnershipContext} from '../ownership/state.js';
 import type {SliceGrants, UnconfirmedGrant} from './types.js';
 
-/**
- * Extension of the lease since the last round of slice grants, as a share of
- * the lease's duration, that starts another round. With a renewal of the lease
- * each third of its duration, every second one does.
- */
-const RENEW_GAIN_SHARE = 1 / 2;
+/** Maximum time between two rounds of slice grants, as a share of the lease. */
+const RENEW_INTERVAL_SHARE = 1 / 3;
 /** Share of a grant's time after which it is renewed at the latest. */
-const RENEW_LATEST_SHARE = 0.65;
-/**
- * Time left of a confirmed grant, as a share of the lease, below which it is
- * sent again although it is not yet due: its renewal was lost.
- */
-const RESEND_LEFT_SHARE = 0.2;
-/** Time after which an unconfirmed grant counts as lost and is sent again. */
-const RESEND_AFTER_MS = 400;
+const RENEW_LEFT_SHARE = 1 / 2;
 /** Time after which an unconfirmed grant no longer delays a release request. */
 const CONFIRM_TIMEOUT_MS = 600;
 
@@ -50,18 +39,15 @@
   if (self.offer?.instance !== announcement.instance) return;
   const owned = ownedSlices(service, self.index);
   const now = at.monotonic;
-  const {leaseMs, marginMs} = settings.tuning.leases;
-  const gainMs = until.monotonic - grants.roundUntil;
-  const isDue = now >= grants.renewAt || gainMs >= leaseMs * RENEW_GAIN_SHARE;
-  const leastLeftMs = leaseMs * RESEND_LEFT_SHARE;
+  const isDue = now >= grants.renewAt;
   const due = isDue
     ? owned
-    : owned.filter(slice =>
-        needsGrant(grants, service, slice, {now, leastLeftMs}),
-      );
+    : owned.filter(slice => needsGrant(grants, service, slice, now));
+  const {leaseMs, marginMs} = settings.tuning.leases;
   if (isDue) {
-    grants.renewAt = now + timeLeftMs(until, at) * RENEW_LATEST_SHARE;
-    grants.roundUntil = until.monotonic;
+    const leftMs = timeLeftMs(until, at);
+    const intervalMs = leaseMs * RENEW_INTERVAL_SHARE;
+    grants.renewAt = now + Math.min(intervalMs, leftMs * RENEW_LEFT_SHARE);
   }
   if (due.length === 0) return;
   const sent = groupIntoGrants(service, due);
@@ -115,7 +101,6 @@
 export function clearConfirmed(grants: SliceGrants): void {
   grants.confirmed.clear();
   grants.renewAt = 0;
-  grants.roundUntil = 0;
 }
 
 /**
@@ -266,27 +251,20 @@
 }
 
 /**
- * Returns whether the current generation is neither in an unconfirmed grant nor
- * confirmed, or is confirmed for less than `leastLeftMs` with its renewal lost.
+ * Returns whether the current generation is neither confirmed nor in an
+ * unconfirmed grant.
  */
 function needsGrant(
   grants: SliceGrants,
   service: ServicePlacement,
   slice: Slice,
-  {now, leastLeftMs}: {now: number; leastLeftMs: number},
+  now: number,
 ): boolean {
   const generation = service.generation[slice] as Generation;
   const {name} = service;
-  const later = now + leastLeftMs;
-  if (isGrantConfirmed(grants, name, slice, generation, later)) return false;
-  const unconfirmed = unconfirmedGrantsOf(grants, name, slice).filter(
-    each => each.generation === generation,
-  );
-  if (!isGrantConfirmed(grants, name, slice, generation, now)) {
-    return unconfirmed.length === 0;
-  }
-  if (unconfirmed.length === 0) return false;
-  return unconfirmed.every(each => now - each.sentAt >= RESEND_AFTER_MS);
+  if (isGrantConfirmed(grants, name, slice, generation, now)) return false;
+  const unconfirmed = unconfirmedGrantsOf(grants, name, slice);
+  return !unconfirmed.some(each => each.generation === generation);
 }
 
 function recordSent(
--- a/packages/core/src/grants/state.ts
+++ b/packages/core/src/grants/state.ts
@@ -15,6 +15,5 @@
     unconfirmed: new Map(),
     round: 0,
     renewAt: 0,
-    roundUntil: 0,
   };
 }
--- a/packages/core/src/grants/types.ts
+++ b/packages/core/src/grants/types.ts
@@ -43,8 +43,6 @@
   readonly unconfirmed: Map<string, UnconfirmedGrant>;
   /** Number of the latest round of slice grants. */
   round: number;
-  /** Monotonic time of the next round at the latest. */
+  /** Monotonic time of the next round. */
   renewAt: number;
-  /** Monotonic time at which the lease of the latest round expires. */
-  roundUntil: number;
 }
