Test of the stand-in's faults: a reply that is due may take longer than a silence

Cause: every case waited 150 ms for the reply, also those that expect one. The listeners were closed only when all checks had passed, so the failure also kept the test process from ending. Change: a reply that is expected may take 5 s (150 ms was no target of anything), the silence of a fault is still 150 ms; listeners close in any case. Same cases, same statuses, same commits counted.

--- a/packages/emulator/src/platform/logic.spec.ts
+++ b/packages/emulator/src/platform/logic.spec.ts
@@ -119,9 +119,15 @@
   },
 ];
 
+/** Time within which a reply that is due arrives, in milliseconds. */
+const DUE_MS = 5000;
+/** Time without a reply after which none is expected, in milliseconds. */
+const SILENCE_MS = 150;
+
 for (const {title, commands, status, written} of FAULTS) {
   test(`a commit during ${title}`, async t => {
     const stop = new AbortController();
+    t.teardown(() => stop.abort());
     const options = {port: 0, controlPort: 0, seed: 1};
     const ports = await startPlatform(options, stop.signal);
     for (const command of commands) {
@@ -129,13 +135,13 @@
     }
     const url = `http://127.0.0.1:${ports.port}/table/commit`;
     const body = write([], [{key: 'a', value: '1'}]);
-    const reply = await post(url, body, 150).catch(() => null);
+    const waitMs = status === null ? SILENCE_MS : DUE_MS;
+    const reply = await post(url, body, waitMs).catch(() => null);
     t.is(reply?.status ?? null, status);
     await new Promise(resolve => setTimeout(resolve, 300));
     const ledger = await get(`http://127.0.0.1:${ports.controlPort}/ledger`);
     const {commits} = JSON.parse(ledger.body) as {commits: number};
     t.is(commits, written ? 1 : 0);
-    stop.abort();
   });
 }
 
