--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -459,8 +459,8 @@
  *   a burst at a limit that was learnt from less work.
  * - Slow start: `rampQueueMs`.
  * - An interactive queue that was not empty for `STANDING_QUEUE_MS`, which
- * means overload: `queueMs`. A longer wait would only add to the latency of
- * every response.
+ *   means overload: `queueMs`. A longer wait would only add to the latency of
+ *   every response.
  * - Otherwise the mean run time, at least `queueMs`.
  *
  * In the last three cases work of shared services waits half as long, because
--- a/packages/core/src/grants/logic.ts
+++ b/packages/core/src/grants/logic.ts
@@ -278,10 +278,15 @@
   const until = heldUntil + marginMs;
   for (const grant of sent) {
     const {first, count, generation} = grant;
-    const range = {service, first, count};
-    const times = {sentAt: now, until, heldUntil};
-    const added: UnconfirmedGrant = {...range, generation, ...times};
-    grants.unconfirmed.set(unconfirmedGrantKey(grants.round, grant), added);
+    grants.unconfirmed.set(unconfirmedGrantKey(grants.round, grant), {
+      service,
+      first,
+      count,
+      generation,
+      sentAt: now,
+      until,
+      heldUntil,
+    });
     for (const key of sliceKeysOf(service, grant)) {
       const previous = grants.mayHoldUntil.get(key) ?? 0;
       grants.mayHoldUntil.set(key, Math.max(previous, until));
--- a/packages/core/src/selection/logic.ts
+++ b/packages/core/src/selection/logic.ts
@@ -121,7 +121,7 @@
   if (known.penalizedUntil > context.now) return false;
   if (outstandingAt(known, context) >= ROOM_SHARE * slots) return false;
   if (context.objectiveMs === 0) return true;
-  const meanMs = selection.services.get(context.service)?.meanMs ?? 0;
+  const meanMs = meanLatencyMs(selection, context);
   const expectedMs = expectedLatencyMs(known, meanMs, context);
   return expectedMs <= NEAR_LATENCY_SHARE * context.objectiveMs;
 }
@@ -130,6 +130,14 @@
   return context.zone === null || zone === context.zone;
 }
 
+/** Mean latency of the service over all its servers; 0 if unknown. */
+function meanLatencyMs(
+  selection: SelectionState,
+  {service}: SelectionContext,
+): number {
+  return selection.services.get(service)?.meanMs ?? 0;
+}
+
 /** Attempts that wait or run at a server, as far as this daemon knows. */
 function outstandingAt(known: ServerStats, context: SelectionContext): number {
   const {latencyHalfLifeMs} = context.tuning;
@@ -326,7 +334,7 @@
   const zoneFactor = isNear(server, context)
     ? 1
     : context.tuning.otherZoneFactor;
-  const meanMs = selection.services.get(context.service)?.meanMs ?? 0;
+  const meanMs = meanLatencyMs(selection, context);
   if (known === undefined) return Math.max(MIN_LATENCY_MS, meanMs) * zoneFactor;
   const latencyMs = expectedLatencyMs(known, meanMs, context);
   const load = 1 + outstandingAt(known, context);
--- a/packages/core/src/testing/execution.ts
+++ b/packages/core/src/testing/execution.ts
@@ -1,11 +1,12 @@
 /** @fileoverview One daemon's execution subsystem, for tests. */
 
-import type {AttemptId, InstanceId, MemberId} from '../ids/types.js';
+import type {AttemptId, MemberId} from '../ids/types.js';
 import {EXECUTION} from '../execution/definition.js';
 import {createExecutionState} from '../execution/state.js';
 import type {Effect, Event} from '../loop/types.js';
 import type {Dispatch, RequestMessage} from '../messages/types.js';
 import {DEFAULT_TUNING} from '../settings/defaults.js';
+import {makeAnnouncement} from './announcements.js';
 import {stubOwnership, stubView} from './ownership.js';
 
 /** The daemon under test. */
@@ -36,16 +37,7 @@
   }
 
   announce(changes: {checksGrants?: boolean; leaving?: boolean} = {}) {
-    const announcement = {
-      instance: 'i1' as InstanceId,
-      service: 's' as never,
-      address: '127.0.0.1:1' as never,
-      slots: 2,
-      connections: 10,
-      checksGrants: changes.checksGrants ?? false,
-      coldStart: null,
-      leaving: changes.leaving ?? false,
-    };
+    const announcement = makeAnnouncement('i1', {slots: 2, ...changes});
     return this.feed({kind: 'announcementReceived', announcement});
   }
 
--- a/packages/daemon/src/links/messages.ts
+++ b/packages/daemon/src/links/messages.ts
@@ -20,24 +20,38 @@
   {kind: 'dispatch' | 'body' | 'credit'}
 >;
 
-const RESPONSE_KINDS: ReadonlySet<Message['kind']> = new Set([
-  'head',
-  'data',
-  'end',
-  'credit',
-]);
+/** Parts of the daemon that handle a message. */
+export type MessageReceiver = 'executor' | 'callers' | 'reducer';
 
-const ATTEMPT_KINDS: ReadonlySet<Message['kind']> = new Set([
-  'dispatch',
-  'body',
-  'credit',
-]);
+/**
+ * Receivers of the messages about an attempt, in order; all other messages are
+ * for the reducer alone. It comes last, since its effects refer to what the
+ * others hold, except for the end of a response: the front end may deliver the
+ * whole response at once, and the reducer would otherwise cancel the attempt as
+ * one that still runs. Body bytes and flow-control credit cause no decision, so
+ * the reducer doesn't see them.
+ */
+const RECEIVERS: Readonly<
+  Partial<Record<Message['kind'], readonly MessageReceiver[]>>
+> = {
+  dispatch: ['executor', 'reducer'],
+  body: ['executor'],
+  credit: ['executor', 'callers'],
+  head: ['callers', 'reducer'],
+  data: ['callers'],
+  end: ['reducer', 'callers'],
+};
+const REDUCER_ONLY: readonly MessageReceiver[] = ['reducer'];
 
-const STREAM_KINDS: ReadonlySet<Message['kind']> = new Set([
-  'data',
-  'body',
-  'credit',
-]);
+/**
+ * Returns which parts handle a message, in order.
+ *
+ * @param message - Any message.
+ * @returns The parts, in order.
+ */
+export function receiversOf(message: Message): readonly MessageReceiver[] {
+  return RECEIVERS[message.kind] ?? REDUCER_ONLY;
+}
 
 /**
  * Returns whether a message is for the origin of an attempt.
@@ -48,7 +62,7 @@
 export function isResponseMessage(
   message: Message,
 ): message is ResponseMessage {
-  return RESPONSE_KINDS.has(message.kind);
+  return receiversOf(message).includes('callers');
 }
 
 /**
@@ -58,37 +72,5 @@
  * @returns True for the kinds of `AttemptMessage`.
  */
 export function isAttemptMessage(message: Message): message is AttemptMessage {
-  return ATTEMPT_KINDS.has(message.kind);
-}
-
-/**
- * Returns whether a message only carries body bytes or flow-control credit.
- * Such messages cause no decision, so the reducer doesn't see them.
- *
- * @param message - Any message.
- * @returns True for the kinds that bypass the reducer.
- */
-export function isStreamMessage(message: Message): boolean {
-  return STREAM_KINDS.has(message.kind);
-}
-
-/** Parts of the daemon that handle a message. */
-export type MessageReceiver = 'executor' | 'callers' | 'reducer';
-
-/**
- * Returns which parts handle a message, in order. The reducer comes last, since
- * its effects refer to what the others hold, except for the end of a response:
- * the front end may deliver the whole response at once, and the reducer would
- * otherwise cancel the attempt as one that still runs.
- *
- * @param message - Any message.
- * @returns The parts, in order.
- */
-export function receiversOf(message: Message): MessageReceiver[] {
-  if (message.kind === 'end') return ['reducer', 'callers'];
-  const receivers: MessageReceiver[] = [];
-  if (isAttemptMessage(message)) receivers.push('executor');
-  if (isResponseMessage(message)) receivers.push('callers');
-  if (!isStreamMessage(message)) receivers.push('reducer');
-  return receivers;
+  return receiversOf(message).includes('executor');
 }
--- a/packages/emulator/src/soak/formed_cluster.ts
+++ b/packages/emulator/src/soak/formed_cluster.ts
@@ -3,6 +3,7 @@
 import type {Slice} from '@jackdawfall/core';
 
 import {SERVICE, SimulatedCluster} from './cluster.js';
+import type {ClusterSettings} from './cluster.js';
 import {makeConfiguration} from './document.js';
 import type {SimulatedNode} from './node.js';
 
@@ -19,11 +20,17 @@
  *
  * @param hosts - Number of hosts.
  * @param seed - Seed of the fakes.
+ * @param changes - Settings other than the usual ones.
  * @returns The cluster.
  */
-export function formCluster(hosts: number, seed: number): SimulatedCluster {
+export function formCluster(
+  hosts: number,
+  seed: number,
+  changes: Pick<ClusterSettings, 'tuning' | 'maxTickDelayMs'> = {},
+): SimulatedCluster {
   const rulesOff = new Set<never>();
-  const cluster = new SimulatedCluster({seed, hosts, slices: SLICES, rulesOff});
+  const settings = {seed, hosts, slices: SLICES, rulesOff, ...changes};
+  const cluster = new SimulatedCluster(settings);
   for (let host = 0; host < hosts; host++) cluster.start(host);
   cluster.advance(JOIN_MS);
   cluster.command(cluster.nodes[0], {
