--- a/packages/emulator/src/deployment/cluster.ts
+++ b/packages/emulator/src/deployment/cluster.ts
@@ -97,7 +97,9 @@
 ): Promise<void> {
   const name = `daemon ${host.plan.host}`;
   const args = ['--settings', host.settingsFile];
-  const daemon = startProcess({name, entry: DAEMON_ENTRY, args}, signal);
+  const {logFile} = host;
+  const program = {name, entry: DAEMON_ENTRY, args, logFile};
+  const daemon = startProcess(program, signal);
   host.daemon = daemon;
   const untilMs = performance.now() + READY_TIMEOUT_MS;
   while (!(await isReachable(host.operators))) {
@@ -236,6 +238,7 @@
     tuning: cluster.plan.tuning,
   };
   const settingsFile = join(folder, `${plan.host}.json`);
+  const {logFolder} = cluster.plan;
   await writeFile(settingsFile, JSON.stringify(settings));
   return {
     plan,
@@ -243,6 +246,7 @@
     links: `${LOOPBACK}:${links}`,
     operators: `${LOOPBACK}:${operators}`,
     settingsFile,
+    logFile: logFolder && join(logFolder, `${plan.host}.log`),
     serverPort,
     serverControlAddress: `${LOOPBACK}:${serverControl}`,
     relayControlAddress: relay && `${LOOPBACK}:${relay.controlPort}`,
--- a/packages/emulator/src/deployment/processes.ts
+++ b/packages/emulator/src/deployment/processes.ts
@@ -3,6 +3,7 @@
 import type {ManagedProcess} from './types.js';
 import type {ChildProcess} from 'node:child_process';
 import {spawn} from 'node:child_process';
+import {createWriteStream} from 'node:fs';
 import {createInterface} from 'node:readline';
 import {fileURLToPath} from 'node:url';
 
@@ -24,6 +25,8 @@
   readonly args: readonly string[];
   /** Receives each line of standard output. */
   readonly onLine?: (line: string) => void;
+  /** File to which all output is appended as well. */
+  readonly logFile?: string;
 }
 
 /**
@@ -45,6 +48,7 @@
   );
   const output: string[] = [];
   collectLines(child, output, program.onLine);
+  if (program.logFile !== undefined) appendOutput(child, program.logFile);
   const exited = new Promise<string>(resolve => {
     child.once('exit', (code, signalName) =>
       resolve(signalName ?? String(code)),
@@ -108,6 +112,13 @@
   return {child: startProcess({...program, onLine}, signal), firstLine};
 }
 
+/** Writes both outputs to a file that earlier processes may have begun. */
+function appendOutput({stdout, stderr}: ChildProcess, path: string): void {
+  const file = createWriteStream(path, {flags: 'a'});
+  stdout?.pipe(file, {end: false});
+  stderr?.pipe(file, {end: false});
+}
+
 /** Keeps both outputs, but for standard output if `onLine` receives it. */
 function collectLines(
   child: ChildProcess,
--- a/packages/emulator/src/deployment/types.ts
+++ b/packages/emulator/src/deployment/types.ts
@@ -34,6 +34,8 @@
   /** Partial tuning of the daemons. */
   readonly tuning: Readonly<Record<string, unknown>>;
   readonly seed: number;
+  /** Existing folder for a log file of each daemon; absent to keep none. */
+  readonly logFolder?: string;
 }
 
 /** A running host. Addresses are `ip:port`. */
@@ -45,6 +47,8 @@
   readonly links: string;
   /** Path of the daemon's settings. */
   readonly settingsFile: string;
+  /** Path of the daemon's log file, if one is kept. */
+  readonly logFile?: string;
   readonly serverPort: number;
   readonly serverControlAddress: string;
   /** Null without a relay. */
--- a/packages/emulator/src/scenario/main.ts
+++ b/packages/emulator/src/scenario/main.ts
@@ -1,7 +1,8 @@
 /** @fileoverview Runs all scenarios, or those named as arguments. */
 
 import type {ScenarioResult, StepArguments, Scenario} from './types.js';
-import {existsSync, readFileSync, readdirSync} from 'node:fs';
+import {existsSync, mkdirSync, readFileSync, readdirSync} from 'node:fs';
+import {join} from 'node:path';
 
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
@@ -31,6 +32,10 @@
       default: '{}',
       describe: 'JSON laid over the tuning of daemons, to see a check fail',
     },
+    logs: {
+      type: 'string',
+      describe: 'folder for the logs of the daemons, one below it a scenario',
+    },
     parallel: {
       type: 'number',
       default: 2,
@@ -90,7 +95,11 @@
     for (;;) {
       const scenario = waiting.shift();
       if (scenario === undefined || signal.aborted) return;
-      const result = await runScenario(withTuning(scenario, overrides), signal);
+      const result = await runScenario(
+        withTuning(scenario, overrides),
+        signal,
+        createLogFolder(scenario),
+      );
       print(`${scenario.name}: ${scenario.title}`);
       results.push(reportResult(result, knownRed));
     }
@@ -99,6 +108,13 @@
   return results.sort((a, b) => (a.name < b.name ? -1 : 1));
 }
 
+function createLogFolder({name}: Scenario): string | undefined {
+  if (ARGUMENTS.logs === undefined) return undefined;
+  const folder = join(ARGUMENTS.logs, name);
+  mkdirSync(folder, {recursive: true});
+  return folder;
+}
+
 function readScenarios(names: readonly string[]): Scenario[] {
   const files = readdirSync(SCENARIOS).filter(file => file.endsWith(SUFFIX));
   const known = files.map(file => file.slice(0, -SUFFIX.length)).sort();
--- a/packages/emulator/src/scenario/runner.ts
+++ b/packages/emulator/src/scenario/runner.ts
@@ -30,17 +30,20 @@
  *
  * @param scenario - The scenario.
  * @param signal - Ends the run early.
+ * @param logFolder - Existing folder for the logs of the daemons; absent to
+ *     keep none.
  * @returns The result.
  */
 export async function runScenario(
   scenario: Scenario,
   signal: AbortSignal,
+  logFolder?: string,
 ): Promise<ScenarioResult> {
   const startMs = performance.now();
   const ending = new AbortController();
   const limit = AbortSignal.timeout(scenario.timeoutMs);
   const stopped = AbortSignal.any([signal, limit, ending.signal]);
-  const run = createScenarioRun(scenario, stopped);
+  const run = createScenarioRun(scenario, stopped, logFolder);
   let ledger: ScenarioResult['ledger'] = null;
   try {
     await Promise.race([runSteps(run), rejectOnAbort(stopped)]);
--- a/packages/emulator/src/scenario/state.ts
+++ b/packages/emulator/src/scenario/state.ts
@@ -17,6 +17,8 @@
 export interface ScenarioRun {
   readonly scenario: Scenario;
   readonly signal: AbortSignal;
+  /** Folder for the logs of the daemons, if they are kept. */
+  readonly logFolder?: string;
   readonly loads: Load[];
   readonly deferred: DeferredExpectation[];
   /** What has failed so far. */
@@ -45,15 +47,19 @@
  *
  * @param scenario - The scenario.
  * @param signal - Ends the run.
+ * @param logFolder - Existing folder for the logs of the daemons; absent to
+ *     keep none.
  * @returns The state.
  */
 export function createScenarioRun(
   scenario: Scenario,
   signal: AbortSignal,
+  logFolder?: string,
 ): ScenarioRun {
   return {
     scenario,
     signal,
+    logFolder,
     loads: [],
     deferred: [],
     faults: [],
--- a/packages/emulator/src/scenario/steps.ts
+++ b/packages/emulator/src/scenario/steps.ts
@@ -68,7 +68,15 @@
     services.map(service => ({host: `${service}-${zone}`, zone, service})),
   );
   const cluster = await startCluster(
-    {workspace: 'taipei', hosts, relays, server, tuning, seed: 1},
+    {
+      workspace: 'taipei',
+      hosts,
+      relays,
+      server,
+      tuning,
+      seed: 1,
+      logFolder: run.logFolder,
+    },
     run.signal,
   );
   run.cluster = cluster;
