Keyed work waits in slow start for as long as its deadline can be met

At a limit of 1 the first run takes 213 ms while the machine is short of processor time; the moving mean is seeded with that one run, so the twelfth request is expected to wait 2.3 s and is rejected at once with 2 or 5 s left, though later runs take 20 ms. No limit was reset in these runs (ruled out: jumps of latency). Change: first runs have equal weights in the mean; a burst of keyed work in slow start may wait for as long as it is expected to end by its deadline, at least burstQueueMs; what is expected to expire in the queue is rejected at once.

--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -35,8 +35,10 @@
 const SHARED_WAIT_FACTOR = 0.5;
 /** A queue that was not empty for this time is overload rather than a burst. */
 const STANDING_QUEUE_MS = 100;
-/** Weight of a sample in the moving mean of run times. */
-const MEAN_SAMPLE_WEIGHT = 0.05;
+/** Minimum weight of a sample in the moving mean of run times. */
+const MIN_MEAN_SAMPLE_WEIGHT = 0.05;
+/** Factor by which a wait in a burst may exceed the estimate. */
+const BURST_WAIT_MARGIN = 2;
 
 /**
  * Creates an admission state that admits nothing until a server announces
@@ -62,6 +64,7 @@
     latencyRatios: [],
     queueEmptyAt: -Infinity,
     meanRunMs: 0,
+    meanSamples: 0,
     cold: null,
     baselines: new Map(),
     queues: {interactive: [], deferrable: []},
@@ -152,19 +155,14 @@
   if (queue.length >= admission.maxLimit * admission.tuning.queueFactor) {
     return 'refuse';
   }
-  const queueMs = maxWaitMs(admission, request, now);
-  const expiresAt = Math.min(deadline, now + queueMs);
   const dueAt = now + objectiveMs;
-  const waiting = {
-    attempt,
-    expiresAt,
-    urgency,
-    objectiveMs,
-    dueAt,
-  };
-  const ahead = queue.findLastIndex(each => !precedes(waiting, each)) + 1;
-  if (expectedWaitMs(admission, ahead) > queueMs) return 'refuse';
-  queue.splice(ahead, 0, waiting);
+  const ahead =
+    queue.findLastIndex(each => !precedes({urgency, dueAt}, each)) + 1;
+  const expectedMs = expectedWaitMs(admission, ahead);
+  const queueMs = maxWaitMs(admission, request, expectedMs, now);
+  if (expectedMs > queueMs) return 'refuse';
+  const expiresAt = Math.min(deadline, now + queueMs);
+  queue.splice(ahead, 0, {attempt, expiresAt, urgency, objectiveMs, dueAt});
   return 'wait';
 }
 
@@ -172,7 +170,10 @@
  * The more urgent goes first; of equal urgency, the one with the earliest
  * deadline by its latency objective (`dueAt`).
  */
-function precedes(a: QueuedAttempt, b: QueuedAttempt): boolean {
+function precedes(
+  a: Pick<QueuedAttempt, 'urgency' | 'dueAt'>,
+  b: QueuedAttempt,
+): boolean {
   if (a.urgency !== b.urgency) return a.urgency < b.urgency;
   return a.dueAt < b.dueAt;
 }
@@ -317,7 +318,8 @@
   releaseSlot(admission, run.priority);
   if (run.startedAt < admission.limitResetAt) return null;
   const latencyMs = now - run.startedAt;
-  const weight = admission.meanRunMs === 0 ? 1 : MEAN_SAMPLE_WEIGHT;
+  admission.meanSamples += 1;
+  const weight = Math.max(MIN_MEAN_SAMPLE_WEIGHT, 1 / admission.meanSamples);
   admission.meanRunMs += (latencyMs - admission.meanRunMs) * weight;
   recordLatency(admission, run.latencyClass, latencyMs);
   if (busy) admission.completions += 1;
@@ -455,8 +457,7 @@
  * - Work with a latency objective at a server that reports its cold start: a
  *   share of the objective, at least `leastQueueMs`.
  * - Keyed work in slow start, at a queue that was empty within `burstQueueMs`:
- *   that time. Only this server may run it, and the keys of a handover arrive in
- *   a burst at a limit that was learnt from less work.
+ *   see `maxBurstWaitMs`.
  * - Slow start: `rampQueueMs`.
  * - An interactive queue that was not empty for `STANDING_QUEUE_MS`, which
  *   means overload: `queueMs`. A longer wait would only add to the latency of
@@ -469,6 +470,7 @@
 function maxWaitMs(
   admission: Admission,
   request: SlotRequest,
+  expectedMs: number,
   now: number,
 ): number {
   const {tuning} = admission;
@@ -481,7 +483,8 @@
   const standingMs = now - admission.queueEmptyAt;
   if (admission.inSlowStart) {
     const isBurst = !request.shared && standingMs <= tuning.burstQueueMs;
-    return isBurst ? tuning.burstQueueMs : tuning.rampQueueMs * share;
+    if (!isBurst) return tuning.rampQueueMs * share;
+    return maxBurstWaitMs(admission, expectedMs, request.deadline - now);
   }
   if (standingMs > STANDING_QUEUE_MS) {
     return tuning.queueMs * share;
@@ -489,6 +492,22 @@
   return Math.max(tuning.queueMs, admission.meanRunMs) * share;
 }
 
+/**
+ * Returns the maximum wait of keyed work in a burst: a queue while the limit is
+ * low after little work, such as that of the keys of a handover. Only this
+ * server may run it, so it may wait for as long as it is expected to end by its
+ * deadline. While the estimate is too low, it waits at least `burstQueueMs`.
+ */
+function maxBurstWaitMs(
+  {tuning, meanRunMs}: Admission,
+  expectedMs: number,
+  remainingMs: number,
+): number {
+  const leastMs = Math.min(tuning.burstQueueMs, remainingMs);
+  if (expectedMs + meanRunMs > remainingMs) return leastMs;
+  return Math.max(leastMs, expectedMs * BURST_WAIT_MARGIN);
+}
+
 function recordEmptyQueue(admission: Admission, now: number): void {
   if (admission.queues.interactive.length === 0) admission.queueEmptyAt = now;
 }
--- a/packages/core/src/admission/queue_wait.spec.ts
+++ b/packages/core/src/admission/queue_wait.spec.ts
@@ -19,20 +19,30 @@
 /** Time at which the burst arrives, in milliseconds. */
 const BURST_AT = 10_000;
 
-/** A server with little work so far: its limit is 3 of 20 slots. */
-function makeLightlyUsed(): Admission {
+function makeUnused(): Admission {
   const admission = createAdmission(DEFAULT_TUNING.admission);
   applyAnnouncement(admission, makeAnnouncement('i1', {slots: SLOTS}), 0);
+  return admission;
+}
+
+/** Completes one run; returns the time of its end. */
+function runOnce(admission: Admission, startedAt: number, runMs: number) {
+  recordStart(admission, 'interactive', startedAt);
+  const run = {
+    priority: 'interactive',
+    latencyClass: 'r',
+    startedAt,
+  } as const;
+  recordCompletion(admission, run, startedAt + runMs);
+  return startedAt + runMs;
+}
+
+/** A server with little work so far: its limit is 3 of 20 slots. */
+function makeLightlyUsed(): Admission {
+  const admission = makeUnused();
   let startedAt = 0;
   while (admission.limit < 3) {
-    recordStart(admission, 'interactive', startedAt);
-    const run = {
-      priority: 'interactive',
-      latencyClass: 'r',
-      startedAt,
-    } as const;
-    startedAt += RUN_MS;
-    recordCompletion(admission, run, startedAt);
+    startedAt = runOnce(admission, startedAt, RUN_MS);
   }
   return admission;
 }
@@ -43,17 +53,26 @@
   }
 }
 
+/** Requests that arrive at the same time. */
+interface Burst {
+  readonly requests: number;
+  readonly shared: boolean;
+  readonly now: number;
+  /** Time left until their deadlines, in milliseconds. */
+  readonly leftMs?: number;
+}
+
 /** Returns how many of a number of requests are rejected. */
 function countRefused(
   admission: Admission,
-  {requests, shared, now}: {requests: number; shared: boolean; now: number},
+  {requests, shared, now, leftMs = 10_000}: Burst,
 ): number {
   let refused = 0;
   for (let i = 0; i < requests; i++) {
     const request = {
       attempt: `${now}/${i}` as AttemptId,
       priority: 'interactive',
-      deadline: now + 10_000,
+      deadline: now + leftMs,
       shared,
       urgency: 0,
       objectiveMs: 0,
@@ -90,3 +109,40 @@
   t.is(countRefused(admission, {...burst, requests: 1, now}), 0);
   t.is(admission.queues.interactive.at(-1)?.expiresAt, now + rampQueueMs);
 });
+
+/** Bursts of keyed work at a limit of one, after runs of the times given. */
+const FIRST_RUNS = [
+  {
+    title: 'all that can end by their deadlines wait',
+    runs: [100],
+    requests: 25,
+    // One waits for each 100 ms before the last run must start.
+    refused: 5,
+    leftMs: 2000,
+  },
+  {
+    title: 'one slow first run does not stand for all',
+    runs: [250, 20, 20, 20, 20],
+    requests: 30,
+    refused: 0,
+    leftMs: 2000,
+  },
+  {
+    title: 'what would expire in the queue is rejected at once',
+    runs: [100],
+    requests: 15,
+    refused: 9,
+    leftMs: 500,
+  },
+];
+
+for (const {title, runs, requests, refused, leftMs} of FIRST_RUNS) {
+  test(`first runs of ${runs.join(', ')} ms: ${title}`, t => {
+    const admission = makeUnused();
+    let startedAt = 0;
+    for (const runMs of runs) startedAt = runOnce(admission, startedAt, runMs);
+    fillSlots(admission, BURST_AT);
+    const burst = {requests, shared: false, now: BURST_AT, leftMs};
+    t.is(countRefused(admission, burst), refused);
+  });
+}
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -97,6 +97,8 @@
   queueEmptyAt: number;
   /** Moving mean of the time of a run, in milliseconds; 0 before the first. */
   meanRunMs: number;
+  /** Number of runs in `meanRunMs`; the first ones have equal weights. */
+  meanSamples: number;
   /**
    * Reported cold start; null if the server reports none. The limit is then
    * learnt.
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -202,8 +202,8 @@
     /** Maximum wait of interactive work while the limit grows after a reset. */
     rampQueueMs: 250,
     /**
-     * Maximum wait of keyed work while the limit grows, at a queue that was
-     * empty within this time: only this server may run it.
+     * Wait that keyed work is allowed at least while the limit grows, at a queue
+     * that was empty within this time: only this server may run it.
      */
     burstQueueMs: 1000,
     /** Maximum wait of deferrable work in its queue. */
