A retry budget for each service

The platform counts retries at each service against the requests for it; a daemon had one bucket, filled by a tenth of all its requests, of which those for bookings are four times as many. While only servers of yard reject, all of it went there. Change: a bucket for each service.

--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -143,10 +143,12 @@
   state.requests.set(accepted.request, pending);
   const tokensPerRequest =
     ownership.workspace?.limits.retryShare ?? DEFAULT_RETRY_SHARE;
-  state.budget.deposit(
-    tokensPerRequest,
-    capacityPerDaemon(state.tuning.routing, ownership.members),
-  );
+  state.budgets
+    .of(accepted.service)
+    .deposit(
+      tokensPerRequest,
+      capacityPerDaemon(state.tuning.routing, ownership.members),
+    );
   dispatchRequest(context, pending);
 }
 
