Revert a retry budget for each service

Retries for bookings had used what the requests for yard pay for. Calls and clients come from one address with the same headers, so a daemon can't tell them apart.

--- a/packages/core/src/retry/logic.ts
+++ b/packages/core/src/retry/logic.ts
@@ -1,6 +1,4 @@
-/** @fileoverview Retry budgets and backoff. */
-
-import type {ServiceName} from '../ids/types.js';
+/** @fileoverview Retry budget and backoff. */
 
 /** Multiples of it, modulo 1, are evenly distributed in [0, 1). */
 const GOLDEN_RATIO = 0.6180339887498949;
@@ -11,19 +9,18 @@
   readonly backoffMs: number;
   /** Maximum wait before any retry, in milliseconds. */
   readonly maxBackoffMs: number;
-  /** Capacity of each token bucket of one daemon, in retries. */
+  /** Capacity of the token bucket of one daemon, in retries. */
   readonly retryBurst: number;
   /**
-   * Maximum capacity of all daemons' token buckets of a service together, in
-   * retries; 0 means no limit.
+   * Maximum capacity of the token buckets of all daemons together, in retries;
+   * 0 means no limit.
    */
   readonly sharedRetryBurst: number;
 }
 
 /**
- * Token bucket that limits the retries and hedges of a service at a daemon to a
- * share of its requests for that service. One token pays for one retry or
- * hedge. It starts full.
+ * Token bucket that limits the retries and hedges of a daemon to a share of its
+ * requests. One token pays for one retry or hedge. It starts full.
  */
 export class RetryBudget {
   private tokens: number;
@@ -61,45 +58,7 @@
 }
 
 /**
- * The retry budgets of a daemon, one for each service: the servers of a small
- * service that fails would otherwise get the retries that the requests for
- * larger ones pay for.
- */
-export class RetryBudgets {
-  private readonly budgets = new Map<ServiceName, RetryBudget>();
-
-  /** @param capacity - Maximum number of tokens of each budget. */
-  constructor(private readonly capacity: number) {}
-
-  /**
-   * Returns the budget of a service.
-   *
-   * @param service - The service.
-   * @returns Its budget; a full one for a service that had none.
-   */
-  of(service: ServiceName): RetryBudget {
-    const existing = this.budgets.get(service);
-    if (existing !== undefined) return existing;
-    const budget = new RetryBudget(this.capacity);
-    this.budgets.set(service, budget);
-    return budget;
-  }
-
-  /**
-   * Lists the retries that may be made now.
-   *
-   * @returns Their numbers by service.
-   */
-  available(): Readonly<Record<string, number>> {
-    const entries = [...this.budgets].map(
-      ([service, budget]) => [service, budget.available] as const,
-    );
-    return Object.fromEntries(entries);
-  }
-}
-
-/**
- * Returns the capacity of a token bucket of one daemon: its share of the limit for
+ * Returns the token bucket capacity of one daemon: its share of the limit for
  * all daemons together, capped by the limit for one daemon.
  *
  * @param policy - Limits for one daemon and for all.
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -143,12 +143,10 @@
   state.requests.set(accepted.request, pending);
   const tokensPerRequest =
     ownership.workspace?.limits.retryShare ?? DEFAULT_RETRY_SHARE;
-  state.budgets
-    .of(accepted.service)
-    .deposit(
-      tokensPerRequest,
-      capacityPerDaemon(state.tuning.routing, ownership.members),
-    );
+  state.budget.deposit(
+    tokensPerRequest,
+    capacityPerDaemon(state.tuning.routing, ownership.members),
+  );
   dispatchRequest(context, pending);
 }
 
--- a/packages/core/src/routing/dispatch.ts
+++ b/packages/core/src/routing/dispatch.ts
@@ -61,13 +61,13 @@
   pending: RoutedRequest,
 ): void {
   const {state, ownership, effects} = context;
-  const {idempotent, slice, request, service} = pending.accepted;
+  const {idempotent, slice, request} = pending.accepted;
   if (!idempotent || slice !== null || ownership.self === null) return;
   if (pending.attempts.size !== 1 || pending.relayedAttempt !== null) return;
   if (pending.deadlinePassed) return;
   const [first] = pending.attempts.values();
   const target = chooseServerFor(context, pending, first.to);
-  if (target === null || !state.budgets.of(service).tryWithdraw()) return;
+  if (target === null || !state.budget.tryWithdraw()) return;
   state.hedges += 1;
   effects.push({kind: 'log', event: 'requestHedged', fields: {request}});
   sendAttempt(context, pending, target, ownership.self);
--- a/packages/core/src/routing/failures.ts
+++ b/packages/core/src/routing/failures.ts
@@ -95,7 +95,7 @@
   from: MemberId,
 ): void {
   const {state, effects} = context;
-  const {request, slice, service} = pending.accepted;
+  const {request, slice} = pending.accepted;
   if (pending.deadlinePassed) {
     failRequest(context, pending, {...failed, kind: 'deadline-exceeded'});
     return;
@@ -112,7 +112,7 @@
     detail,
     from,
     course,
-    left: state.budgets.of(service).available,
+    left: state.budget.available,
   };
   effects.push({kind: 'log', event: 'requestRetried', fields});
   if (slice === null) retryElsewhere(context, pending, failed, from);
@@ -160,7 +160,7 @@
   if (pending.chargedRetries + 1 >= maxAttemptsOf(context, pending)) {
     return false;
   }
-  if (!state.budgets.of(pending.accepted.service).tryWithdraw()) return false;
+  if (!state.budget.tryWithdraw()) return false;
   pending.chargedRetries += 1;
   return true;
 }
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -5,7 +5,7 @@
 import type {MemberId, ZoneName} from '../ids/types.js';
 import type {Effect, Input} from '../loop/types.js';
 import type {OwnershipView} from '../ownership/types.js';
-import {RetryBudgets, deriveRandom} from '../retry/logic.js';
+import {RetryBudget, deriveRandom} from '../retry/logic.js';
 import type {Tuning} from '../settings/defaults.js';
 import {TimerQueue} from '../timers/logic.js';
 import type {RequestTimer, RoutedRequest, RoutingState} from './types.js';
@@ -45,7 +45,7 @@
     attempts: new Map(),
     waiting: new Set(),
     timers: new TimerQueue<RequestTimer>(),
-    budgets: new RetryBudgets(tuning.routing.retryBurst),
+    budget: new RetryBudget(tuning.routing.retryBurst),
     selection: createSelectionState(),
     sequence: 0,
     lastSeenMapVersion: NO_VERSION,
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -14,7 +14,7 @@
   ZoneName,
 } from '../ids/types.js';
 import type {AcceptedRequest} from '../loop/types.js';
-import type {RetryBudgets} from '../retry/logic.js';
+import type {RetryBudget} from '../retry/logic.js';
 import type {Tuning} from '../settings/defaults.js';
 import type {TimerQueue} from '../timers/logic.js';
 
@@ -100,7 +100,7 @@
   /** Requests that wait for an owner or a server. */
   readonly waiting: Set<RequestId>;
   readonly timers: TimerQueue<RequestTimer>;
-  readonly budgets: RetryBudgets;
+  readonly budget: RetryBudget;
   readonly selection: SelectionState;
   /** Number of the latest attempt; part of its id. */
   sequence: number;
--- a/packages/core/src/routing/view.ts
+++ b/packages/core/src/routing/view.ts
@@ -16,7 +16,7 @@
     attemptsMade: routing.sequence,
     retries: routing.retries,
     hedges: routing.hedges,
-    retryBudget: routing.budgets.available(),
+    retryBudget: routing.budget.available,
     // Members with statistics for the selection of servers.
     peers: routing.selection.servers.size,
   };
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -145,12 +145,9 @@
     graceMs: 250,
     /** Interval of inquiries about an attempt whose link was lost. */
     inquireMs: 250,
-    /** Maximum balance of a daemon's retry budget of each service. */
+    /** Maximum balance of a daemon's retry budget. */
     retryBurst: 20,
-    /**
-     * Maximum balance of all retry budgets of a service together; 0 means no
-     * limit.
-     */
+    /** Maximum balance of all retry budgets together; 0 means no limit. */
     sharedRetryBurst: 0,
     /** Minimum delay before a hedge. */
     minHedgeMs: 2,
