Joins and offers that lost a race are committed together by one member

Change: a daemon that lost a race sends its joined or offered change to one of the first newcomers (the coordinator once it is a member), which commits what it collects in 50 ms in one entry of at most 30 changes; unanswered requests go to the next, then it appends again itself. The entry that a conflict returns is applied without another read of the log. A row written by another member no longer counts as a lease from the time of an own, earlier write. The protocol of links is 3: daemons of earlier builds refuse it.

--- a/packages/core/src/commands/view.ts
+++ b/packages/core/src/commands/view.ts
@@ -114,6 +114,8 @@
   switch (change.kind) {
     case 'joined':
       return `${change.member} joined in zone ${change.zone}`;
+    case 'combined':
+      return change.changes.map(describeChange).join('; ');
     case 'ended':
       return `${change.members.join(', ')} ended`;
     case 'offered':
--- a/packages/core/src/log/logic.ts
+++ b/packages/core/src/log/logic.ts
@@ -3,7 +3,7 @@
 import type {MemberId, Version} from '../ids/types.js';
 import type {LoggedEntry} from '../messages/types.js';
 import type {Row} from '../store/types.js';
-import type {CommittedEntry, Entry} from './types.js';
+import type {Change, CommittedEntry, Entry} from './types.js';
 
 /** Versions are zero-padded to this length, so that keys sort by version. */
 const VERSION_DIGITS = 12;
@@ -87,6 +87,16 @@
   };
 }
 
+/**
+ * Lists the single changes of a change.
+ *
+ * @param change - The change of an entry.
+ * @returns The changes that it combines, or itself.
+ */
+export function changesOf(change: Change): readonly Change[] {
+  return change.kind === 'combined' ? change.changes : [change];
+}
+
 /**
  * Returns the version that follows another.
  *
--- a/packages/core/src/log/types.ts
+++ b/packages/core/src/log/types.ts
@@ -33,8 +33,8 @@
   readonly token: string;
 }
 
-/** The change that an entry makes to the cluster map. */
-export type Change =
+/** A change of one member that another one may commit for it. */
+export type MemberChange =
   /** A daemon joined as a new member. */
   | {
       readonly kind: 'joined';
@@ -46,12 +46,6 @@
       /** Predecessor on the host whose slices it takes over, or null. */
       readonly replaces: MemberId | null;
     }
-  /**
-   * Removes these members from the workspace, because they left or were
-   * evicted; their processes may still run. Each slice that one of them owned
-   * goes to its move target or else its standby, under the next generation.
-   */
-  | {readonly kind: 'ended'; readonly members: readonly MemberId[]}
   /** Registers a member's local backend server, or updates what it offers. */
   | {
       readonly kind: 'offered';
@@ -62,7 +56,19 @@
       readonly slots: number;
       /** True once the server is shutting down: it asked to or was told to. */
       readonly leaving: boolean;
-    }
+    };
+
+/** The change that an entry makes to the cluster map. */
+export type Change =
+  | MemberChange
+  /** Changes of several members, which one of them committed at once. */
+  | {readonly kind: 'combined'; readonly changes: readonly MemberChange[]}
+  /**
+   * Removes these members from the workspace, because they left or were
+   * evicted; their processes may still run. Each slice that one of them owned
+   * goes to its move target or else its standby, under the next generation.
+   */
+  | {readonly kind: 'ended'; readonly members: readonly MemberId[]}
   /** Deregisters the member's local backend server. */
   | {readonly kind: 'withdrawn'; readonly member: MemberId}
   /**
--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -41,6 +41,16 @@
   ),
   coordinatorActs: event(201, 'info', 'This daemon acts as coordinator.'),
   changeCommitted: event(202, 'info', 'A change was committed to the log.'),
+  commitRequested: event(
+    205,
+    'info',
+    'Another member was asked to commit a change of this daemon.',
+  ),
+  commitRequestIgnored: event(
+    206,
+    'warn',
+    'A request to commit a change was ignored: it is invalid or about another member.',
+  ),
   drainLate: event(
     203,
     'warn',
--- a/packages/core/src/log_replication/writer.ts
+++ b/packages/core/src/log_replication/writer.ts
@@ -5,8 +5,13 @@
  */
 
 import type {WriteId} from '../ids/types.js';
-import {parseLogRow, serializeEntry, nextVersion} from '../log/logic.js';
-import type {CommittedEntry, Entry} from '../log/types.js';
+import {
+  changesOf,
+  nextVersion,
+  parseLogRow,
+  serializeEntry,
+} from '../log/logic.js';
+import type {Change, CommittedEntry, Entry} from '../log/types.js';
 import type {MemberRow} from '../leases/types.js';
 import {callStore, log, newWriteId} from '../ownership/effects.js';
 import type {
@@ -174,12 +179,13 @@
   const {state} = context;
   const key = state.keys.log(append.entry.version);
   const committedRow = rows.find(row => row.key === key && row.revision > 0);
-  state.logReader.readNeeded = true;
-  state.logReader.notBefore = context.at.monotonic;
   if (committedRow !== undefined) {
+    // Entries after this one are pushed, or returned by the next conflict.
     apply(parseLogRow(committedRow));
     return;
   }
+  state.logReader.readNeeded = true;
+  state.logReader.notBefore = context.at.monotonic;
   // A row that the append is conditional on has changed. Revisions are never
   // reused, so retries can't succeed. An earlier try may have been committed;
   // reading the log will show it.
@@ -241,18 +247,24 @@
     checks.push({key: keys.member(member), revision});
     puts.push({key: keys.member(member), value: null});
   }
-  addRowsOfChange(state, entry, checks, puts);
+  for (const change of changesOf(entry.change)) {
+    addRowsOfChange(state, entry, change, checks, puts);
+  }
+  if (changesOf(entry.change).some(isAudited)) {
+    const key = keys.audit(entry.version);
+    puts.push({key, value: serializeAuditEntry(entry)});
+  }
   return {writeId: entry.writeId, checks, puts};
 }
 
 function addRowsOfChange(
   state: OwnershipState,
   entry: Entry,
+  change: Change,
   checks: RowCheck[],
   puts: RowPut[],
 ): void {
   const {keys} = state;
-  const {change} = entry;
   if (change.kind === 'joined') {
     const key = keys.member(change.member);
     checks.push({key, revision: 0});
@@ -264,12 +276,6 @@
   if (change.kind === 'configured') {
     puts.push({key: keys.configuration, value: change.document});
   }
-  if (isAudited(entry)) {
-    puts.push({
-      key: keys.audit(entry.version),
-      value: serializeAuditEntry(entry),
-    });
-  }
 }
 
 function initialMemberRow(
@@ -286,17 +292,18 @@
 }
 
 /**
- * Returns whether the entry is written to the audit trail for operators. Server
+ * Returns whether the entry of a change is written to the audit trail for operators. Server
  * offers and placement are left out: the log has them, and they are not
  * operators' changes.
  */
-function isAudited(entry: Entry): boolean {
-  switch (entry.change.kind) {
+function isAudited(change: Change): boolean {
+  switch (change.kind) {
     case 'configured':
     case 'zone':
     case 'draining':
     case 'ended':
     case 'joined':
+    case 'combined':
       return true;
     case 'offered':
     case 'withdrawn':
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -107,6 +107,9 @@
         replaceMember(map, change.replaces, change.member, now);
       }
       return;
+    case 'combined':
+      for (const each of change.changes) applyChange(map, each, now);
+      return;
     case 'ended':
       applyEnded(map, change.members, now);
       return;
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -249,6 +249,15 @@
       /** Log version of the sender's map. */
       readonly version: Version;
     }
+  /**
+   * Asks the receiver to commit a change of the sender, which need not be a
+   * member yet.
+   */
+  | {
+      readonly kind: 'propose';
+      /** JSON text of a `MemberChange`. */
+      readonly change: string;
+    }
   /** Load of the sender, reported to the coordinator. */
   | {
       readonly kind: 'load';
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -6,6 +6,7 @@
 import {clearConfirmed, clearGrants, confirmGrant} from '../grants/logic.js';
 import type {MemberId} from '../ids/types.js';
 import {makeMemberId} from '../ids/logic.js';
+import {changesOf} from '../log/logic.js';
 import {
   handlePull,
   handlePeerVersion,
@@ -36,7 +37,7 @@
   handleOwnRowWritten,
 } from '../leases/holder.js';
 import {createLeaseState} from '../leases/state.js';
-import type {CommittedEntry} from '../log/types.js';
+import type {Change, CommittedEntry} from '../log/types.js';
 import type {Subsystem} from '../loop/subsystem.js';
 import type {
   Effect,
@@ -53,6 +54,7 @@
 } from '../membership/evictions.js';
 import type {ControlMessage, Message} from '../messages/types.js';
 import {handleSlicesHandedBack} from '../moves/logic.js';
+import {handlePropose, recordApplied} from '../proposals/logic.js';
 import type {CallId} from '../ids/types.js';
 import {
   handleLoadPointerReply,
@@ -205,9 +207,7 @@
       handlePeerVersion(context, from, message.version);
       return;
     case 'suspect':
-      if (state.phase !== 'joining') {
-        suspectMember(context, message.member, from, message);
-      }
+      handleSuspect(context, from, message);
       return;
     case 'cleared':
       handleCleared(state, from, message.member, at.monotonic);
@@ -232,6 +232,9 @@
     case 'load':
       handleLoadReport(context, from, message);
       return;
+    case 'propose':
+      handlePropose(context, from, message);
+      return;
     case 'dispatch':
     case 'body':
     case 'head':
@@ -246,6 +249,15 @@
   }
 }
 
+function handleSuspect(
+  context: OwnershipContext,
+  from: MemberId,
+  message: Extract<ControlMessage, {kind: 'suspect'}>,
+): void {
+  if (context.state.phase === 'joining') return;
+  suspectMember(context, message.member, from, message);
+}
+
 function handleRevokeRequest(
   context: OwnershipContext,
   from: MemberId,
@@ -377,22 +389,26 @@
   pushEntry(context, committed);
   state.runTasksNow = true;
   completeCommand(context, entry.writeId, entry.version);
-  handleAppliedChange(context, committed);
+  for (const change of changesOf(entry.change)) {
+    handleAppliedChange(context, committed, change);
+  }
+  recordApplied(context, entry.change);
   resolveAppend(context, committed);
 }
 
-/** Logs what an entry changed, and handles entries about this member. */
+/** Logs what an entry changed, and handles changes of this member. */
 function handleAppliedChange(
   context: OwnershipContext,
   committed: CommittedEntry,
+  change: Change,
 ): void {
   const {state, at} = context;
-  const {change} = committed.entry;
   if (change.kind === 'joined' && change.member === state.self) {
     state.phase = 'joined';
     recordJoined(context, change.replaces !== null);
     const {append} = state.logWriter;
-    const sentAt = append?.firstSentAt ?? null;
+    const isOwn = append?.entry.writeId === committed.entry.writeId;
+    const sentAt = isOwn ? (append?.firstSentAt ?? null) : null;
     applyOwnRow(context, committed.revision, [], sentAt);
     state.lease.nextRenewalAt = at.monotonic;
     log(context, 'memberJoined', {member: state.self});
--- a/packages/core/src/ownership/due_tasks.ts
+++ b/packages/core/src/ownership/due_tasks.ts
@@ -31,6 +31,7 @@
   suspectMember,
   proposeEvictions,
 } from '../membership/evictions.js';
+import {proposeReceived, requestCommit} from '../proposals/logic.js';
 import {requestHandBack, trackDrains, proposeRelease} from '../moves/logic.js';
 import {storeSnapshotIfDue} from '../snapshots/storage.js';
 import {retryOrExpireCommands, proposeOperatorChange} from './commands.js';
@@ -95,6 +96,7 @@
   if (!logReader.caughtUp || logReader.inFlight || logReader.readNeeded) return;
   const proposal = proposeNext(context);
   if (proposal === null) return;
+  if (requestCommit(context, proposal)) return;
   const writeId = beginAppend(context, proposal);
   if (proposal.command !== undefined) proposal.command.writeId = writeId;
 }
@@ -110,6 +112,7 @@
     proposeRelease(context) ??
     proposeOffer(context) ??
     proposeDrain(state) ??
+    proposeReceived(context) ??
     proposePlacement(context)
   );
 }
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -42,6 +42,8 @@
 import type {Ring} from '../membership/ring.js';
 import {EMPTY_RING, rankMembers, buildRing} from '../membership/ring.js';
 import type {Eviction} from '../membership/types.js';
+import {createProposals} from '../proposals/state.js';
+import type {Proposals} from '../proposals/types.js';
 import type {Tuning} from '../settings/defaults.js';
 import {createSnapshotWriter} from '../snapshots/state.js';
 import type {SnapshotPointer, SnapshotWriter} from '../snapshots/types.js';
@@ -259,6 +261,7 @@
   /** Log version and configuration at the last check of invariants. */
   lastChecked: {version: number; configuration: number};
   readonly balance: Balance;
+  readonly proposals: Proposals;
 }
 
 /** Context in which the reducer handles one input. */
@@ -330,6 +333,7 @@
     snapshots: createSnapshotWriter(),
     lastChecked: {version: 0, configuration: 0},
     balance: createBalance(),
+    proposals: createProposals(),
   };
 }
 
--- /dev/null
+++ b/packages/core/src/proposals/logic.ts
@@ -0,0 +1,213 @@
+/**
+ * @fileoverview Committing changes for other members. A daemon that lost the
+ * race for a log entry asks one of a few members, which commits the changes of
+ * all that asked in one entry. Only changes that are harmless if they take
+ * effect late are passed on: a late `joined` leaves a member without a lease,
+ * which is evicted, and a late `offered` raises generations.
+ */
+
+import {hostOf} from '../ids/logic.js';
+import type {MemberId} from '../ids/types.js';
+import {changesOf} from '../log/logic.js';
+import type {Change, MemberChange} from '../log/types.js';
+import type {ClusterMap} from '../map/types.js';
+import type {ControlMessage} from '../messages/types.js';
+import {parseDocument} from '../validation/logic.js';
+import {MEMBER_CHANGE_SCHEMA} from './types.js';
+import type {Proposals} from './types.js';
+import {log, send} from '../ownership/effects.js';
+import type {
+  OwnershipContext,
+  OwnershipState,
+  ProposedChange,
+} from '../ownership/state.js';
+import {currentRanks} from '../ownership/state.js';
+
+/** Number of members that commit for others. */
+const MAX_COMMITTERS = 3;
+/** Time after which the next member is asked, in milliseconds. */
+const REQUEST_TIMEOUT_MS = 500;
+/** Requests after which the daemon tries to append the change itself. */
+const MAX_REQUESTS = 2;
+/** Time for which changes are collected before they are committed. */
+const COLLECT_MS = 50;
+/**
+ * Changes of one entry. Each adds up to three rows and checks to the
+ * transaction, of which the users' platform takes 100.
+ */
+const MAX_COMBINED_CHANGES = 30;
+
+/**
+ * Asks another member to commit a change, if this daemon has lost a race for a
+ * log entry and the change may be passed on.
+ *
+ * @param context - Context of the current input.
+ * @param proposal - What this daemon would append.
+ * @param proposal.change - Its change.
+ * @returns Whether another member was asked and may still commit it; otherwise
+ *     this daemon has to append it.
+ */
+export function requestCommit(
+  context: OwnershipContext,
+  {change}: ProposedChange,
+): boolean {
+  const {state, at} = context;
+  const {proposals, logWriter} = state;
+  if (logWriter.failures === 0 || !isMemberChange(change)) {
+    proposals.sent = null;
+    return false;
+  }
+  const text = JSON.stringify(change);
+  if (proposals.sent?.text !== text) {
+    proposals.sent = {text, requests: 0, to: null, timeoutAt: at.monotonic};
+  }
+  const {sent} = proposals;
+  if (at.monotonic < sent.timeoutAt) return true;
+  if (sent.to !== null) forgetNewcomer(proposals, sent.to);
+  const committers = committersOf(state);
+  if (sent.requests >= MAX_REQUESTS || committers.length === 0) {
+    proposals.sent = null;
+    return false;
+  }
+  const to = committers[sent.requests % committers.length];
+  sent.requests += 1;
+  sent.to = to;
+  sent.timeoutAt = at.monotonic + REQUEST_TIMEOUT_MS;
+  send(context, to, {kind: 'propose', change: text});
+  log(context, 'commitRequested', {change: change.kind, to});
+  return true;
+}
+
+/**
+ * Handles a request to commit a change. If the change is in effect already, the
+ * sender is told the version of the log.
+ *
+ * @param context - Context of the current input.
+ * @param from - The sender. A request that can't be parsed or is about another
+ *     member is ignored.
+ * @param message - The request.
+ */
+export function handlePropose(
+  context: OwnershipContext,
+  from: MemberId,
+  message: Extract<ControlMessage, {kind: 'propose'}>,
+): void {
+  const {state, at} = context;
+  if (state.phase !== 'joined') return;
+  const parsed = parseDocument(message.change, MEMBER_CHANGE_SCHEMA);
+  const change = parsed.kind === 'ok' ? (parsed.value as MemberChange) : null;
+  if (change?.member !== from) {
+    log(context, 'commitRequestIgnored', {from});
+    return;
+  }
+  if (isInEffect(state.map, change)) {
+    announceVersion(context, from);
+    return;
+  }
+  state.proposals.received.set(from, {change, receivedAt: at.monotonic});
+  state.runTasksNow = true;
+}
+
+/**
+ * Combines the changes that others asked for, once some time has passed since
+ * the first of them was received.
+ *
+ * @param context - Context of the current input.
+ * @returns One change for all of them, or null if there are none.
+ */
+export function proposeReceived(
+  context: OwnershipContext,
+): ProposedChange | null {
+  const {state, at} = context;
+  const {received} = state.proposals;
+  const changes: MemberChange[] = [];
+  let oldest = Infinity;
+  for (const [member, {change, receivedAt}] of received) {
+    const expired = at.monotonic - receivedAt > REQUEST_TIMEOUT_MS;
+    if (expired || isInEffect(state.map, change)) {
+      received.delete(member);
+      continue;
+    }
+    oldest = Math.min(oldest, receivedAt);
+    if (changes.length < MAX_COMBINED_CHANGES) {
+      changes.push(withKnownPredecessor(state.map, change));
+    }
+  }
+  const isFull = changes.length >= MAX_COMBINED_CHANGES;
+  if (!isFull && !(at.monotonic - oldest >= COLLECT_MS)) return null;
+  return {change: {kind: 'combined', changes}, by: state.self};
+}
+
+/**
+ * Handles an applied change: tells those that asked for it, and keeps the first
+ * newcomers.
+ *
+ * @param context - Context of the current input.
+ * @param change - The change of a log entry.
+ */
+export function recordApplied(context: OwnershipContext, change: Change): void {
+  const {state} = context;
+  const {received, newcomers} = state.proposals;
+  for (const each of changesOf(change)) {
+    if (!isMemberChange(each)) continue;
+    const {member} = each;
+    const isRecent = each.kind === 'joined' && state.logReader.caughtUp;
+    if (isRecent && newcomers.length < MAX_COMMITTERS) newcomers.push(member);
+    if (received.delete(member)) announceVersion(context, member);
+  }
+}
+
+/** A newcomer that did not answer may have ended. */
+function forgetNewcomer({newcomers}: Proposals, member: MemberId): void {
+  const index = newcomers.indexOf(member);
+  if (index >= 0) newcomers.splice(index, 1);
+}
+
+/** A `pull` makes its receiver request the entries that it lacks. */
+function announceVersion(context: OwnershipContext, to: MemberId): void {
+  send(context, to, {kind: 'pull', after: context.state.map.version});
+}
+
+/**
+ * Lists the members to ask: the first newcomers while this daemon joins, as
+ * older members may have ended with its predecessor, and otherwise those that
+ * may act as coordinator. A daemon that is one of them asks nobody.
+ */
+function committersOf(state: OwnershipState): MemberId[] {
+  const {map, self, settings, proposals, phase} = state;
+  const newcomers = proposals.newcomers.filter(id => map.members.has(id));
+  const candidates =
+    phase === 'joining' && newcomers.length > 0
+      ? newcomers
+      : currentRanks(state).slice(0, MAX_COMMITTERS);
+  if (candidates.includes(self)) return [];
+  return candidates.filter(id => hostOf(id) !== settings.host);
+}
+
+function isMemberChange(change: Change): change is MemberChange {
+  return change.kind === 'joined' || change.kind === 'offered';
+}
+
+function isInEffect(map: ClusterMap, change: MemberChange): boolean {
+  const member = map.members.get(change.member);
+  if (change.kind === 'joined') return member !== undefined;
+  const offer = member?.offer ?? null;
+  return (
+    offer !== null &&
+    offer.service === change.service &&
+    offer.instance === change.instance &&
+    offer.slots === change.slots &&
+    offer.leaving === change.leaving
+  );
+}
+
+/** Another member may have ended the predecessor since the request was sent. */
+function withKnownPredecessor(
+  map: ClusterMap,
+  change: MemberChange,
+): MemberChange {
+  if (change.kind !== 'joined' || change.replaces === null) return change;
+  return map.members.has(change.replaces)
+    ? change
+    : {...change, replaces: null};
+}
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -193,6 +193,7 @@
     case 'load':
     case 'suspect':
     case 'cleared':
+    case 'propose':
       return;
   }
   const attempt = context.state.attempts.get(message.attempt);
--- /dev/null
+++ b/packages/emulator/src/soak/forming.spec.ts
@@ -0,0 +1,92 @@
+/**
+ * @fileoverview A fleet that starts at once forms within a bound of time and of
+ * writes to the store, however many daemons race for the first log entries.
+ */
+
+import test from 'ava';
+import {mergeTuning} from '@jackdawfall/core';
+
+import {SLICES} from './formed_cluster.js';
+import {SimulatedCluster} from './cluster.js';
+
+/** Time within which all daemons start. */
+const START_MS = 300;
+/** Maximum time from the first start until every daemon is a member. */
+const FORM_LIMIT_MS = 3000;
+/** Time after which a fleet has formed and is calm. */
+const FORMED_MS = 10_000;
+const GIVE_UP_MS = 20_000;
+const STEP_MS = 100;
+/** Maximum delay of a timer on a host with a quarter of a core. */
+const MAX_TICK_DELAY_MS = 30;
+/**
+ * Maximum writes for each daemon: 196 daemons may make 1,500 calls to the store
+ * in a day.
+ */
+const MAX_WRITES_EACH = 7;
+
+const FLEETS: ReadonlyArray<{
+  readonly hosts: number;
+  readonly killed: 'none' | 'first members' | 'all';
+}> = [
+  {hosts: 10, killed: 'none'},
+  {hosts: 30, killed: 'none'},
+  {hosts: 100, killed: 'none'},
+  {hosts: 30, killed: 'first members'},
+  {hosts: 30, killed: 'all'},
+];
+
+function createFleet(hosts: number): SimulatedCluster {
+  return new SimulatedCluster({
+    seed: 5,
+    hosts,
+    slices: SLICES,
+    rulesOff: new Set(),
+    maxTickDelayMs: MAX_TICK_DELAY_MS,
+    tuning: mergeTuning({
+      loop: {tickMs: 100},
+      leases: {leaseMs: 2000, renewMs: 600, suspectMs: 1300},
+      membership: {soleProcess: true},
+    }),
+  });
+}
+
+function startAll(cluster: SimulatedCluster, hosts: number): void {
+  for (let host = 0; host < hosts; host++) {
+    cluster.start(host);
+    cluster.advance(START_MS / hosts);
+  }
+}
+
+/** Returns whether every live daemon is a member. */
+function hasFormed(cluster: SimulatedCluster): boolean {
+  return cluster.liveNodes().every(({state}) => state.phase === 'joined');
+}
+
+for (const {hosts, killed} of FLEETS) {
+  test(`a fleet of ${hosts} daemons forms in time, killed: ${killed}`, t => {
+    const cluster = createFleet(hosts);
+    startAll(cluster, hosts);
+    if (killed === 'first members') {
+      const members = cluster
+        .liveNodes()
+        .filter(({state}) => state.phase === 'joined');
+      t.true(members.length > 0);
+      for (const node of members.slice(0, 3)) cluster.kill(node);
+    }
+    if (killed === 'all') {
+      cluster.advance(FORMED_MS);
+      for (const node of cluster.liveNodes()) cluster.kill(node);
+    }
+    const {writes} = cluster.store;
+    const startedAt = killed === 'all' ? cluster.now : 0;
+    if (killed === 'all') startAll(cluster, hosts);
+    while (cluster.now - startedAt < GIVE_UP_MS && !hasFormed(cluster)) {
+      cluster.advance(STEP_MS);
+    }
+    const formedMs = cluster.now - startedAt;
+    t.true(formedMs <= FORM_LIMIT_MS, `formed after ${formedMs} ms`);
+    const made = cluster.store.writes - (killed === 'all' ? writes : 0);
+    t.true(made <= MAX_WRITES_EACH * hosts, `${made} writes`);
+  });
+}
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -9,7 +9,7 @@
 import type {Hello} from './types.js';
 
 /** Version of the protocol; links with another version are refused. */
-export const PROTOCOL_VERSION = 2;
+export const PROTOCOL_VERSION = 3;
 
 /** The Avro schema of one field. */
 export type FieldSchema = string | readonly string[] | {readonly type: string};
@@ -196,6 +196,7 @@
       zonesOut: LOGICAL_TYPES.names,
     },
   },
+  propose: {code: 21, fields: {change: 'string'}},
 };
 
 /** The schema of the hello frame. */
--- a/packages/wire/src/links/liveness.ts
+++ b/packages/wire/src/links/liveness.ts
@@ -150,6 +150,7 @@
     case 'suspect':
     case 'cleared':
     case 'configuration':
+    case 'propose':
       return 'neutral';
   }
 }
