--- a/packages/core/src/log_replication/reader.ts
+++ b/packages/core/src/log_replication/reader.ts
@@ -224,7 +224,13 @@
   }
 }
 
-function neighboursOf(context: OwnershipContext): MemberId[] {
+/**
+ * Lists the members to which news are pushed.
+ *
+ * @param context - Context of the current input.
+ * @returns The members at distances 1, 2, 4 and so on in the ring.
+ */
+export function neighboursOf(context: OwnershipContext): MemberId[] {
   const {state} = context;
   const order = currentRing(state).order;
   const position = currentRing(state).position.get(state.self);
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -236,6 +236,12 @@
       /** Evacuated availability zones. */
       readonly zonesOut: readonly ZoneName[];
     }
+  /**
+   * Tells the number of the sender's external configuration. A receiver with a
+   * newer one replies with it; one with an older one asks for it by telling its
+   * own number.
+   */
+  | {readonly kind: 'configurationNumber'; readonly number: number}
   /**
    * Requests the entries after a version; the reply is always `entries`. It
    * also tells the receiver the log version of the sender's map, so that a
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -3,6 +3,10 @@
 import {handleAuditReply} from '../commands/audit.js';
 import {renderStatus} from '../commands/view.js';
 import {handleLoadReport} from '../balance/load.js';
+import {
+  adoptConfiguration,
+  handleConfigurationMessage,
+} from '../configuration/logic.js';
 import {clearConfirmed, clearGrants, confirmGrant} from '../grants/logic.js';
 import type {MemberId} from '../ids/types.js';
 import {makeMemberId} from '../ids/logic.js';
@@ -39,12 +43,7 @@
 import {createLeaseState} from '../leases/state.js';
 import type {Change, CommittedEntry} from '../log/types.js';
 import type {Subsystem} from '../loop/subsystem.js';
-import type {
-  Effect,
-  Event,
-  Input,
-  ExternalConfiguration,
-} from '../loop/types.js';
+import type {Effect, Event, Input} from '../loop/types.js';
 import {applyEntry, applyExternalConfiguration} from '../map/logic.js';
 import {
   suspectMember,
@@ -143,7 +142,7 @@
       handleCommand(context, event.command, event.token);
       return;
     case 'configurationRead':
-      handleExternalConfiguration(context, event.configuration);
+      adoptConfiguration(context, event.configuration);
       return;
     case 'slicesGranted':
       confirmGrant(
@@ -218,9 +217,6 @@
     case 'closed':
       handleRevoked(context, from, message);
       return;
-    case 'configuration':
-      handleExternalConfiguration(context, message);
-      return;
     case 'pull':
       handlePull(context, from, message.after);
       handlePeerVersion(context, from, message.after);
@@ -232,6 +228,10 @@
     case 'load':
       handleLoadReport(context, from, message);
       return;
+    case 'configuration':
+    case 'configurationNumber':
+      handleConfigurationMessage(context, from, message);
+      return;
     case 'propose':
       handlePropose(context, from, message);
       return;
@@ -361,24 +361,6 @@
   }
 }
 
-/**
- * Adopts an external configuration from the source or from another member, if
- * its version is the highest so far.
- */
-function handleExternalConfiguration(
-  context: OwnershipContext,
-  configuration: ExternalConfiguration,
-): void {
-  const {state} = context;
-  const {number, document, zonesOut} = configuration;
-  if (number <= (state.externalConfiguration?.number ?? 0)) return;
-  state.externalConfiguration = {number, document, zonesOut};
-  applyExternalConfiguration(state.map, state.externalConfiguration);
-  state.placementCheckedVersion = -1;
-  state.runTasksNow = true;
-  log(context, 'configurationInForce', {number, zonesOut: zonesOut.join(' ')});
-}
-
 /** Applies an entry if it is the next one of the log; skips any other. */
 function apply(context: OwnershipContext, committed: CommittedEntry): void {
   const {state, at} = context;
--- a/packages/core/src/ownership/due_tasks.ts
+++ b/packages/core/src/ownership/due_tasks.ts
@@ -3,6 +3,7 @@
  * it appends to the log next.
  */
 
+import {requestConfigurationIfDue} from '../configuration/logic.js';
 import {renewServerGrants, mayServerHoldAny} from '../grants/logic.js';
 import {hostOf} from '../ids/logic.js';
 import type {MemberId} from '../ids/types.js';
@@ -65,6 +66,7 @@
   const {state} = context;
   if (state.phase === 'left') return;
   readLogIfDue(context);
+  requestConfigurationIfDue(context);
   retryAppendIfDue(context);
   retryOrExpireCommands(context);
   maintainLease(context);
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -27,6 +27,7 @@
 import type {Balance} from '../balance/types.js';
 import {createSliceGrants} from '../grants/state.js';
 import type {SliceGrants} from '../grants/types.js';
+import type {HeardConfiguration} from '../configuration/logic.js';
 import {createFormation} from '../coordinator/formation.js';
 import type {Formation} from '../coordinator/formation.js';
 import {makeMemberId} from '../ids/logic.js';
@@ -260,6 +261,8 @@
   snapshots: SnapshotWriter;
   /** Log version and configuration at the last check of invariants. */
   lastChecked: {version: number; configuration: number};
+  /** A newer configuration of a peer, or null. */
+  heardConfiguration: HeardConfiguration | null;
   readonly balance: Balance;
   readonly proposals: Proposals;
 }
@@ -332,6 +335,7 @@
     actsAsCoordinator: false,
     snapshots: createSnapshotWriter(),
     lastChecked: {version: 0, configuration: 0},
+    heardConfiguration: null,
     balance: createBalance(),
     proposals: createProposals(),
   };
--- /dev/null
+++ b/packages/core/src/proposals/logic.spec.ts
@@ -0,0 +1,131 @@
+/** @fileoverview Tests of committing changes for other members. */
+
+import test from 'ava';
+
+import type {MemberId} from '../ids/types.js';
+import type {Change, Entry} from '../log/types.js';
+import type {Effect} from '../loop/types.js';
+import {
+  CONFIGURED,
+  OwnershipHarness,
+  SELF,
+  TICK_MS,
+  joined,
+  offered,
+} from '../testing/harness.js';
+
+const ENDED = 'c#1' as MemberId;
+const SENDER = 'c#2' as MemberId;
+const OTHER = 'd#1' as MemberId;
+const HISTORY: readonly Change[] = [CONFIGURED, joined(SELF, null)];
+/** More than one entry takes. */
+const MANY = 40;
+
+interface Request {
+  readonly from: MemberId;
+  readonly text: string;
+}
+
+function requestOf(from: MemberId, change: Change): Request {
+  return {from, text: JSON.stringify(change)};
+}
+
+/** Sends requests and returns the combined changes that are committed. */
+function commitFor(
+  requests: readonly Request[],
+  history: readonly Change[] = HISTORY,
+): Change[][] {
+  const harness = new OwnershipHarness(history, true);
+  const effects: Effect[] = [];
+  for (const {from, text: change} of requests) {
+    const message = {kind: 'propose', change} as const;
+    effects.push(...harness.handle({kind: 'messageReceived', from, message}));
+  }
+  for (let tick = 0; tick < 3; tick++) {
+    harness.now += TICK_MS;
+    effects.push(...harness.tick());
+  }
+  return effects.flatMap(combinedChangesOf);
+}
+
+function combinedChangesOf(effect: Effect): Change[][] {
+  if (effect.kind !== 'callStore' || effect.request.kind !== 'commit') {
+    return [];
+  }
+  const {puts} = effect.request.transaction;
+  const entry = puts.find(({key}) => key.includes('/log/'));
+  if (entry?.value === undefined || entry.value === null) return [];
+  const {change} = JSON.parse(entry.value) as Entry;
+  return change.kind === 'combined' ? [[...change.changes]] : [];
+}
+
+const CASES: ReadonlyArray<{
+  title: string;
+  requests: readonly Request[];
+  history?: readonly Change[];
+  committed: readonly Change[][];
+}> = [
+  {
+    title: 'changes of several members are committed in one entry',
+    requests: [
+      requestOf(SENDER, joined(SENDER, null)),
+      requestOf(OTHER, joined(OTHER, null)),
+    ],
+    committed: [[joined(SENDER, null), joined(OTHER, null)]],
+  },
+  {
+    title: 'the newest request of a member replaces the one before',
+    history: [...HISTORY, joined(SENDER, null)],
+    requests: [
+      requestOf(SENDER, {...offered(SENDER), leaving: true} as Change),
+      requestOf(SENDER, offered(SENDER)),
+    ],
+    committed: [[offered(SENDER)]],
+  },
+  {
+    title: 'a predecessor that ended meanwhile is not replaced',
+    requests: [requestOf(SENDER, joined(SENDER, ENDED))],
+    committed: [[joined(SENDER, null)]],
+  },
+  {
+    title: 'a predecessor that is a member is replaced',
+    history: [...HISTORY, joined(ENDED, null)],
+    requests: [requestOf(SENDER, joined(SENDER, ENDED))],
+    committed: [[joined(SENDER, ENDED)]],
+  },
+  {
+    title: 'a change that is in effect is not committed again',
+    history: [...HISTORY, joined(SENDER, null)],
+    requests: [requestOf(SENDER, joined(SENDER, null))],
+    committed: [],
+  },
+  {
+    title: 'a change of another member is ignored',
+    requests: [requestOf(SENDER, joined(OTHER, null))],
+    committed: [],
+  },
+  {
+    title: 'a change that its owner has to commit is ignored',
+    requests: [requestOf(SENDER, {kind: 'ended', members: [OTHER]})],
+    committed: [],
+  },
+  {
+    title: 'text that is no change is ignored',
+    requests: [{from: SENDER, text: '{"kind":"joined"'}],
+    committed: [],
+  },
+];
+
+for (const {title, requests, history, committed} of CASES) {
+  test(title, t => {
+    t.deepEqual(commitFor(requests, history), committed);
+  });
+}
+
+test('more changes than one entry takes are committed in several', t => {
+  const members = Array.from({length: MANY}, (_, i) => `m${i}#1` as MemberId);
+  const requests = members.map(id => requestOf(id, joined(id, null)));
+  const committed = commitFor(requests);
+  t.true(committed.length > 1);
+  t.is(committed.flat().length, MANY);
+});
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -194,6 +194,7 @@
     case 'suspect':
     case 'cleared':
     case 'propose':
+    case 'configurationNumber':
       return;
   }
   const attempt = context.state.attempts.get(message.attempt);
--- a/packages/daemon/src/adapters/types.ts
+++ b/packages/daemon/src/adapters/types.ts
@@ -140,6 +140,8 @@
   unreadyReason(): string | null;
   /** Whether the daemon has a configuration in force. */
   isConfigured(): boolean;
+  /** Number of members of the workspace, as far as the daemon knows. */
+  memberCount(): number;
   renderMetrics(): string;
   renderStatus(): unknown;
 }
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -156,6 +156,11 @@
     return this.options.daemon.ownershipView.workspace !== null;
   }
 
+  /** @returns The number of members of the workspace. */
+  memberCount(): number {
+    return this.options.daemon.ownershipView.members;
+  }
+
   /** @returns Why the daemon doesn't accept requests, or null if it does. */
   unreadyReason(): string | null {
     if (this.stopping) return 'stopping';
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -12,6 +12,7 @@
   CommandResult,
   Effect,
   Event,
+  ExternalConfiguration,
   HostName,
   MemberId,
   Message,
@@ -234,6 +235,19 @@
     return token;
   }
 
+  /**
+   * Has a process read a configuration from its external source.
+   *
+   * @param node - The process.
+   * @param configuration - The configuration.
+   */
+  readConfiguration(
+    node: SimulatedNode,
+    configuration: ExternalConfiguration,
+  ): void {
+    this.deliver(node, {kind: 'configurationRead', configuration});
+  }
+
   /**
    * Asks a process to stop.
    *
--- a/packages/wire/src/links/liveness.ts
+++ b/packages/wire/src/links/liveness.ts
@@ -151,6 +151,7 @@
     case 'cleared':
     case 'configuration':
     case 'propose':
+    case 'configurationNumber':
       return 'neutral';
   }
 }
