Entries of placement fit into a row of the users' platform

Cause: an entry held up to 2,048 ranges or moves; with 4,096 slices of alternating owners it has 147,000 characters, and the platform's store refuses a row of more than 65,536 bytes in base64, so that the entry was proposed again and again. An entry now ends by its characters. The test fails first on a map of alternating owners.

--- a/packages/core/src/coordinator/logic.spec.ts
+++ b/packages/core/src/coordinator/logic.spec.ts
@@ -4,8 +4,10 @@
 
 import type {Slice} from '../ids/types.js';
 import {
+  BOOKINGS,
   applyChange,
   createFleet,
+  fleetMember,
   addServer,
   placementOf,
 } from '../testing/fleet.js';
@@ -86,3 +88,28 @@
   addServer(map, 5, 'zone-0');
   t.is(nextPlacement(map, false)?.kind, 'placed');
 });
+
+/** Maximum size of a row's value on the users' platform, in base64. */
+const ROW_BYTES = 65_536;
+const SLICES = 4096;
+
+test('an entry that places slices of alternating owners fits into a row', t => {
+  const map = createFleet(SLICES, 6, 3);
+  const runs = Array.from({length: SLICES}, (_, slice) => ({
+    first: slice as Slice,
+    count: 1,
+    owner: fleetMember(slice % 6),
+    standby: null,
+  }));
+  applyChange(map, {kind: 'placed', service: BOOKINGS, slices: SLICES, runs});
+  let entries = 0;
+  for (;;) {
+    const change = nextPlacement(map);
+    if (change === null) break;
+    const text = JSON.stringify(change);
+    t.true(Buffer.from(text).toString('base64').length < ROW_BYTES);
+    applyChange(map, change);
+    entries += 1;
+  }
+  t.true(entries > 1);
+});
--- a/packages/core/src/coordinator/logic.ts
+++ b/packages/core/src/coordinator/logic.ts
@@ -10,10 +10,11 @@
 import type {ClusterMap, Member, ServicePlacement} from '../map/types.js';
 
 /**
- * Maximum number of slice ranges or moves in one entry, which then has about
- * 147,000 characters; it has to fit into a message between daemons.
+ * Characters of slice ranges or moves after which an entry takes no more. A row
+ * of the users' platform holds 49,152; the rest is left for the other fields
+ * and for counts that grow while ranges are merged.
  */
-const MAX_RANGES = 2048;
+const MAX_RANGE_CHARACTERS = 47_000;
 /**
  * Number of blocks of adjacent slices that an owner of ordered keys gets when
  * it has none: more blocks spread hot keys better, fewer need fewer grants.
@@ -362,6 +363,7 @@
  */
 class RangeList {
   readonly list: SliceRange[] = [];
+  private characters = 0;
 
   /** Adds a slice; returns false once the entry is full. */
   add(slice: number, owner: MemberId, standby: MemberId | null): boolean {
@@ -374,8 +376,10 @@
     const first = extendsLast ? last.first : (slice as Slice);
     const length = extendsLast ? last.count + 1 : 1;
     if (extendsLast) this.list.pop();
-    this.list.push({first, count: length, owner, standby});
-    return this.list.length < MAX_RANGES;
+    const range = {first, count: length, owner, standby};
+    this.list.push(range);
+    if (!extendsLast) this.characters += JSON.stringify(range).length;
+    return this.characters < MAX_RANGE_CHARACTERS;
   }
 }
 
@@ -385,6 +389,7 @@
  */
 class MoveList {
   readonly list: SliceMove[] = [];
+  private characters = 0;
 
   /** Adds a slice; returns false once the entry is full. */
   add(slice: number, to: MemberId): boolean {
@@ -394,7 +399,9 @@
     const first = extendsLast ? last.first : (slice as Slice);
     const length = extendsLast ? last.count + 1 : 1;
     if (extendsLast) this.list.pop();
-    this.list.push({first, count: length, to});
-    return this.list.length < MAX_RANGES;
+    const move = {first, count: length, to};
+    this.list.push(move);
+    if (!extendsLast) this.characters += JSON.stringify(move).length;
+    return this.characters < MAX_RANGE_CHARACTERS;
   }
 }
