Releases of many slices fit into a row of the platform

Cause: an owner released all its drained slices in one entry, each with the token that its server handed over: 4,096 of them have 190,000 characters. The platform refuses such a row, and the release was proposed again and again, so that the keys of an emptied zone or server stayed out of service. The release now ends by its characters, like placements.

--- a/packages/core/src/coordinator/logic.spec.ts
+++ b/packages/core/src/coordinator/logic.spec.ts
@@ -7,6 +7,7 @@
   BOOKINGS,
   applyChange,
   createFleet,
+  fitsIntoRow,
   fleetMember,
   addServer,
   placementOf,
@@ -89,8 +90,6 @@
   t.is(nextPlacement(map, false)?.kind, 'placed');
 });
 
-/** Maximum size of a row's value on the users' platform, in base64. */
-const ROW_BYTES = 65_536;
 const SLICES = 4096;
 
 test('an entry that places slices of alternating owners fits into a row', t => {
@@ -106,8 +105,7 @@
   for (;;) {
     const change = nextPlacement(map);
     if (change === null) break;
-    const text = JSON.stringify(change);
-    t.true(Buffer.from(text).toString('base64').length < ROW_BYTES);
+    t.true(fitsIntoRow(change));
     applyChange(map, change);
     entries += 1;
   }
--- a/packages/core/src/coordinator/logic.ts
+++ b/packages/core/src/coordinator/logic.ts
@@ -4,17 +4,12 @@
  */
 
 import type {MemberId, ServiceName, Slice} from '../ids/types.js';
+import {MAX_LIST_CHARACTERS} from '../log/logic.js';
 import type {Change, SliceMove, SliceRange} from '../log/types.js';
 import {memberAt, acceptsWork} from '../map/logic.js';
 import {NO_MEMBER, wasNeverPlaced} from '../map/state.js';
 import type {ClusterMap, Member, ServicePlacement} from '../map/types.js';
 
-/**
- * Characters of slice ranges or moves after which an entry takes no more. A row
- * of the users' platform holds 49,152; the rest is left for the other fields
- * and for counts that grow while ranges are merged.
- */
-const MAX_RANGE_CHARACTERS = 47_000;
 /**
  * Number of blocks of adjacent slices that an owner of ordered keys gets when
  * it has none: more blocks spread hot keys better, fewer need fewer grants.
@@ -379,7 +374,7 @@
     const range = {first, count: length, owner, standby};
     this.list.push(range);
     if (!extendsLast) this.characters += JSON.stringify(range).length;
-    return this.characters < MAX_RANGE_CHARACTERS;
+    return this.characters < MAX_LIST_CHARACTERS;
   }
 }
 
@@ -402,6 +397,6 @@
     const move = {first, count: length, to};
     this.list.push(move);
     if (!extendsLast) this.characters += JSON.stringify(move).length;
-    return this.characters < MAX_RANGE_CHARACTERS;
+    return this.characters < MAX_LIST_CHARACTERS;
   }
 }
--- a/packages/core/src/log/logic.ts
+++ b/packages/core/src/log/logic.ts
@@ -9,6 +9,12 @@
 const VERSION_DIGITS = 12;
 /** The character after `9`; sorts after every key that ends in a version. */
 const AFTER_DIGITS = ':';
+/**
+ * Characters of slice ranges, moves or released slices after which an entry
+ * takes no more. A row of the users' platform holds 49,152; the rest is left for
+ * the other fields and for counts that grow while ranges are merged.
+ */
+export const MAX_LIST_CHARACTERS = 47_000;
 
 /** Keys of the rows and names of the objects of one workspace. */
 export interface StoreKeys {
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -11,6 +11,7 @@
   recordRelease,
 } from '../grants/logic.js';
 import type {ServiceName, Slice} from '../ids/types.js';
+import {MAX_LIST_CHARACTERS} from '../log/logic.js';
 import type {Change, Handover} from '../log/types.js';
 import type {Event} from '../loop/types.js';
 import type {ServicePlacement} from '../map/types.js';
@@ -47,8 +48,8 @@
 }
 
 /**
- * Proposes to release drained slices, those of one service at a time, since an
- * entry names a single service.
+ * Proposes to release drained slices: those of one service, since an entry
+ * names a single one, and as many as fit into an entry.
  *
  * @param context - Context of the current input.
  * @returns The change, or null if no slice is drained.
@@ -60,13 +61,19 @@
   let service: ServiceName | null = null;
   const slices: Slice[] = [];
   const handovers: Handover[] = [];
+  let characters = 0;
   for (const drain of state.drains.values()) {
+    if (characters >= MAX_LIST_CHARACTERS) break;
     if (service !== null && drain.service !== service) continue;
     if (!isDrained(context, drain)) continue;
     service = drain.service;
     const {slice, handover} = drain;
     slices.push(slice);
-    if (handover !== null) handovers.push({slice, token: handover});
+    characters += JSON.stringify(slice).length + 1;
+    if (handover === null) continue;
+    const passedOn = {slice, token: handover};
+    handovers.push(passedOn);
+    characters += JSON.stringify(passedOn).length + 1;
   }
   if (service === null) return null;
   const change: Change = {kind: 'released', service, slices, handovers};
--- a/packages/core/src/testing/fleet.ts
+++ b/packages/core/src/testing/fleet.ts
@@ -10,6 +10,8 @@
 export const BOOKINGS = 'bookings' as ServiceName;
 /** Number of its keys. */
 export const FLEET_KEYS = 65_536;
+/** Maximum size of a row's value on the users' platform, in base64. */
+const ROW_BYTES = 65_536;
 
 /**
  * Builds the id of a member.
@@ -97,3 +99,14 @@
   if (placement === undefined) throw new Error('the service is not placed');
   return placement;
 }
+
+/**
+ * Returns whether an entry with a change fits into a row of the platform.
+ *
+ * @param change - The change.
+ * @returns False if the platform would refuse the row.
+ */
+export function fitsIntoRow(change: Change): boolean {
+  const text = JSON.stringify(change);
+  return Buffer.from(text).toString('base64').length < ROW_BYTES;
+}
