Releases of one move are committed together by the coordinator

A release could not be passed on, since a late one might take effect in a later move of its slice.

Members that may commit for others ask only those before them. Standbys are placed once the moves of a service have ended, in one entry.

--- a/packages/core/src/coordinator/logic.ts
+++ b/packages/core/src/coordinator/logic.ts
@@ -209,20 +209,22 @@
 
 /**
  * Gives every slice a standby that accepts work, in another availability zone
- * than the owner's if there is one.
+ * than the owner's if there is one. It waits for moves to end, so that one entry
+ * serves all of them; a moving slice whose owner is lost goes to its target.
  */
 function placeStandbys(
   map: ClusterMap,
   service: ServicePlacement,
   candidates: readonly Member[],
 ): Change | null {
+  if (service.moves.size > 0) return null;
   const eligible = new Map(candidates.map(each => [each.index, each]));
   const zones = new Set(candidates.map(each => each.zone));
   const blockSize = blockSizeOf(map, service, candidates);
   const ranges = new RangeList();
   for (let slice = 0; slice < service.slices; slice++) {
     const owner = memberAt(map, service.owner[slice]);
-    if (owner === null || service.moves.has(slice as Slice)) continue;
+    if (owner === null) continue;
     const standby = eligible.get(service.standby[slice]);
     const hasOtherZone = zones.size > 1 || !zones.has(owner.zone);
     if (standby !== undefined) {
--- a/packages/core/src/log/types.ts
+++ b/packages/core/src/log/types.ts
@@ -58,11 +58,27 @@
       readonly leaving: boolean;
     };
 
+/**
+ * The owner has drained and released these slices; the target of each move
+ * becomes the owner.
+ */
+export interface Release {
+  readonly kind: 'released';
+  readonly service: ServiceName;
+  readonly slices: readonly Slice[];
+  /** Tokens that the backend server passed on for some of them. */
+  readonly handovers: readonly Handover[];
+}
+
 /** The change that an entry makes to the cluster map. */
 export type Change =
   | MemberChange
+  | Release
   /** Changes of several members, which one of them committed at once. */
-  | {readonly kind: 'combined'; readonly changes: readonly MemberChange[]}
+  | {
+      readonly kind: 'combined';
+      readonly changes: ReadonlyArray<MemberChange | Release>;
+    }
   /**
    * Removes these members from the workspace, because they left or were
    * evicted; their processes may still run. Each slice that one of them owned
@@ -98,17 +114,6 @@
       readonly service: ServiceName;
       readonly moves: readonly SliceMove[];
     }
-  /**
-   * The owner has drained and released these slices; the target of each move
-   * becomes the owner.
-   */
-  | {
-      readonly kind: 'released';
-      readonly service: ServiceName;
-      readonly slices: readonly Slice[];
-      /** Tokens that the backend server passed on for some of them. */
-      readonly handovers: readonly Handover[];
-    }
   /** A configuration document was accepted. */
   | {
       readonly kind: 'configured';
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -236,11 +236,17 @@
   for (const id of ids) removeMember(map, id, now);
 }
 
-/** Gives slices of removed owners to their move target, else their standby. */
+/**
+ * Gives slices of removed owners to their move target, else their standby. A
+ * slice whose move ends with its target gets a new generation: a release that
+ * its owner has already proposed no longer matches it.
+ */
 function promoteStandbys(service: ServicePlacement, ended: Uint8Array): void {
   const {owner, standby, moves} = service;
   for (const [slice, to] of moves) {
-    if (ended[to] === 1) moves.delete(slice);
+    if (ended[to] !== 1) continue;
+    moves.delete(slice);
+    if (ended[owner[slice]] === 0) advanceGeneration(service, slice);
   }
   for (let slice = 0; slice < service.slices; slice++) {
     if (ended[standby[slice]] === 1) standby[slice] = NO_MEMBER;
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -261,7 +261,7 @@
    */
   | {
       readonly kind: 'propose';
-      /** JSON text of a `MemberChange`. */
+      /** JSON text of a `Proposal`. */
       readonly change: string;
     }
   /** Load of the sender, reported to the coordinator. */
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -12,7 +12,7 @@
 } from '../grants/logic.js';
 import type {ServiceName, Slice} from '../ids/types.js';
 import {MAX_LIST_CHARACTERS} from '../log/logic.js';
-import type {Change, Handover} from '../log/types.js';
+import type {Handover, Release} from '../log/types.js';
 import type {Event} from '../loop/types.js';
 import type {ServicePlacement} from '../map/types.js';
 import {log} from '../ownership/effects.js';
@@ -76,7 +76,7 @@
     characters += JSON.stringify(passedOn).length + 1;
   }
   if (service === null) return null;
-  const change: Change = {kind: 'released', service, slices, handovers};
+  const change: Release = {kind: 'released', service, slices, handovers};
   return {change, by: state.self};
 }
 
--- a/packages/core/src/proposals/logic.spec.ts
+++ b/packages/core/src/proposals/logic.spec.ts
@@ -2,11 +2,12 @@
 
 import test from 'ava';
 
-import type {MemberId} from '../ids/types.js';
+import type {MemberId, Slice} from '../ids/types.js';
 import type {Change, Entry} from '../log/types.js';
 import type {Effect} from '../loop/types.js';
 import {
   CONFIGURED,
+  FINDER,
   OwnershipHarness,
   SELF,
   TICK_MS,
@@ -122,6 +123,99 @@
   });
 }
 
+const TARGET = 'e#1' as MemberId;
+const SLICES = [0, 1] as Slice[];
+const FINDER_PLACED: Change = {
+  kind: 'placed',
+  service: FINDER,
+  slices: 2,
+  runs: [
+    {first: SLICES[0], count: 1, owner: SENDER, standby: null},
+    {first: SLICES[1], count: 1, owner: OTHER, standby: null},
+  ],
+};
+const FINDER_MOVING: Change = {
+  kind: 'moving',
+  service: FINDER,
+  moves: [{first: SLICES[0], count: 2, to: TARGET}],
+};
+/** Two owners whose slices move to a third member. */
+const MOVES: readonly Change[] = [
+  ...HISTORY,
+  joined(SENDER, null),
+  joined(OTHER, null),
+  joined(TARGET, null),
+  FINDER_PLACED,
+  FINDER_MOVING,
+];
+
+function release(from: MemberId, slice: Slice, generation = 1): Request {
+  const handovers = [{slice, token: `token of ${slice}`}];
+  const text = JSON.stringify({
+    kind: 'released',
+    member: from,
+    service: FINDER,
+    slices: [slice],
+    generations: [generation],
+    handovers,
+  });
+  return {from, text};
+}
+
+function releasedSlices(...slices: readonly Slice[]): Change {
+  const handovers = slices.map(slice => ({slice, token: `token of ${slice}`}));
+  return {kind: 'released', service: FINDER, slices, handovers};
+}
+
+const RELEASES: ReadonlyArray<{
+  title: string;
+  requests: readonly Request[];
+  history: readonly Change[];
+  committed: readonly Change[][];
+}> = [
+  {
+    title: 'slices of several owners are released in one entry',
+    requests: [release(SENDER, SLICES[0]), release(OTHER, SLICES[1])],
+    history: MOVES,
+    committed: [[releasedSlices(...SLICES)]],
+  },
+  {
+    title: 'a slice of another owner is not released',
+    requests: [release(SENDER, SLICES[1])],
+    history: MOVES,
+    committed: [],
+  },
+  {
+    title: 'a slice of another generation is not released',
+    requests: [release(SENDER, SLICES[0], 2)],
+    history: MOVES,
+    committed: [],
+  },
+  {
+    title: 'a late release is not taken for one of a later move',
+    requests: [release(SENDER, SLICES[0])],
+    history: [
+      ...MOVES,
+      {kind: 'ended', members: [TARGET]},
+      joined(ENDED, null),
+      {...FINDER_MOVING, moves: [{first: SLICES[0], count: 2, to: ENDED}]},
+    ],
+    committed: [],
+  },
+  {
+    title: 'a slice that no longer moves is not released',
+    requests: [release(SENDER, SLICES[0])],
+    history: [...MOVES, {kind: 'ended', members: [TARGET]}],
+    committed: [],
+  },
+];
+
+for (const {title, requests, history, committed} of RELEASES) {
+  test(title, t => {
+    t.deepEqual(commitFor(requests, history), committed);
+  });
+}
+
 test('more changes than one entry takes are committed in several', t => {
   const members = Array.from({length: MANY}, (_, i) => `m${i}#1` as MemberId);
   const requests = members.map(id => requestOf(id, joined(id, null)));
--- a/packages/core/src/proposals/logic.ts
+++ b/packages/core/src/proposals/logic.ts
@@ -1,20 +1,22 @@
 /**
  * @fileoverview Committing changes for other members. A daemon that lost the
- * race for a log entry asks one of a few members, which commits the changes of
- * all that asked in one entry. Only changes that are harmless if they take
- * effect late are passed on: a late `joined` leaves a member without a lease,
- * which is evicted, and a late `offered` raises generations.
+ * race for a log entry, or that releases slices of a move, in which other owners
+ * take part, asks one of a few members, which commits the changes of all that
+ * asked in one entry. Only changes that are harmless if they take effect late
+ * are passed on: a late `joined` leaves a member without a lease, which is
+ * evicted, a late `offered` raises generations, and a late `released` doesn't
+ * match the generations of its slices any more.
  */
 
 import {hostOf} from '../ids/logic.js';
-import type {MemberId} from '../ids/types.js';
-import {changesOf} from '../log/logic.js';
-import type {Change, MemberChange} from '../log/types.js';
+import type {MemberId, ServiceName, Slice} from '../ids/types.js';
+import {MAX_LIST_CHARACTERS, changesOf} from '../log/logic.js';
+import type {Change, MemberChange, Release} from '../log/types.js';
 import type {ClusterMap} from '../map/types.js';
 import type {ControlMessage} from '../messages/types.js';
 import {parseDocument} from '../validation/logic.js';
-import {MEMBER_CHANGE_SCHEMA} from './types.js';
-import type {Proposals} from './types.js';
+import {PROPOSAL_SCHEMA} from './types.js';
+import type {Proposal, ProposedRelease, Proposals} from './types.js';
 import {log, send} from '../ownership/effects.js';
 import type {
   OwnershipContext,
@@ -37,9 +39,13 @@
  */
 const MAX_COMBINED_CHANGES = 30;
 
+/** Slices of one service that several owners release. */
+type DrainedSlices = Pick<Release, 'slices' | 'handovers'>;
+
 /**
- * Asks another member to commit a change, if this daemon has lost a race for a
- * log entry and the change may be passed on.
+ * Asks another member to commit a change that may be passed on: slices to
+ * release, as other owners of the same move do at the same time, and anything
+ * else once this daemon has lost a race for a log entry.
  *
  * @param context - Context of the current input.
  * @param proposal - What this daemon would append.
@@ -53,11 +59,13 @@
 ): boolean {
   const {state, at} = context;
   const {proposals, logWriter} = state;
-  if (logWriter.failures === 0 || !isMemberChange(change)) {
+  const proposed = proposalOf(state, change);
+  const isRaced = change.kind === 'released' || logWriter.failures > 0;
+  if (proposed === null || !isRaced) {
     proposals.sent = null;
     return false;
   }
-  const text = JSON.stringify(change);
+  const text = JSON.stringify(proposed);
   if (proposals.sent?.text !== text) {
     proposals.sent = {text, requests: 0, to: null, timeoutAt: at.monotonic};
   }
@@ -94,8 +102,8 @@
 ): void {
   const {state, at} = context;
   if (state.phase !== 'joined') return;
-  const parsed = parseDocument(message.change, MEMBER_CHANGE_SCHEMA);
-  const change = parsed.kind === 'ok' ? (parsed.value as MemberChange) : null;
+  const parsed = parseDocument(message.change, PROPOSAL_SCHEMA);
+  const change = parsed.kind === 'ok' ? (parsed.value as Proposal) : null;
   if (change?.member !== from) {
     log(context, 'commitRequestIgnored', {from});
     return;
@@ -120,7 +128,7 @@
 ): ProposedChange | null {
   const {state, at} = context;
   const {received} = state.proposals;
-  const changes: MemberChange[] = [];
+  const combined = new CombinedChanges(state.map);
   let oldest = Infinity;
   for (const [member, {change, receivedAt}] of received) {
     const expired = at.monotonic - receivedAt > REQUEST_TIMEOUT_MS;
@@ -129,13 +137,61 @@
       continue;
     }
     oldest = Math.min(oldest, receivedAt);
-    if (changes.length < MAX_COMBINED_CHANGES) {
-      changes.push(withKnownPredecessor(state.map, change));
-    }
+    combined.add(change);
+  }
+  const isDue = at.monotonic - oldest >= COLLECT_MS;
+  if (!combined.isFull && !isDue) return null;
+  return {
+    change: {kind: 'combined', changes: combined.list()},
+    by: state.self,
+  };
+}
+
+/** Changes of several members for one entry; releases of a service are merged. */
+class CombinedChanges {
+  private readonly changes: MemberChange[] = [];
+  private readonly releases = new Map<ServiceName, DrainedSlices>();
+  private characters = 0;
+  private full = false;
+
+  constructor(private readonly map: ClusterMap) {}
+
+  /** Whether a change was left out, or no more are taken. */
+  get isFull(): boolean {
+    return this.full || this.changes.length >= MAX_COMBINED_CHANGES;
+  }
+
+  /** Adds a change if it fits. */
+  add(change: Proposal): void {
+    if (this.isFull) return;
+    if (change.kind === 'released') this.addRelease(change);
+    else this.changes.push(withKnownPredecessor(this.map, change));
+  }
+
+  /** Returns the changes for the entry. */
+  list(): Array<MemberChange | Release> {
+    const releases = [...this.releases].map(
+      ([service, drained]) =>
+        ({kind: 'released', service, ...drained}) as const,
+    );
+    return [...this.changes, ...releases];
+  }
+
+  private addRelease(change: ProposedRelease): void {
+    const slices = releasableSlices(this.map, change);
+    const released = new Set(slices);
+    const handovers = change.handovers.filter(each => released.has(each.slice));
+    const characters = JSON.stringify([slices, handovers]).length;
+    this.full =
+      this.characters > 0 && this.characters + characters > MAX_LIST_CHARACTERS;
+    if (this.full) return;
+    this.characters += characters;
+    const drained = this.releases.get(change.service);
+    this.releases.set(change.service, {
+      slices: [...(drained?.slices ?? []), ...slices],
+      handovers: [...(drained?.handovers ?? []), ...handovers],
+    });
   }
-  const isFull = changes.length >= MAX_COMBINED_CHANGES;
-  if (!isFull && !(at.monotonic - oldest >= COLLECT_MS)) return null;
-  return {change: {kind: 'combined', changes}, by: state.self};
 }
 
 /**
@@ -153,8 +209,14 @@
     const {member} = each;
     const isRecent = each.kind === 'joined' && state.logReader.caughtUp;
     if (isRecent && newcomers.length < MAX_COMMITTERS) newcomers.push(member);
+    if (received.get(member)?.change.kind === 'released') continue;
     if (received.delete(member)) announceVersion(context, member);
   }
+  for (const [member, {change: asked}] of received) {
+    if (asked.kind !== 'released' || !isInEffect(state.map, asked)) continue;
+    received.delete(member);
+    announceVersion(context, member);
+  }
 }
 
 /** A newcomer that did not answer may have ended. */
@@ -171,7 +233,7 @@
 /**
  * Lists the members to ask: the first newcomers while this daemon joins, as
  * older members may have ended with its predecessor, and otherwise those that
- * may act as coordinator. A daemon that is one of them asks nobody.
+ * may act as coordinator. One of them asks only those before it.
  */
 function committersOf(state: OwnershipState): MemberId[] {
   const {map, self, settings, proposals, phase} = state;
@@ -180,15 +242,20 @@
     phase === 'joining' && newcomers.length > 0
       ? newcomers
       : currentRanks(state).slice(0, MAX_COMMITTERS);
-  if (candidates.includes(self)) return [];
-  return candidates.filter(id => hostOf(id) !== settings.host);
+  const own = candidates.indexOf(self);
+  const before = own < 0 ? candidates : candidates.slice(0, own);
+  return before.filter(id => hostOf(id) !== settings.host);
 }
 
 function isMemberChange(change: Change): change is MemberChange {
   return change.kind === 'joined' || change.kind === 'offered';
 }
 
-function isInEffect(map: ClusterMap, change: MemberChange): boolean {
+/** Returns whether a change has nothing left to do. */
+function isInEffect(map: ClusterMap, change: Proposal): boolean {
+  if (change.kind === 'released') {
+    return releasableSlices(map, change).length === 0;
+  }
   const member = map.members.get(change.member);
   if (change.kind === 'joined') return member !== undefined;
   const offer = member?.offer ?? null;
@@ -201,6 +268,34 @@
   );
 }
 
+/**
+ * Returns the slices of a release that still move away from its member under
+ * the generations that it drained.
+ */
+function releasableSlices(
+  map: ClusterMap,
+  {member, service: name, slices, generations}: ProposedRelease,
+): Slice[] {
+  const service = map.services.get(name);
+  const owner = map.members.get(member)?.index;
+  if (service === undefined || owner === undefined) return [];
+  return slices.filter(
+    (slice, index) =>
+      service.owner[slice] === owner &&
+      service.generation[slice] === generations[index] &&
+      service.moves.has(slice),
+  );
+}
+
+/** Returns a change as it is sent to another member; null if it may not be. */
+function proposalOf(state: OwnershipState, change: Change): Proposal | null {
+  if (isMemberChange(change)) return change;
+  if (change.kind !== 'released') return null;
+  const generation = state.map.services.get(change.service)?.generation ?? [];
+  const generations = change.slices.map(slice => generation[slice]);
+  return {...change, member: state.self, generations};
+}
+
 /** Another member may have ended the predecessor since the request was sent. */
 function withKnownPredecessor(
   map: ClusterMap,
--- a/packages/core/src/proposals/types.ts
+++ b/packages/core/src/proposals/types.ts
@@ -1,15 +1,16 @@
 /**
  * @fileoverview Changes that one member asks another to commit, so that members
- * that join or offer a server at the same time do not race for log entries.
+ * that join, offer a server or release slices at the same time do not race for
+ * log entries.
  */
 
 import {z} from 'zod';
 
-import type {MemberId} from '../ids/types.js';
-import type {MemberChange} from '../log/types.js';
+import type {MemberId, ServiceName, Slice} from '../ids/types.js';
+import type {Handover, MemberChange} from '../log/types.js';
 
-/** Schema of the JSON text of a `MemberChange`. */
-export const MEMBER_CHANGE_SCHEMA = z.discriminatedUnion('kind', [
+/** Schema of the JSON text of a `Proposal`. */
+export const PROPOSAL_SCHEMA = z.discriminatedUnion('kind', [
   z.object({
     kind: z.literal('joined'),
     member: z.string(),
@@ -26,11 +27,38 @@
     slots: z.number(),
     leaving: z.boolean(),
   }),
+  z.object({
+    kind: z.literal('released'),
+    member: z.string(),
+    service: z.string(),
+    slices: z.array(z.int().min(0)),
+    generations: z.array(z.int().min(0)),
+    handovers: z.array(z.object({slice: z.int().min(0), token: z.string()})),
+  }),
 ]);
 
+/**
+ * Drained slices that their owner releases, each under the generation that it
+ * drained. A slice has no later move under that generation, so a late proposal
+ * releases nothing that the owner uses again.
+ */
+export interface ProposedRelease {
+  readonly kind: 'released';
+  /** The owner. */
+  readonly member: MemberId;
+  readonly service: ServiceName;
+  readonly slices: readonly Slice[];
+  /** Their generations, in the order of `slices`. */
+  readonly generations: readonly number[];
+  readonly handovers: readonly Handover[];
+}
+
+/** A change that one member asks another to commit. */
+export type Proposal = MemberChange | ProposedRelease;
+
 /** A change that another member asked this one to commit. */
 export interface ReceivedProposal {
-  readonly change: MemberChange;
+  readonly change: Proposal;
   /** Monotonic time of the request, in milliseconds. */
   readonly receivedAt: number;
 }
--- a/packages/emulator/src/soak/formed_cluster.ts
+++ b/packages/emulator/src/soak/formed_cluster.ts
@@ -26,7 +26,9 @@
 export function formCluster(
   hosts: number,
   seed: number,
-  changes: Pick<ClusterSettings, 'tuning' | 'maxTickDelayMs'> = {},
+  changes: Partial<
+    Pick<ClusterSettings, 'tuning' | 'maxTickDelayMs' | 'slices'>
+  > = {},
 ): SimulatedCluster {
   const rulesOff = new Set<never>();
   const settings = {seed, hosts, slices: SLICES, rulesOff, ...changes};
@@ -36,7 +38,7 @@
   cluster.command(cluster.nodes[0], {
     kind: 'apply',
     basedOn: 0,
-    document: makeConfiguration(SLICES, 1),
+    document: makeConfiguration(settings.slices, 1),
     by: 'test',
   });
   cluster.advance(FORM_MS);
