--- a/packages/core/src/execution/definition.spec.ts
+++ b/packages/core/src/execution/definition.spec.ts
@@ -7,7 +7,7 @@
 import type {Effect} from '../loop/types.js';
 import type {Dispatch} from '../messages/types.js';
 import {DEFAULT_TUNING} from '../settings/defaults.js';
-import {ExecutingDaemon, idOf, kinds} from '../testing/execution.js';
+import {ExecutingDaemon, RUN_MS, idOf, kinds} from '../testing/execution.js';
 import {STUB_DRAIN_MS} from '../testing/ownership.js';
 import {DEFAULT_DRAIN_MS} from '../workspace/limits.js';
 import {workViewOf} from './state.js';
@@ -371,3 +371,13 @@
     t.deepEqual(found, aborts ? ['cancelRun', 'server-lost unknown'] : []);
   });
 }
+
+test('the log names the status of a completed run', t => {
+  const daemon = new ExecutingDaemon();
+  const logged = daemon
+    .run(1)
+    .filter(effect => effect.kind === 'log' && effect.event === 'runEnded');
+  const request = 'r1';
+  const fields = {request, attempt: idOf(1), status: 200, runMs: RUN_MS};
+  t.deepEqual(logged, [{kind: 'log', event: 'runEnded', fields}] as never);
+});
--- a/packages/core/src/execution/definition.ts
+++ b/packages/core/src/execution/definition.ts
@@ -100,7 +100,7 @@
       handleRunWriteStarting(context, job);
       return;
     case 'runHeadReceived':
-      handleRunHeadReceived(context, job, event.refused);
+      handleRunHeadReceived(context, job, event);
       return;
     case 'runEnded':
       handleRunEnded(context, job);
--- a/packages/core/src/execution/incoming.ts
+++ b/packages/core/src/execution/incoming.ts
@@ -190,6 +190,7 @@
     stage: 'rejected',
     startedAt: 0,
     generation: 0 as Generation,
+    status: 0,
     coalesced: [],
   };
 }
--- a/packages/core/src/execution/runs.ts
+++ b/packages/core/src/execution/runs.ts
@@ -10,6 +10,7 @@
 } from '../admission/logic.js';
 import type {CompletedRun, LimitResetCause} from '../admission/types.js';
 import type {ErrorKind, RunState} from '../errors/types.js';
+import type {Event} from '../loop/types.js';
 import type {DispatchPermission} from '../ownership/types.js';
 import {failJob, finishJob, isRunning, recordRunEnd} from './completion.js';
 import type {ExecutionContext} from './state.js';
@@ -171,15 +172,17 @@
  *
  * @param context - Context of the current input.
  * @param job - The job.
- * @param refused - Whether the server refused the request before running it.
+ * @param head - The status, and whether the server refused the request before
+ *   running it.
  */
 export function handleRunHeadReceived(
   context: ExecutionContext,
   job: Job,
-  refused: boolean,
+  head: Extract<Event, {kind: 'runHeadReceived'}>,
 ): void {
   if (!isRunning(job)) return;
-  if (!refused) {
+  job.status = head.status;
+  if (!head.refused) {
     job.stage = 'answering';
     return;
   }
@@ -219,8 +222,8 @@
   );
   const valueMs = now - job.startedAt;
   effects.push({kind: 'recordDuration', histogram: 'run', valueMs});
-  const {attempt, request} = job;
-  const fields = {request, attempt, runMs: Math.round(valueMs)};
+  const {attempt, request, status} = job;
+  const fields = {request, attempt, status, runMs: Math.round(valueMs)};
   effects.push({kind: 'log', event: 'runEnded', fields});
   finishJob(context, job, {kind: 'completed', kept: keepsResponse(job)});
 }
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -53,6 +53,8 @@
   stage: AttemptStage;
   /** Monotonic time of the `run` effect, in milliseconds; 0 before it. */
   startedAt: number;
+  /** Status code of the server's response; 0 before its head. */
+  status: number;
   generation: Generation;
   /** Attempts with the same idempotency key that are served from this run. */
   readonly coalesced: CoalescedAttempt[];
