Joins and offers are committed by the first newcomer; entries name first grantors

Every daemon tried once itself although the log that it had just read named members that had joined a moment ago; each wrote its row for its first lease.

Change: a member that joined in the last 3 s by the entry's time is asked at once, for offers too; one that is asked itself asks only those before it. The entry that adds a member names its first grantors, and counts for the member as its row's write from the time at which it first asked. Of a peer whose address isn't known, entries are awaited for 300 ms before the log is read. An entry is full by rows and characters instead of by 30 changes.

--- a/packages/core/src/log/types.ts
+++ b/packages/core/src/log/types.ts
@@ -45,6 +45,12 @@
       readonly operators: Address | null;
       /** Predecessor on the host whose slices it takes over, or null. */
       readonly replaces: MemberId | null;
+      /**
+       * Grantors that its row names at first, chosen by the member that writes
+       * the entry. Requests to commit the change, and entries of earlier
+       * releases, name none.
+       */
+      readonly grantors?: readonly MemberId[];
     }
   /** Registers a member's local backend server, or updates what it offers. */
   | {
--- a/packages/core/src/log_replication/reader.ts
+++ b/packages/core/src/log_replication/reader.ts
@@ -27,6 +27,8 @@
  * the version only, and pull the entry if they lack it.
  */
 const MAX_PUSHED_CHARACTERS = 512;
+/** Time in which pushed entries arrive, in milliseconds. */
+const PUSH_WAIT_MS = 300;
 /** Maximum length of the entries of one message; a single one may exceed it. */
 const MAX_BATCH_CHARACTERS = 200_000;
 
@@ -40,7 +42,8 @@
   const {state, at} = context;
   const {logReader} = state;
   if (logReader.inFlight || at.monotonic < logReader.notBefore) return;
-  if (!logReader.readNeeded && !isPollDue(context)) return;
+  const isDue = isPollDue(context) || lacksHeardEntries(context);
+  if (!logReader.readNeeded && !isDue) return;
   logReader.readNeeded = false;
   logReader.inFlight = true;
   logReader.lastReadSentAt = at.monotonic;
@@ -178,7 +181,22 @@
     return;
   }
   if (state.map.members.has(from)) requestEntries(context, from);
-  else state.logReader.readNeeded = true;
+  else recordUnknownPeer(context, version);
+}
+
+/**
+ * Records the version of a peer whose address isn't known. Its entries are
+ * usually pushed by others before `PUSH_WAIT_MS` have passed.
+ */
+function recordUnknownPeer(
+  {state, at}: OwnershipContext,
+  version: Version,
+): void {
+  const {logReader} = state;
+  if (logReader.heardVersion <= state.map.version) {
+    logReader.heardAt = at.monotonic;
+  }
+  logReader.heardVersion = Math.max(logReader.heardVersion, version);
 }
 
 /**
@@ -281,6 +299,13 @@
   );
 }
 
+/** Returns whether entries that an unknown peer has were not pushed in time. */
+function lacksHeardEntries({state, at}: OwnershipContext): boolean {
+  const {heardVersion, heardAt} = state.logReader;
+  if (heardVersion <= state.map.version) return false;
+  return at.monotonic - heardAt > PUSH_WAIT_MS;
+}
+
 /** Returns whether nothing confirmed the map as up to date for `pollMs`. */
 function isPollDue(context: OwnershipContext): boolean {
   const {state, at} = context;
--- a/packages/core/src/log_replication/state.ts
+++ b/packages/core/src/log_replication/state.ts
@@ -26,5 +26,7 @@
     caughtUp: false,
     lastReadSentAt: 0,
     upToDateAt: 0,
+    heardVersion: 0,
+    heardAt: 0,
   };
 }
--- a/packages/core/src/log_replication/types.ts
+++ b/packages/core/src/log_replication/types.ts
@@ -63,4 +63,8 @@
    * ahead, last confirmed that the map is up to date.
    */
   upToDateAt: number;
+  /** Newest version of peers whose address isn't known. */
+  heardVersion: number;
+  /** Monotonic time at which the first such version ahead of the map came. */
+  heardAt: number;
 }
--- a/packages/core/src/log_replication/writer.ts
+++ b/packages/core/src/log_replication/writer.ts
@@ -286,7 +286,7 @@
     member: change.member,
     zone: change.zone,
     address: change.address,
-    grantors: [],
+    grantors: change.grantors ?? [],
     writeId: entry.writeId,
   };
 }
--- a/packages/core/src/map/state.ts
+++ b/packages/core/src/map/state.ts
@@ -71,6 +71,16 @@
   );
 }
 
+/**
+ * Returns the hash that orders members in the ring.
+ *
+ * @param member - The member.
+ * @returns The hash.
+ */
+export function ringHashOf(member: MemberId): number {
+  return murmurhash.v3(member, RING_SEED);
+}
+
 /**
  * Adds a member at the lowest free index.
  *
@@ -86,7 +96,7 @@
   const added: Member = {
     ...member,
     index,
-    ringHash: murmurhash.v3(member.id, RING_SEED),
+    ringHash: ringHashOf(member.id),
     rankHash: murmurhash.v3(member.id, RANK_SEED),
   };
   map.membersByIndex[index] = added;
--- a/packages/core/src/membership/ring.ts
+++ b/packages/core/src/membership/ring.ts
@@ -14,6 +14,14 @@
   readonly position: ReadonlyMap<MemberId, number>;
 }
 
+/** What the ring depends on: the members with their hashes and zones. */
+export interface Membership {
+  readonly members: ReadonlyMap<
+    MemberId,
+    Pick<Member, 'id' | 'zone' | 'ringHash'>
+  >;
+}
+
 /** A ring without members. */
 export const EMPTY_RING: Ring = {order: [], position: new Map()};
 
@@ -24,8 +32,8 @@
  * @param map - Map of the workspace.
  * @returns The ring.
  */
-export function buildRing(map: ClusterMap): Ring {
-  const order = sortByHash(map, member => member.ringHash);
+export function buildRing(map: Membership): Ring {
+  const order = sortByHash(map.members, member => member.ringHash);
   const position = new Map(order.map((id, at) => [id, at]));
   return {order, position};
 }
@@ -38,7 +46,7 @@
  * @returns Member ids by rank.
  */
 export function rankMembers(map: ClusterMap): MemberId[] {
-  return sortByHash(map, member => member.rankHash);
+  return sortByHash(map.members, member => member.rankHash);
 }
 
 /**
@@ -52,7 +60,7 @@
  * @returns Up to two members, in order of choice.
  */
 export function chooseGrantors(
-  map: ClusterMap,
+  map: Membership,
   ring: Ring,
   member: MemberId,
   excluded: ReadonlySet<MemberId>,
@@ -92,11 +100,11 @@
   return null;
 }
 
-function sortByHash(
-  map: ClusterMap,
-  hashOf: (member: Member) => number,
+function sortByHash<T extends Pick<Member, 'id'>>(
+  members: ReadonlyMap<MemberId, T>,
+  hashOf: (member: T) => number,
 ): MemberId[] {
-  const members = [...map.members.values()];
-  members.sort((a, b) => hashOf(a) - hashOf(b) || compareIds(a.id, b.id));
-  return members.map(member => member.id);
+  const sorted = [...members.values()];
+  sorted.sort((a, b) => hashOf(a) - hashOf(b) || compareIds(a.id, b.id));
+  return sorted.map(member => member.id);
 }
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -374,7 +374,7 @@
   for (const change of changesOf(entry.change)) {
     handleAppliedChange(context, committed, change);
   }
-  recordApplied(context, entry.change);
+  recordApplied(context, entry);
   resolveAppend(context, committed);
 }
 
@@ -390,8 +390,10 @@
     recordJoined(context, change.replaces !== null);
     const {append} = state.logWriter;
     const isOwn = append?.entry.writeId === committed.entry.writeId;
-    const sentAt = isOwn ? (append?.firstSentAt ?? null) : null;
-    applyOwnRow(context, committed.revision, [], sentAt);
+    // A member that committed the entry for this one was asked before it did.
+    const {joinRequestedAt} = state.proposals;
+    const sentAt = isOwn ? (append?.firstSentAt ?? null) : joinRequestedAt;
+    applyOwnRow(context, committed.revision, change.grantors ?? [], sentAt);
     state.lease.nextRenewalAt = at.monotonic;
     log(context, 'memberJoined', {member: state.self});
   }
@@ -438,6 +440,8 @@
   state.self = makeMemberId(host, next);
   state.phase = 'joining';
   state.lease = createLeaseState();
+  state.proposals.joinRequestedAt = null;
+  state.proposals.newcomers.length = 0;
   state.watchedMembers.clear();
   state.revokedMembers.clear();
   state.evictions.clear();
--- a/packages/core/src/ownership/due_tasks.ts
+++ b/packages/core/src/ownership/due_tasks.ts
@@ -32,6 +32,7 @@
   suspectMember,
   proposeEvictions,
 } from '../membership/evictions.js';
+import {nameFirstGrantors} from '../membership/joining.js';
 import {proposeReceived, requestCommit} from '../proposals/logic.js';
 import {requestHandBack, trackDrains, proposeRelease} from '../moves/logic.js';
 import {storeSnapshotIfDue} from '../snapshots/storage.js';
@@ -99,7 +100,8 @@
   const proposal = proposeNext(context);
   if (proposal === null) return;
   if (requestCommit(context, proposal)) return;
-  const writeId = beginAppend(context, proposal);
+  const change = nameFirstGrantors(state.map, proposal.change);
+  const writeId = beginAppend(context, {...proposal, change});
   if (proposal.command !== undefined) proposal.command.writeId = writeId;
 }
 
@@ -111,10 +113,10 @@
   return (
     proposeEvictions(context) ??
     proposeOperatorChange(context) ??
+    proposeReceived(context) ??
     proposeRelease(context) ??
     proposeOffer(context) ??
     proposeDrain(state) ??
-    proposeReceived(context) ??
     proposePlacement(context)
   );
 }
--- a/packages/core/src/proposals/logic.ts
+++ b/packages/core/src/proposals/logic.ts
@@ -11,7 +11,7 @@
 import {hostOf} from '../ids/logic.js';
 import type {MemberId, ServiceName, Slice} from '../ids/types.js';
 import {MAX_LIST_CHARACTERS, changesOf} from '../log/logic.js';
-import type {Change, MemberChange, Release} from '../log/types.js';
+import type {Change, Entry, MemberChange, Release} from '../log/types.js';
 import type {ClusterMap} from '../map/types.js';
 import type {ControlMessage} from '../messages/types.js';
 import {parseDocument} from '../validation/logic.js';
@@ -31,13 +31,18 @@
 const REQUEST_TIMEOUT_MS = 500;
 /** Requests after which the daemon tries to append the change itself. */
 const MAX_REQUESTS = 2;
+/**
+ * Age by the wall clock up to which a member that joined is a newcomer, and time
+ * after joining for which newcomers are asked to commit.
+ */
+const FORMING_MS = 3000;
 /** Time for which changes are collected before they are committed. */
 const COLLECT_MS = 50;
 /**
- * Changes of one entry. Each adds up to three rows and checks to the
- * transaction, of which the users' platform takes 100.
+ * Maximum rows and checks that the changes of one entry add to its transaction.
+ * The users' platform takes 100, of which the log and the audit trail need four.
  */
-const MAX_COMBINED_CHANGES = 30;
+const MAX_ADDED_ROWS = 96;
 
 /** Slices of one service that several owners release. */
 type DrainedSlices = Pick<Release, 'slices' | 'handovers'>;
@@ -50,8 +55,8 @@
  * @param context - Context of the current input.
  * @param proposal - What this daemon would append.
  * @param proposal.change - Its change.
- * @returns Whether another member was asked and may still commit it; otherwise
- *     this daemon has to append it.
+ * @returns Whether another member was asked and may still commit it, or it waits
+ *     for those of others here; otherwise this daemon has to append it now.
  */
 export function requestCommit(
   context: OwnershipContext,
@@ -60,11 +65,16 @@
   const {state, at} = context;
   const {proposals, logWriter} = state;
   const proposed = proposalOf(state, change);
-  const isRaced = change.kind === 'released' || logWriter.failures > 0;
+  const isRaced =
+    change.kind === 'released' || logWriter.failures > 0 || isForming(context);
   if (proposed === null || !isRaced) {
     proposals.sent = null;
     return false;
   }
+  if (proposed.kind === 'released' && currentRanks(state)[0] === state.self) {
+    collect(context, proposed);
+    return true;
+  }
   const text = JSON.stringify(proposed);
   if (proposals.sent?.text !== text) {
     proposals.sent = {text, requests: 0, to: null, timeoutAt: at.monotonic};
@@ -72,7 +82,7 @@
   const {sent} = proposals;
   if (at.monotonic < sent.timeoutAt) return true;
   if (sent.to !== null) forgetNewcomer(proposals, sent.to);
-  const committers = committersOf(state);
+  const committers = committersOf(context);
   if (sent.requests >= MAX_REQUESTS || committers.length === 0) {
     proposals.sent = null;
     return false;
@@ -81,6 +91,7 @@
   sent.requests += 1;
   sent.to = to;
   sent.timeoutAt = at.monotonic + REQUEST_TIMEOUT_MS;
+  if (change.kind === 'joined') proposals.joinRequestedAt ??= at;
   send(context, to, {kind: 'propose', change: text});
   log(context, 'commitRequested', {change: change.kind, to});
   return true;
@@ -100,7 +111,7 @@
   from: MemberId,
   message: Extract<ControlMessage, {kind: 'propose'}>,
 ): void {
-  const {state, at} = context;
+  const {state} = context;
   if (state.phase !== 'joined') return;
   const parsed = parseDocument(message.change, PROPOSAL_SCHEMA);
   const change = parsed.kind === 'ok' ? (parsed.value as Proposal) : null;
@@ -112,10 +123,18 @@
     announceVersion(context, from);
     return;
   }
-  state.proposals.received.set(from, {change, receivedAt: at.monotonic});
+  collect(context, change);
   state.runTasksNow = true;
 }
 
+/** Keeps a change for the next entry; a newer one of its member replaces it. */
+function collect({state, at}: OwnershipContext, change: Proposal): void {
+  const {received} = state.proposals;
+  const receivedAt = at.monotonic;
+  const waitsSince = received.get(change.member)?.waitsSince ?? receivedAt;
+  received.set(change.member, {change, receivedAt, waitsSince});
+}
+
 /**
  * Combines the changes that others asked for, once some time has passed since
  * the first of them was received.
@@ -130,13 +149,13 @@
   const {received} = state.proposals;
   const combined = new CombinedChanges(state.map);
   let oldest = Infinity;
-  for (const [member, {change, receivedAt}] of received) {
+  for (const [member, {change, receivedAt, waitsSince}] of received) {
     const expired = at.monotonic - receivedAt > REQUEST_TIMEOUT_MS;
     if (expired || isInEffect(state.map, change)) {
       received.delete(member);
       continue;
     }
-    oldest = Math.min(oldest, receivedAt);
+    oldest = Math.min(oldest, waitsSince);
     combined.add(change);
   }
   const isDue = at.monotonic - oldest >= COLLECT_MS;
@@ -151,21 +170,22 @@
 class CombinedChanges {
   private readonly changes: MemberChange[] = [];
   private readonly releases = new Map<ServiceName, DrainedSlices>();
+  private addedRows = 0;
   private characters = 0;
   private full = false;
 
   constructor(private readonly map: ClusterMap) {}
 
-  /** Whether a change was left out, or no more are taken. */
+  /** Whether a change was left out. */
   get isFull(): boolean {
-    return this.full || this.changes.length >= MAX_COMBINED_CHANGES;
+    return this.full;
   }
 
-  /** Adds a change if it fits. */
+  /** Adds a change if it and all before it fit. */
   add(change: Proposal): void {
-    if (this.isFull) return;
+    if (this.full) return;
     if (change.kind === 'released') this.addRelease(change);
-    else this.changes.push(withKnownPredecessor(this.map, change));
+    else this.addMemberChange(withKnownPredecessor(this.map, change));
   }
 
   /** Returns the changes for the entry. */
@@ -177,38 +197,59 @@
     return [...this.changes, ...releases];
   }
 
+  private addMemberChange(change: MemberChange): void {
+    if (this.fits(JSON.stringify(change).length, addedRowsOf(change))) {
+      this.changes.push(change);
+    }
+  }
+
   private addRelease(change: ProposedRelease): void {
     const slices = releasableSlices(this.map, change);
     const released = new Set(slices);
     const handovers = change.handovers.filter(each => released.has(each.slice));
-    const characters = JSON.stringify([slices, handovers]).length;
-    this.full =
-      this.characters > 0 && this.characters + characters > MAX_LIST_CHARACTERS;
-    if (this.full) return;
-    this.characters += characters;
+    if (!this.fits(JSON.stringify([slices, handovers]).length, 0)) return;
     const drained = this.releases.get(change.service);
     this.releases.set(change.service, {
       slices: [...(drained?.slices ?? []), ...slices],
       handovers: [...(drained?.handovers ?? []), ...handovers],
     });
   }
+
+  /** Reserves room for a change; the first one fits whatever its length. */
+  private fits(characters: number, rows: number): boolean {
+    this.full =
+      this.addedRows + rows > MAX_ADDED_ROWS ||
+      (this.characters > 0 &&
+        this.characters + characters > MAX_LIST_CHARACTERS);
+    if (this.full) return false;
+    this.addedRows += rows;
+    this.characters += characters;
+    return true;
+  }
+}
+
+/** A member that joins has a check and a row; its predecessor's is removed. */
+function addedRowsOf(change: MemberChange): number {
+  if (change.kind !== 'joined') return 0;
+  return change.replaces === null ? 2 : 3;
 }
 
 /**
- * Handles an applied change: tells those that asked for it, and keeps the first
- * newcomers.
+ * Handles an applied entry: tells those that asked for its changes, and keeps
+ * the first newcomers.
  *
  * @param context - Context of the current input.
- * @param change - The change of a log entry.
+ * @param entry - The entry.
  */
-export function recordApplied(context: OwnershipContext, change: Change): void {
-  const {state} = context;
+export function recordApplied(context: OwnershipContext, entry: Entry): void {
+  const {state, at} = context;
   const {received, newcomers} = state.proposals;
-  for (const each of changesOf(change)) {
+  const isRecent = Math.abs(at.wall - entry.at) < FORMING_MS;
+  for (const each of changesOf(entry.change)) {
     if (!isMemberChange(each)) continue;
     const {member} = each;
-    const isRecent = each.kind === 'joined' && state.logReader.caughtUp;
-    if (isRecent && newcomers.length < MAX_COMMITTERS) newcomers.push(member);
+    const isNewcomer = each.kind === 'joined' && isRecent;
+    if (isNewcomer && newcomers.length < MAX_COMMITTERS) newcomers.push(member);
     if (received.get(member)?.change.kind === 'released') continue;
     if (received.delete(member)) announceVersion(context, member);
   }
@@ -231,15 +272,26 @@
 }
 
 /**
- * Lists the members to ask: the first newcomers while this daemon joins, as
- * older members may have ended with its predecessor, and otherwise those that
- * may act as coordinator. One of them asks only those before it.
+ * Returns whether other members have joined just before this one, and more of
+ * them may append their changes at the same time.
  */
-function committersOf(state: OwnershipState): MemberId[] {
-  const {map, self, settings, proposals, phase} = state;
+function isForming({state, at}: OwnershipContext): boolean {
+  const {phase, joinedAt, proposals} = state;
+  if (proposals.newcomers.length === 0) return false;
+  return phase === 'joining' || at.monotonic - joinedAt < FORMING_MS;
+}
+
+/**
+ * Lists the members to ask: the first newcomers while the fleet forms, as older
+ * members may have ended with the predecessor of this daemon, and otherwise
+ * those that may act as coordinator. One of them asks only those before it.
+ */
+function committersOf(context: OwnershipContext): MemberId[] {
+  const {state} = context;
+  const {map, self, settings, proposals} = state;
   const newcomers = proposals.newcomers.filter(id => map.members.has(id));
   const candidates =
-    phase === 'joining' && newcomers.length > 0
+    isForming(context) && newcomers.length > 0
       ? newcomers
       : currentRanks(state).slice(0, MAX_COMMITTERS);
   const own = candidates.indexOf(self);
--- a/packages/core/src/proposals/state.ts
+++ b/packages/core/src/proposals/state.ts
@@ -8,5 +8,10 @@
  * @returns The state.
  */
 export function createProposals(): Proposals {
-  return {received: new Map(), sent: null, newcomers: []};
+  return {
+    received: new Map(),
+    sent: null,
+    newcomers: [],
+    joinRequestedAt: null,
+  };
 }
--- a/packages/core/src/proposals/types.ts
+++ b/packages/core/src/proposals/types.ts
@@ -6,6 +6,7 @@
 
 import {z} from 'zod';
 
+import type {Instant} from '../clock/types.js';
 import type {MemberId, ServiceName, Slice} from '../ids/types.js';
 import type {Handover, MemberChange} from '../log/types.js';
 
@@ -59,8 +60,10 @@
 /** A change that another member asked this one to commit. */
 export interface ReceivedProposal {
   readonly change: Proposal;
-  /** Monotonic time of the request, in milliseconds. */
+  /** Monotonic time of the newest request of its member, in milliseconds. */
   readonly receivedAt: number;
+  /** Monotonic time of the first of its requests that wait, in milliseconds. */
+  readonly waitsSince: number;
 }
 
 /** A change that this daemon asked other members to commit. */
@@ -81,8 +84,13 @@
   readonly received: Map<MemberId, ReceivedProposal>;
   sent: SentProposal | null;
   /**
-   * The first members that joined after this daemon had read the log. Unlike
-   * older members, they are known to have been alive lately.
+   * The first members that joined lately. Unlike older members, they are known
+   * to have been alive.
    */
   readonly newcomers: MemberId[];
+  /**
+   * When this incarnation first asked another member to commit that it joins,
+   * or null.
+   */
+  joinRequestedAt: Instant | null;
 }
