Slices are granted again when the lease is extended

Rounds of grants ran every 667 to 700 ms, not in step with renewals of the lease every 600 to 700 ms, so that 0.6 to 1.9 s were left at the start of a run.

Change: a round is sent when the lease has been extended. The test fails first.

--- a/packages/core/src/grants/logic.spec.ts
+++ b/packages/core/src/grants/logic.spec.ts
@@ -9,6 +9,7 @@
 import type {MemberId} from '../ids/types.js';
 import type {Change} from '../log/types.js';
 import type {Effect, Event} from '../loop/types.js';
+import {DEFAULT_TUNING} from '../settings/defaults.js';
 import {
   CONFIGURED,
   FINDER,
@@ -179,6 +180,18 @@
   t.is(grantsIn(harness.tick()).length, 1);
 });
 
+test('slices are granted again as soon as the lease is extended', t => {
+  const {harness, sent} = createGrantingDaemon();
+  harness.handle(confirmationOf(sent));
+  const {renewMs} = DEFAULT_TUNING.leases;
+  harness.now += renewMs;
+  t.is(grantsIn(harness.tick()).length, 0);
+  harness.renewLease();
+  const [renewed] = grantsIn(harness.tick());
+  t.is(renewed?.until.monotonic, harness.now + LEASE_MS);
+  t.is(grantsIn(harness.tick()).length, 0);
+});
+
 test('a slice that returns is granted without renewing the others', t => {
   const {harness, sent} = createGrantingDaemon();
   harness.handle(confirmationOf(sent));
--- a/packages/core/src/grants/logic.ts
+++ b/packages/core/src/grants/logic.ts
@@ -21,8 +21,10 @@
 
 /**
  * Grants the server the slices that this member owns, if it holds a lease. All
- * are granted again in each round, before earlier grants expire; slices with a
- * new generation are granted immediately.
+ * are granted again once the lease is extended, and in any case before earlier
+ * grants expire; slices with a new generation are granted immediately. A server
+ * that checks grants ends a run when the grant under which the run began
+ * expires, also if it was renewed since: each run should find a long one.
  *
  * @param context - Context of the current input.
  */
@@ -39,15 +41,17 @@
   if (self.offer?.instance !== announcement.instance) return;
   const owned = ownedSlices(service, self.index);
   const now = at.monotonic;
-  const isDue = now >= grants.renewAt;
+  const {leaseMs, marginMs, renewMs} = settings.tuning.leases;
+  const extendedMs = until.monotonic - grants.leaseEndsAt;
+  const isDue = now >= grants.renewAt || extendedMs >= renewMs / 2;
   const due = isDue
     ? owned
     : owned.filter(slice => needsGrant(grants, service, slice, now));
-  const {leaseMs, marginMs} = settings.tuning.leases;
   if (isDue) {
     const leftMs = timeLeftMs(until, at);
     const intervalMs = leaseMs * RENEW_INTERVAL_SHARE;
     grants.renewAt = now + Math.min(intervalMs, leftMs * RENEW_LEFT_SHARE);
+    grants.leaseEndsAt = until.monotonic;
   }
   if (due.length === 0) return;
   const sent = groupIntoGrants(service, due);
--- a/packages/core/src/grants/state.ts
+++ b/packages/core/src/grants/state.ts
@@ -15,5 +15,6 @@
     unconfirmed: new Map(),
     round: 0,
     renewAt: 0,
+    leaseEndsAt: 0,
   };
 }
--- a/packages/core/src/grants/types.ts
+++ b/packages/core/src/grants/types.ts
@@ -43,6 +43,8 @@
   readonly unconfirmed: Map<string, UnconfirmedGrant>;
   /** Number of the latest round of slice grants. */
   round: number;
-  /** Monotonic time of the next round. */
+  /** Monotonic time of the next round, if the lease isn't extended before. */
   renewAt: number;
+  /** Monotonic end of the lease under which the latest round was sent. */
+  leaseEndsAt: number;
 }
--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -84,6 +84,7 @@
     const known = lease.grantedRenewals.get(from);
     if (known === undefined || known.monotonic < renewal.sentAt.monotonic) {
       lease.grantedRenewals.set(from, renewal.sentAt);
+      context.state.runTasksNow = true;
     }
     return;
   }
