Four members watch the operator's rows and confirm to all others

Change: a member watches unless four that rank before it have confirmed their configuration within 1.2 s; watchers confirm to all twice a second while their source answers. A daemon that hears of a newer configuration asks at once if it does not watch, one peer at a time. Limits of a service's servers come with the configuration instead of from the daemon's own read.

--- a/packages/core/src/configuration/logic.ts
+++ b/packages/core/src/configuration/logic.ts
@@ -1,7 +1,8 @@
 /**
- * @fileoverview Spreading the configuration of an external source. Each daemon
- * reads its source; members also tell each other the number of theirs, so that
- * a daemon whose source does not respond gets it from a peer in a few hops.
+ * @fileoverview Spreading the configuration of an external source. Members tell
+ * each other the number of theirs, so that a daemon that doesn't watch the
+ * source, or that doesn't reach it, gets the configuration from a peer in a few
+ * hops.
  */
 
 import type {MemberId} from '../ids/types.js';
@@ -11,19 +12,28 @@
 import type {ControlMessage} from '../messages/types.js';
 import {log, send} from '../ownership/effects.js';
 import type {OwnershipContext} from '../ownership/state.js';
+import {isWatcher, recordConfirmation} from './watchers.js';
 
 /**
- * Time for which a daemon that hears of a newer configuration waits for its own
- * source before it asks the peer for the document.
+ * Time for which a daemon that watches the source and hears of a newer
+ * configuration waits for its source before it asks the peer for the document.
  */
 const OWN_SOURCE_MS = 100;
 
+/** Time after which a peer that was asked for the document is given up. */
+const ASK_TIMEOUT_MS = 300;
+
 /** A peer's newer configuration, of which only the number is known. */
 export interface HeardConfiguration {
   readonly number: number;
   readonly from: MemberId;
-  /** Monotonic time at which the daemon asks for it, in milliseconds. */
-  readonly askAt: number;
+  /** Whether the peer was asked for the document. */
+  readonly asked: boolean;
+  /**
+   * Monotonic time at which the peer is asked or, if it was, given up, in
+   * milliseconds.
+   */
+  readonly dueAt: number;
 }
 
 /**
@@ -65,7 +75,9 @@
   from: MemberId,
   message: Extract<
     ControlMessage,
-    {kind: 'configuration' | 'configurationNumber'}
+    {
+      kind: 'configuration' | 'configurationNumber' | 'configurationConfirmed';
+    }
   >,
 ): void {
   if (message.kind === 'configuration') {
@@ -74,6 +86,9 @@
   }
   const {number} = message;
   const {state, at} = context;
+  if (message.kind === 'configurationConfirmed') {
+    recordConfirmation(state, from, at.monotonic);
+  }
   const own = currentNumber(context);
   if (number < own && state.externalConfiguration !== null) {
     send(context, from, {
@@ -82,23 +97,30 @@
     });
   }
   if (number <= Math.max(own, state.heardConfiguration?.number ?? 0)) return;
-  const askAt = at.monotonic + OWN_SOURCE_MS;
-  state.heardConfiguration = {number, from, askAt};
+  const waitMs = isWatcher(state, at.monotonic) ? OWN_SOURCE_MS : 0;
+  const dueAt = at.monotonic + waitMs;
+  state.heardConfiguration = {number, from, asked: false, dueAt};
+  requestConfigurationIfDue(context);
 }
 
 /**
  * Asks the peer that has a newer configuration for it, by telling it the number
- * of this daemon's.
+ * of this daemon's. A peer that doesn't reply is given up; the next one from
+ * which the number is heard is asked then.
  *
  * @param context - Context of the current input.
  */
 export function requestConfigurationIfDue(context: OwnershipContext): void {
   const {state, at} = context;
   const heard = state.heardConfiguration;
-  if (heard === null || at.monotonic < heard.askAt) return;
-  state.heardConfiguration = null;
+  if (heard === null || at.monotonic < heard.dueAt) return;
   const number = currentNumber(context);
-  if (heard.number <= number) return;
+  if (heard.asked || heard.number <= number) {
+    state.heardConfiguration = null;
+    return;
+  }
+  const dueAt = at.monotonic + ASK_TIMEOUT_MS;
+  state.heardConfiguration = {...heard, asked: true, dueAt};
   send(context, heard.from, {kind: 'configurationNumber', number});
 }
 
--- /dev/null
+++ b/packages/core/src/configuration/watchers.ts
@@ -0,0 +1,108 @@
+/**
+ * @fileoverview Which members watch the external source of the configuration. A
+ * few do, and confirm to all others that their configuration is the newest; who
+ * hears enough of them does not call the source.
+ */
+
+import type {MemberId} from '../ids/types.js';
+import {send} from '../ownership/effects.js';
+import type {OwnershipContext, OwnershipState} from '../ownership/state.js';
+import {currentRanks} from '../ownership/state.js';
+
+/** Number of members that watch the source. */
+const MAX_WATCHERS = 4;
+/** Time between two confirmations of a watcher, in milliseconds. */
+const CONFIRM_INTERVAL_MS = 500;
+/** Silence after which a watcher is replaced, in milliseconds. */
+const WATCHER_TIMEOUT_MS = 1200;
+/**
+ * Additional time for each member that ranks before this one, and its maximum,
+ * so that a few take over rather than all at once.
+ */
+const STAGGER_MS = 10;
+const MAX_STAGGER_MS = 1000;
+
+/** What a daemon knows of its source and of those that watch it. */
+export interface SourceWatch {
+  /** Monotonic time until which the own source's last answer counts. */
+  confirmedUntil: number;
+  /** Monotonic time of the next confirmation to the other members. */
+  confirmAt: number;
+  /** Monotonic time of the last confirmation of each watcher. */
+  readonly heardAt: Map<MemberId, number>;
+}
+
+/**
+ * Creates the state of a daemon that knows no watcher.
+ *
+ * @returns The state.
+ */
+export function createSourceWatch(): SourceWatch {
+  return {confirmedUntil: 0, confirmAt: 0, heardAt: new Map()};
+}
+
+/**
+ * Returns whether this daemon is to watch the source: unless enough members that
+ * rank before it have confirmed the configuration lately.
+ *
+ * @param state - State of ownership.
+ * @param now - Monotonic time, in milliseconds.
+ * @returns Whether it watches; true for a daemon that hasn't joined.
+ */
+export function isWatcher(state: OwnershipState, now: number): boolean {
+  const {heardAt} = state.sourceWatch;
+  if (heardAt.size < MAX_WATCHERS) return true;
+  const ranks = currentRanks(state);
+  const staggerMs = Math.min(
+    MAX_STAGGER_MS,
+    Math.max(0, ranks.indexOf(state.self)) * STAGGER_MS,
+  );
+  let confirming = 0;
+  for (const id of ranks) {
+    if (id === state.self) return true;
+    const at = heardAt.get(id) ?? -Infinity;
+    if (now - at > WATCHER_TIMEOUT_MS + staggerMs) continue;
+    confirming += 1;
+    if (confirming >= MAX_WATCHERS) return false;
+  }
+  return true;
+}
+
+/**
+ * Confirms the configuration to all members, if this daemon watches the source
+ * and the source has answered lately.
+ *
+ * @param context - Context of the current input.
+ */
+export function confirmConfiguration(context: OwnershipContext): void {
+  const {state, at} = context;
+  const {sourceWatch, map} = state;
+  const now = at.monotonic;
+  if (now < sourceWatch.confirmAt || now >= sourceWatch.confirmedUntil) return;
+  if (!map.members.has(state.self) || !isWatcher(state, now)) return;
+  sourceWatch.confirmAt = now + CONFIRM_INTERVAL_MS;
+  const number = state.externalConfiguration?.number ?? 0;
+  for (const id of map.members.keys()) {
+    if (id === state.self) continue;
+    send(context, id, {kind: 'configurationConfirmed', number});
+  }
+}
+
+/**
+ * Records the confirmation of a watcher, and forgets those of former members.
+ *
+ * @param state - State of ownership.
+ * @param from - The watcher.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function recordConfirmation(
+  state: OwnershipState,
+  from: MemberId,
+  now: number,
+): void {
+  const {heardAt} = state.sourceWatch;
+  heardAt.set(from, now);
+  for (const id of heardAt.keys()) {
+    if (!state.map.members.has(id)) heardAt.delete(id);
+  }
+}
--- a/packages/core/src/execution/definition.ts
+++ b/packages/core/src/execution/definition.ts
@@ -80,6 +80,7 @@
     case 'callerDisconnected':
     case 'responseDelivered':
     case 'configurationRead':
+    case 'sourcePolled':
     case 'slicesGranted':
     case 'slicesReleased':
     case 'commandReceived':
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -226,6 +226,15 @@
       readonly kind: 'configurationRead';
       readonly configuration: ExternalConfiguration;
     }
+  /**
+   * A poll of that source has ended: its answer, if there was one, confirms that
+   * the newest state that was reported is current.
+   */
+  | {
+      readonly kind: 'sourcePolled';
+      /** Time for which the answer counts, in milliseconds; 0 without one. */
+      readonly confirmedForMs: number;
+    }
   /** The backend server accepted a slice grant, new or repeated. */
   | {
       readonly kind: 'slicesGranted';
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -242,6 +242,11 @@
    * own number.
    */
   | {readonly kind: 'configurationNumber'; readonly number: number}
+  /**
+   * The same of a member that watches the external source, and which the source
+   * has answered lately.
+   */
+  | {readonly kind: 'configurationConfirmed'; readonly number: number}
   /**
    * Requests the entries after a version; the reply is always `entries`. It
    * also tells the receiver the log version of the sender's map, so that a
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -43,7 +43,7 @@
 import {createLeaseState} from '../leases/state.js';
 import type {Change, CommittedEntry} from '../log/types.js';
 import type {Subsystem} from '../loop/subsystem.js';
-import type {Effect, Event, Input} from '../loop/types.js';
+import type {Announcement, Effect, Event, Input} from '../loop/types.js';
 import {applyEntry, applyExternalConfiguration} from '../map/logic.js';
 import {
   suspectMember,
@@ -127,11 +127,7 @@
       handleStoreReply(context, event.call, event.reply);
       return;
     case 'announcementReceived':
-      if (state.announcement?.instance !== event.announcement.instance) {
-        clearConfirmed(state.grants);
-      }
-      state.announcement = event.announcement;
-      state.runTasksNow = true;
+      handleAnnouncement(state, event.announcement);
       return;
     case 'announcementExpired':
       if (state.announcement?.instance === event.instance) {
@@ -144,6 +140,10 @@
     case 'configurationRead':
       adoptConfiguration(context, event.configuration);
       return;
+    case 'sourcePolled':
+      state.sourceWatch.confirmedUntil =
+        context.at.monotonic + event.confirmedForMs;
+      return;
     case 'slicesGranted':
       confirmGrant(
         state.grants,
@@ -175,6 +175,18 @@
   }
 }
 
+/** Handles an announcement; a new instance of the server holds no slices. */
+function handleAnnouncement(
+  state: OwnershipState,
+  announcement: Announcement,
+): void {
+  if (state.announcement?.instance !== announcement.instance) {
+    clearConfirmed(state.grants);
+  }
+  state.announcement = announcement;
+  state.runTasksNow = true;
+}
+
 /**
  * Handles that the local backend server no longer announces itself. Its slice
  * grants end immediately only if it has exited without having announced that it
@@ -198,12 +210,8 @@
   recordHeard(state.lease, from);
   switch (message.kind) {
     case 'renew':
-      handleRenew(context, from, message);
-      handlePeerVersion(context, from, message.version);
-      return;
     case 'renewed':
-      handleRenewed(context, from, message);
-      handlePeerVersion(context, from, message.version);
+      handleLeaseMessage(context, from, message);
       return;
     case 'suspect':
       handleSuspect(context, from, message);
@@ -230,6 +238,7 @@
       return;
     case 'configuration':
     case 'configurationNumber':
+    case 'configurationConfirmed':
       handleConfigurationMessage(context, from, message);
       return;
     case 'propose':
@@ -249,6 +258,16 @@
   }
 }
 
+function handleLeaseMessage(
+  context: OwnershipContext,
+  from: MemberId,
+  message: Extract<ControlMessage, {kind: 'renew' | 'renewed'}>,
+): void {
+  if (message.kind === 'renew') handleRenew(context, from, message);
+  else handleRenewed(context, from, message);
+  handlePeerVersion(context, from, message.version);
+}
+
 function handleSuspect(
   context: OwnershipContext,
   from: MemberId,
--- a/packages/core/src/ownership/due_tasks.ts
+++ b/packages/core/src/ownership/due_tasks.ts
@@ -4,6 +4,7 @@
  */
 
 import {requestConfigurationIfDue} from '../configuration/logic.js';
+import {confirmConfiguration} from '../configuration/watchers.js';
 import {renewServerGrants, mayServerHoldAny} from '../grants/logic.js';
 import {hostOf} from '../ids/logic.js';
 import type {MemberId} from '../ids/types.js';
@@ -68,6 +69,7 @@
   if (state.phase === 'left') return;
   readLogIfDue(context);
   requestConfigurationIfDue(context);
+  confirmConfiguration(context);
   retryAppendIfDue(context);
   retryOrExpireCommands(context);
   maintainLease(context);
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -28,6 +28,8 @@
 import {createSliceGrants} from '../grants/state.js';
 import type {SliceGrants} from '../grants/types.js';
 import type {HeardConfiguration} from '../configuration/logic.js';
+import {createSourceWatch} from '../configuration/watchers.js';
+import type {SourceWatch} from '../configuration/watchers.js';
 import {createFormation} from '../coordinator/formation.js';
 import type {Formation} from '../coordinator/formation.js';
 import {makeMemberId} from '../ids/logic.js';
@@ -265,6 +267,7 @@
   heardConfiguration: HeardConfiguration | null;
   readonly balance: Balance;
   readonly proposals: Proposals;
+  readonly sourceWatch: SourceWatch;
 }
 
 /** Context in which the reducer handles one input. */
@@ -338,6 +341,7 @@
     heardConfiguration: null,
     balance: createBalance(),
     proposals: createProposals(),
+    sourceWatch: createSourceWatch(),
   };
 }
 
--- a/packages/core/src/ownership/types.ts
+++ b/packages/core/src/ownership/types.ts
@@ -63,6 +63,8 @@
   readonly workspace: Workspace | null;
   placement(service: ServiceName, slice: Slice): Placement;
   addressOf(member: MemberId): Address | null;
+  /** Returns whether this daemon is to watch the configuration's source. */
+  watchesSource(at: Instant): boolean;
   /** Returns whether this member was removed from the workspace. */
   isEnded(member: MemberId): boolean;
   /**
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -103,6 +103,7 @@
     case 'runEnded':
     case 'runFailed':
     case 'configurationRead':
+    case 'sourcePolled':
     case 'slicesGranted':
     case 'slicesReleased':
     case 'commandReceived':
@@ -195,6 +196,7 @@
     case 'cleared':
     case 'propose':
     case 'configurationNumber':
+    case 'configurationConfirmed':
       return;
   }
   const attempt = context.state.attempts.get(message.attempt);
--- a/packages/core/src/testing/ownership.ts
+++ b/packages/core/src/testing/ownership.ts
@@ -102,6 +102,7 @@
       moving: stub.moving,
     }),
     addressOf: member => `at ${member}` as Address,
+    watchesSource: () => true,
     isEnded: member => stub.ended.includes(member),
     mayDispatch: permission,
     mayServe: permission,
--- a/packages/core/src/workspace/types.ts
+++ b/packages/core/src/workspace/types.ts
@@ -64,12 +64,22 @@
   /** The service isn't partitioned: any of its backend servers. */
   | {readonly kind: 'shared'};
 
+/** Limits that an operator sets for the backend servers of a service. */
+export interface ServerLimits {
+  /** Maximum total number of connections to a server, whoever opens them. */
+  readonly connections: number;
+  /** Maximum rate of requests to a server that is warming up, per second. */
+  readonly coldPerSecond: number;
+}
+
 /** One service of the workspace. */
 export interface Service {
   readonly name: ServiceName;
   readonly division: Division;
   /** Expected number of backend servers; for operators only. */
   readonly upstreams: number;
+  /** Absent where servers announce their own limits. */
+  readonly serverLimits?: ServerLimits;
 }
 
 /** Limits that hold in the whole workspace. */
--- a/packages/daemon/src/adapters/types.ts
+++ b/packages/daemon/src/adapters/types.ts
@@ -18,6 +18,8 @@
   SliceGrant,
   LogEventName,
   RequestId,
+  ServerLimits,
+  ServiceName,
   StoreCall,
   StoreReply,
 } from '@jackdawfall/core';
@@ -140,8 +142,13 @@
   unreadyReason(): string | null;
   /** Whether the daemon has a configuration in force. */
   isConfigured(): boolean;
-  /** Number of members of the workspace, as far as the daemon knows. */
-  memberCount(): number;
+  /** Whether the daemon is to call the external source of configuration. */
+  watchesSource(): boolean;
+  /**
+   * Limits of the backend servers of a service, or null if the configuration
+   * in force has none.
+   */
+  serverLimits(service: ServiceName): ServerLimits | null;
   renderMetrics(): string;
   renderStatus(): unknown;
 }
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -14,6 +14,7 @@
   LogEventName,
   MemberId,
   Message,
+  ServerLimits,
   ServiceName,
   Slice,
   StoreCall,
@@ -156,9 +157,19 @@
     return this.options.daemon.ownershipView.workspace !== null;
   }
 
-  /** @returns The number of members of the workspace. */
-  memberCount(): number {
-    return this.options.daemon.ownershipView.members;
+  /** @returns Whether the daemon is to call the source of configuration. */
+  watchesSource(): boolean {
+    return this.options.daemon.ownershipView.watchesSource(readClocks());
+  }
+
+  /**
+   * @param service - The service.
+   * @returns The limits of its backend servers, or null if there are none.
+   */
+  serverLimits(service: ServiceName): ServerLimits | null {
+    const {workspace} = this.options.daemon.ownershipView;
+    const found = workspace?.services.find(each => each.name === service);
+    return found?.serverLimits ?? null;
   }
 
   /** @returns Why the daemon doesn't accept requests, or null if it does. */
--- a/packages/emulator/src/requests/map_copy.ts
+++ b/packages/emulator/src/requests/map_copy.ts
@@ -114,6 +114,10 @@
     return `at ${member}` as Address;
   }
 
+  watchesSource(): boolean {
+    return true;
+  }
+
   isEnded(member: MemberId): boolean {
     return this.ended.has(member);
   }
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -248,6 +248,16 @@
     this.deliver(node, {kind: 'configurationRead', configuration});
   }
 
+  /**
+   * Ends a poll that a process made of that source.
+   *
+   * @param node - The process.
+   * @param confirmedForMs - Time for which its answer counts; 0 without one.
+   */
+  pollSource(node: SimulatedNode, confirmedForMs: number): void {
+    this.deliver(node, {kind: 'sourcePolled', confirmedForMs});
+  }
+
   /**
    * Asks a process to stop.
    *
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -198,6 +198,7 @@
   },
   propose: {code: 21, fields: {change: 'string'}},
   configurationNumber: {code: 22, fields: {number: LOGICAL_TYPES.count}},
+  configurationConfirmed: {code: 23, fields: {number: LOGICAL_TYPES.count}},
 };
 
 /** The schema of the hello frame. */
--- a/packages/wire/src/links/liveness.ts
+++ b/packages/wire/src/links/liveness.ts
@@ -152,6 +152,7 @@
     case 'configuration':
     case 'propose':
     case 'configurationNumber':
+    case 'configurationConfirmed':
       return 'neutral';
   }
 }
