--- a/packages/core/src/balance/load.ts
+++ b/packages/core/src/balance/load.ts
@@ -13,7 +13,7 @@
 import {send} from '../ownership/effects.js';
 import type {OwnershipContext, OwnershipState} from '../ownership/state.js';
 import {currentRanks} from '../ownership/state.js';
-import {noiseOf, planMoves, weightBySpeed} from './logic.js';
+import {planMoves, weightBySpeed} from './logic.js';
 import type {Balance, MemberLoad, LoadReport} from './types.js';
 
 /** Maximum time between two reports. */
@@ -28,11 +28,6 @@
 const CHECK_INTERVAL_MS = 1000;
 /** Age from which a report is ignored. */
 const MAX_REPORT_AGE_MS = 60_000;
-/**
- * Number of windows over which a smoothed rate averages: each counts half as
- * much as the next.
- */
-const SMOOTHED_WINDOWS = 3;
 /**
  * Load of a whole service, in busy slots, below which slices are spread by
  * their number instead of their load.
@@ -138,14 +133,11 @@
   const {balance, map} = state;
   if (at.monotonic < balance.notBefore || service.moves.size > 0) return null;
   const maxMoves = map.configuration?.workspace.limits.maxMovingSlices ?? 0;
-  const loads = candidates.map(member =>
-    memberLoadOf(context, service, member),
+  const loads = weightBySpeed(
+    candidates.map(member => memberLoadOf(context, service, member)),
   );
-  const {hotShare, roundMs, windowMs} = state.settings.tuning.balance;
-  const runMs = meanRunMs(balance, service.name);
-  const noise = noiseOf(loads, runMs, windowMs * SMOOTHED_WINDOWS);
-  const weighted = weightBySpeed(loads);
-  const planned = planMoves(weighted, maxMoves, hotShare, noise);
+  const {hotShare, roundMs} = state.settings.tuning.balance;
+  const planned = planMoves(loads, maxMoves, hotShare);
   balance.notBefore = at.monotonic + CHECK_INTERVAL_MS;
   if (planned.length === 0) return null;
   balance.notBefore = at.monotonic + roundMs;
@@ -204,15 +196,6 @@
   return Math.max(1, report.runMs / fastestMs);
 }
 
-/** Returns the mean run time of the members of a service; 0 if unknown. */
-function meanRunMs({reports}: Balance, service: ServiceName): number {
-  const known = [...reports.values()].filter(
-    each => each.service === service && each.runMs > 0,
-  );
-  const sumMs = known.reduce((total, {runMs}) => total + runMs, 0);
-  return known.length === 0 ? 0 : sumMs / known.length;
-}
-
 function dropExpiredMoves(context: OwnershipContext): void {
   const {balance, settings} = context.state;
   const {moved} = balance;
--- a/packages/core/src/balance/logic.ts
+++ b/packages/core/src/balance/logic.ts
@@ -10,10 +10,6 @@
  * is overloaded: one that has just joined, or lost its hot key.
  */
 const IDLE_SHARE = 0.5;
-/** Number of standard deviations of a measured load that count as chance. */
-const NOISE_DEVIATIONS = 2;
-/** Minimum of `IDLE_SHARE` where loads are measured by few runs. */
-const MIN_IDLE_SHARE = 0.1;
 
 /** Load of a member after the moves planned so far. */
 interface PlannedLoad {
@@ -33,15 +29,12 @@
  * @param maxMoves - Maximum number of moves.
  * @param hotShare - Ratio of a member's utilization to the mean from which its
  *   slices move away.
- * @param noise - Relative error of a member's measured load; differences within
- *   it are left alone.
  * @returns The moves in the order they were planned.
  */
 export function planMoves(
   loads: readonly MemberLoad[],
   maxMoves: number,
   hotShare: number,
-  noise = 0,
 ): LoadMove[] {
   const members = loads.map(createPlannedLoad);
   const mean = meanUtilization(members);
@@ -50,9 +43,8 @@
   while (moves.length < maxMoves && sources.size > 0 && mean > 0) {
     const busiest = mostUtilized([...sources]);
     const leastBusy = leastUtilized(members);
-    const isHot = utilizationOf(busiest) >= (hotShare + noise) * mean;
-    const idleShare = Math.max(MIN_IDLE_SHARE, IDLE_SHARE - noise);
-    const isIdle = utilizationOf(leastBusy) < idleShare * mean;
+    const isHot = utilizationOf(busiest) >= hotShare * mean;
+    const isIdle = utilizationOf(leastBusy) < IDLE_SHARE * mean;
     if (!isHot && !isIdle) break;
     const move = applyBestMove(busiest, members, mean);
     if (move === null) sources.delete(busiest);
@@ -70,36 +62,16 @@
  * @returns The loads with weighted capacities.
  */
 export function weightBySpeed(loads: readonly MemberLoad[]): MemberLoad[] {
-  const exponent = Math.min(1, 2 * freeShareOf(loads));
+  const busy = loads.reduce((sum, {total}) => sum + total, 0);
+  const slots = loads.reduce((sum, {capacity}) => sum + capacity, 0);
+  const free = slots === 0 ? 0 : Math.max(0, 1 - busy / slots);
+  const exponent = Math.min(1, 2 * free);
   return loads.map(load => ({
     ...load,
     capacity: load.capacity / load.slowness ** exponent,
   }));
 }
 
-/**
- * Estimates by how much the members' measured loads differ by chance: the fewer
- * runs they were measured by, the more. While slots are free, such a difference
- * is not worth a move; the fuller they are, the smaller the differences that
- * count.
- *
- * @param loads - Load of every member; the capacities are numbers of slots.
- * @param runMs - Mean time of a run, in milliseconds; 0 if unknown.
- * @param measuredMs - Time over which loads are measured, in milliseconds.
- * @returns The difference to leave alone, as a share of the mean load; 0 if it
- *   is unknown.
- */
-export function noiseOf(
-  loads: readonly MemberLoad[],
-  runMs: number,
-  measuredMs: number,
-): number {
-  const busy = loads.reduce((sum, {total}) => sum + total, 0);
-  if (runMs === 0 || busy === 0) return 0;
-  const runs = (busy * measuredMs) / (runMs * loads.length);
-  return (NOISE_DEVIATIONS * freeShareOf(loads)) / Math.sqrt(runs);
-}
-
 /**
  * Computes how unevenly load is spread.
  *
@@ -113,13 +85,6 @@
   return Math.max(...members.map(utilizationOf)) / mean;
 }
 
-/** Returns the share of the slots that are free, 0 to 1. */
-function freeShareOf(loads: readonly MemberLoad[]): number {
-  const busy = loads.reduce((sum, {total}) => sum + total, 0);
-  const slots = loads.reduce((sum, {capacity}) => sum + capacity, 0);
-  return slots === 0 ? 0 : Math.max(0, 1 - busy / slots);
-}
-
 function createPlannedLoad(load: MemberLoad): PlannedLoad {
   return {load, slices: new Map(load.slices), total: load.total};
 }
