--- a/packages/core/src/configuration/watchers.ts
+++ b/packages/core/src/configuration/watchers.ts
@@ -5,7 +5,7 @@
  */
 
 import type {MemberId} from '../ids/types.js';
-import {send} from '../ownership/effects.js';
+import {log, send} from '../ownership/effects.js';
 import type {OwnershipContext, OwnershipState} from '../ownership/state.js';
 import {currentRanks} from '../ownership/state.js';
 
@@ -24,8 +24,13 @@
 
 /** What a daemon knows of its source and of those that watch it. */
 export interface SourceWatch {
-  /** Monotonic time until which the own source's last answer counts. */
+  /**
+   * Monotonic time until which the own source's last answer counts; 0 before the
+   * first poll, and if there is no source.
+   */
   confirmedUntil: number;
+  /** Whether this daemon was to watch at its last tick; null before the first. */
+  watching: boolean | null;
   /** Monotonic time of the next confirmation to the other members. */
   confirmAt: number;
   /** Monotonic time of the last confirmation of each watcher. */
@@ -38,7 +43,12 @@
  * @returns The state.
  */
 export function createSourceWatch(): SourceWatch {
-  return {confirmedUntil: 0, confirmAt: 0, heardAt: new Map()};
+  return {
+    confirmedUntil: 0,
+    watching: null,
+    confirmAt: 0,
+    heardAt: new Map(),
+  };
 }
 
 /**
@@ -78,8 +88,15 @@
   const {state, at} = context;
   const {sourceWatch, map} = state;
   const now = at.monotonic;
-  if (now < sourceWatch.confirmAt || now >= sourceWatch.confirmedUntil) return;
-  if (!map.members.has(state.self) || !isWatcher(state, now)) return;
+  const hasSource = sourceWatch.confirmedUntil > 0;
+  if (!hasSource || !map.members.has(state.self)) return;
+  const watching = isWatcher(state, now);
+  if (watching !== sourceWatch.watching) {
+    sourceWatch.watching = watching;
+    log(context, 'sourceRoleChanged', {watching});
+  }
+  if (!watching || now >= sourceWatch.confirmedUntil) return;
+  if (now < sourceWatch.confirmAt) return;
   sourceWatch.confirmAt = now + CONFIRM_INTERVAL_MS;
   const number = state.externalConfiguration?.number ?? 0;
   for (const id of map.members.keys()) {
--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -144,6 +144,11 @@
     'The configuration source does not respond.',
   ),
   sourceAnswers: event(514, 'info', 'The configuration source responds again.'),
+  sourceRoleChanged: event(
+    603,
+    'info',
+    'This daemon started or stopped watching the configuration source.',
+  ),
   settingsRead: event(515, 'info', 'The settings were read again.'),
   configurationRefused: event(
     602,
