Requests wait for an owner for up to half of their latency objective

Tests: waits by objective (fails before). Objectives of the smaller sites are 400 to 600 ms for keyed services, which leaves the wait at 300 ms.

--- a/packages/core/src/routing/definition.spec.ts
+++ b/packages/core/src/routing/definition.spec.ts
@@ -9,6 +9,7 @@
 import type {Effect, Event, AcceptedRequest} from '../loop/types.js';
 import type {RequestMessage} from '../messages/types.js';
 import {DEFAULT_TUNING} from '../settings/defaults.js';
+import type {Tuning} from '../settings/defaults.js';
 import {stubOwnership, stubView} from '../testing/ownership.js';
 import {ROUTING} from './definition.js';
 import {createRoutingState} from './state.js';
@@ -21,10 +22,15 @@
 
 /** Feeds events to the routing of one daemon and returns the effects. */
 class Origin {
-  readonly state = createRoutingState(DEFAULT_TUNING);
+  readonly state;
   readonly ownership = stubOwnership(SELF, OWNER);
   now = 1000;
 
+  constructor(routing: Partial<Tuning['routing']> = {}) {
+    const changed = {...DEFAULT_TUNING.routing, ...routing};
+    this.state = createRoutingState({...DEFAULT_TUNING, routing: changed});
+  }
+
   feed(event: Event): Effect[] {
     const at = {monotonic: this.now, wall: this.now};
     const input = {at, random: 0.1, event};
@@ -335,6 +341,23 @@
   t.deepEqual(summarize(origin.loseLink()), [`sendDispatch ${OTHER}`]);
 });
 
+/** Latency objective, and the time for which an owner is awaited. */
+const WAITS_FOR_OWNER = [
+  [0, 300],
+  [400, 300],
+  [900, 450],
+] as const;
+
+for (const [objectiveMs, waitMs] of WAITS_FOR_OWNER) {
+  test(`with an objective of ${objectiveMs} ms an owner is awaited for ${waitMs}`, t => {
+    const origin = new Origin({waitMs: 300, waitObjectiveShare: 0.5});
+    origin.ownership.owner = null;
+    origin.accept({objectiveMs});
+    t.deepEqual(summarize(origin.wait(waitMs - 50)), []);
+    t.is(summarize(origin.wait(100)).length, 1);
+  });
+}
+
 test('attempts are cancelled when the caller closes its connection', t => {
   const origin = new Origin();
   origin.accept();
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -273,12 +273,14 @@
 
 /**
  * Fails a request that has waited too long for an owner or a server. The caller
- * learns it before the deadline and has time to try again.
+ * learns it before the deadline and has time to try again. Where runs are long, a
+ * move takes longer, and so do latency objectives.
  */
 function checkWaitLimit(context: RoutingContext, pending: RoutedRequest): void {
-  const {waitMs} = context.state.tuning.routing;
+  const {waitMs, waitObjectiveShare} = context.state.tuning.routing;
   if (waitMs === 0 || pending.waitingSince === null) return;
-  if (context.now - pending.waitingSince >= waitMs) {
+  const shareMs = pending.accepted.objectiveMs * waitObjectiveShare;
+  if (context.now - pending.waitingSince >= Math.max(waitMs, shareMs)) {
     failTimedOut(context, pending);
   }
 }
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -157,6 +157,11 @@
     otherZoneFactor: 1.2,
     /** Maximum wait for an owner or a server; 0 means until the deadline. */
     waitMs: 0,
+    /**
+     * Share of a route's latency objective up to which its requests wait if that
+     * is more than `waitMs`.
+     */
+    waitObjectiveShare: 0,
     /** Whether slow idempotent requests are also sent to a second server. */
     hedges: true,
   },
