A member that has just joined gives watchers time to confirm before it watches

Change: for 1.2 s after it joined, a member takes those that rank first for watchers; a daemon that hasn't joined watches after 2 s.

--- a/packages/core/src/configuration/watchers.ts
+++ b/packages/core/src/configuration/watchers.ts
@@ -15,6 +15,8 @@
 const CONFIRM_INTERVAL_MS = 500;
 /** Silence after which a watcher is replaced, in milliseconds. */
 const WATCHER_TIMEOUT_MS = 1200;
+/** Time from its start after which a daemon that hasn't joined watches. */
+const JOIN_TIMEOUT_MS = 2000;
 /**
  * Additional time for each member that ranks before this one, and its maximum,
  * so that a few take over rather than all at once.
@@ -29,6 +31,8 @@
    * first poll, and if there is no source.
    */
   confirmedUntil: number;
+  /** Monotonic time of the first tick, or null before it. */
+  startedAt: number | null;
   /** Whether this daemon was to watch at its last tick; null before the first. */
   watching: boolean | null;
   /** Monotonic time of the next confirmation to the other members. */
@@ -45,6 +49,7 @@
 export function createSourceWatch(): SourceWatch {
   return {
     confirmedUntil: 0,
+    startedAt: null,
     watching: null,
     confirmAt: 0,
     heardAt: new Map(),
@@ -53,15 +58,18 @@
 
 /**
  * Returns whether this daemon is to watch the source: unless enough members that
- * rank before it have confirmed the configuration lately.
+ * rank before it have confirmed the configuration lately, or may still do so
+ * since this one has just joined.
  *
  * @param state - State of ownership.
  * @param now - Monotonic time, in milliseconds.
- * @returns Whether it watches; true for a daemon that hasn't joined.
+ * @returns Whether it watches; true for a daemon that doesn't join in time.
  */
 export function isWatcher(state: OwnershipState, now: number): boolean {
-  const {heardAt} = state.sourceWatch;
-  if (heardAt.size < MAX_WATCHERS) return true;
+  const {heardAt, startedAt} = state.sourceWatch;
+  if (!state.map.members.has(state.self)) {
+    return now - (startedAt ?? now) > JOIN_TIMEOUT_MS;
+  }
   const ranks = currentRanks(state);
   const staggerMs = Math.min(
     MAX_STAGGER_MS,
@@ -70,7 +78,7 @@
   let confirming = 0;
   for (const id of ranks) {
     if (id === state.self) return true;
-    const at = heardAt.get(id) ?? -Infinity;
+    const at = heardAt.get(id) ?? state.joinedAt;
     if (now - at > WATCHER_TIMEOUT_MS + staggerMs) continue;
     confirming += 1;
     if (confirming >= MAX_WATCHERS) return false;
@@ -88,6 +96,7 @@
   const {state, at} = context;
   const {sourceWatch, map} = state;
   const now = at.monotonic;
+  sourceWatch.startedAt ??= now;
   const hasSource = sourceWatch.confirmedUntil > 0;
   if (!hasSource || !map.members.has(state.self)) return;
   const watching = isWatcher(state, now);
--- a/packages/emulator/src/soak/watchers.spec.ts
+++ b/packages/emulator/src/soak/watchers.spec.ts
@@ -32,6 +32,8 @@
   readonly unreachable = new Set<number>();
   private number = 1;
   polls = 0;
+  /** Maximum number of daemons that watched at the same time. */
+  maxWatchers = 0;
 
   constructor(hosts: number) {
     this.cluster = new SimulatedCluster({
@@ -52,7 +54,9 @@
   /** Lets time pass; each watcher sees the present state at once. */
   advance(ms: number): void {
     for (let passed = 0; passed < ms; passed += STEP_MS) {
-      for (const node of this.watchers()) this.poll(node);
+      const watchers = this.watchers();
+      this.maxWatchers = Math.max(this.maxWatchers, watchers.length);
+      for (const node of watchers) this.poll(node);
       this.cluster.advance(STEP_MS);
     }
   }
@@ -107,6 +111,12 @@
   });
 }
 
+test('few daemons watch while a fleet forms', t => {
+  const fleet = new WatchedFleet(60);
+  t.true(fleet.maxWatchers <= 2 * WATCHERS, `${fleet.maxWatchers}`);
+  t.is(fleet.countOutdated([]), 0);
+});
+
 type Fault = (fleet: WatchedFleet, watchers: readonly SimulatedNode[]) => void;
 
 /** Faults of all watchers; whether they may miss the change. */
