--- a/packages/core/src/configuration/watchers.ts
+++ b/packages/core/src/configuration/watchers.ts
@@ -10,7 +10,7 @@
 import {currentRanks} from '../ownership/state.js';
 
 /** Number of members that watch the source. */
-const MAX_WATCHERS = 4;
+const MAX_WATCHERS = 2;
 /** Time between two confirmations of a watcher, in milliseconds. */
 const CONFIRM_INTERVAL_MS = 500;
 /** Silence after which a watcher is replaced, in milliseconds. */
