--- a/packages/core/src/proposals/logic.ts
+++ b/packages/core/src/proposals/logic.ts
@@ -1,11 +1,11 @@
 /**
- * @fileoverview Committing changes for other members. A daemon that lost the
- * race for a log entry, or that releases slices of a move, in which other owners
- * take part, asks one of a few members, which commits the changes of all that
- * asked in one entry. Only changes that are harmless if they take effect late
- * are passed on: a late `joined` leaves a member without a lease, which is
- * evicted, a late `offered` raises generations, and a late `released` doesn't
- * match the generations of its slices any more.
+ * @fileoverview Committing changes for other members. Daemons that change the
+ * log at the same time, as when a fleet forms or when the owners in a move release
+ * their slices, would race for its entries. They ask one of a few members, which
+ * commits the changes of all that asked in one entry. Only changes that are
+ * harmless if they take effect late are passed on: a late `joined` leaves a
+ * member without a lease, which is evicted, a late `offered` raises generations,
+ * and a late `released` doesn't match the generations of its slices any more.
  */
 
 import {hostOf} from '../ids/logic.js';
@@ -48,7 +48,7 @@
 /**
  * Asks another member to commit a change that may be passed on: slices to
  * release, as other owners of the same move do at the same time, and anything
- * else once this daemon has lost a race for a log entry.
+ * else while the fleet forms or after a lost race for a log entry.
  *
  * @param context - Context of the current input.
  * @param proposal - What this daemon would append.
@@ -191,7 +191,7 @@
 
   constructor(private readonly map: ClusterMap) {}
 
-  /** Whether a change was left out. */
+  /** Returns whether a change was left out. */
   get isFull(): boolean {
     return this.full;
   }
