A late copy of a refusal ends no other request, grant or release

Cause: classifyResponse returned 'refused' before it compared attempt ids. Related: grants and releases took any response with status 200; a second attempt for the same request on the same connection has the same id.

The emulated server injects the fault by a seeded command.

--- a/packages/daemon/src/adapters/types.ts
+++ b/packages/daemon/src/adapters/types.ts
@@ -88,7 +88,10 @@
 
 /** Starts HTTP requests to the local backend server. */
 export interface ServerConnections {
+  /** Uses a kept connection if there is an idle one. */
   open(options: RequestOptions): ClientRequest;
+  /** Uses a connection of its own, which no other request shares. */
+  openUnshared(options: RequestOptions): ClientRequest;
 }
 
 type EffectOf<Kind> = Extract<Effect, {readonly kind: Kind}>;
@@ -101,9 +104,19 @@
     run: EffectOf<'run'>,
     server: Announcement,
   ): Record<string, string | string[]>;
+  /**
+   * Classifies a response.
+   *
+   * @param dispatch - The attempt that a response is expected for.
+   * @param incoming - The response.
+   * @param reused - Whether the connection carried other requests before, so
+   *     that the response may be a late copy of an earlier one.
+   * @returns What the response says about the attempt.
+   */
   classifyResponse(
     dispatch: Dispatch,
     incoming: IncomingMessage,
+    reused: boolean,
   ): ResponseVerdict;
   /**
    * Sends the server its slice grants.
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -13,4 +13,5 @@
 export type {HttpRequest, HttpResponse} from './http/client.js';
 export {replyFromError} from './store_client/logic.js';
 export {ListenError, runProcess} from './process/logic.js';
+export {ServerConnectionPool} from './runs/connections.js';
 export {endOnceConnected, timeToLiveMs} from './runs/grants.js';
--- a/packages/daemon/src/runs/connections.ts
+++ b/packages/daemon/src/runs/connections.ts
@@ -40,6 +40,18 @@
     });
   }
 
+  /**
+   * Starts a request on a connection of its own, which closes afterwards and
+   * isn't counted.
+   *
+   * @param options - Method, path, headers and signal.
+   * @returns The outgoing request, of which nothing has been written.
+   */
+  openUnshared(options: RequestOptions): ClientRequest {
+    const {host, port} = this;
+    return request({...options, host, port, agent: false});
+  }
+
   /**
    * Makes new requests use new connections. Old connections close when their
    * requests end; old and new ones together stay within the limit.
--- a/packages/daemon/src/runs/logic.spec.ts
+++ b/packages/daemon/src/runs/logic.spec.ts
@@ -10,6 +10,7 @@
 import type {AttemptId} from '@jackdawfall/core';
 
 import {ATTEMPT, ORIGIN, createRunHarness} from '../testing/runs.js';
+import type {RunHarnessOptions} from '../testing/runs.js';
 
 type Handler = (incoming: IncomingMessage, outgoing: ServerResponse) => void;
 
@@ -133,7 +134,7 @@
       requestCount += 1;
       outgoing.end('done');
     },
-    false,
+    {mayWrite: false},
   );
   harness.start(true);
   await harness.waitForEvents(1);
@@ -175,10 +176,31 @@
   t.is(harness.runs.activeCount, 0);
 });
 
+// A late copy of a refusal was taken for the refusal of the request's next
+// attempt on the same connection, though that one ran.
+for (const idempotent of [true, false]) {
+  const kept = idempotent ? 'kept' : 'closed';
+  test(`idempotent=${idempotent}: refused, connection ${kept}`, async t => {
+    let closed = false;
+    const harness = await createHarness(
+      t,
+      (incoming, outgoing) => {
+        incoming.socket.once('close', () => (closed = true));
+        outgoing.writeHead(503, {'x-not-run': '1'}).end();
+      },
+      {idempotent},
+    );
+    harness.start(false);
+    await harness.waitForEvents(2);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    t.is(closed, !idempotent);
+  });
+}
+
 async function createHarness(
   t: ExecutionContext,
   handler: Handler | null,
-  mayWrite = true,
+  options: RunHarnessOptions = {},
 ) {
   const server = createServer(handler ?? undefined);
   await new Promise<void>(resolve =>
@@ -190,5 +212,5 @@
     server.closeAllConnections();
     server.close();
   });
-  return createRunHarness(port, mayWrite);
+  return createRunHarness(port, options);
 }
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -407,6 +407,7 @@
     const responseVerdict = this.context.protocol.classifyResponse(
       received.dispatch,
       incoming,
+      run.outgoing.reusedSocket,
     );
     if (responseVerdict === 'foreign') {
       run.outgoing.destroy();
@@ -419,6 +420,9 @@
       if (!incoming.complete) this.failRun(received, run, 'answer cut short');
     });
     if (refused) {
+      // A late copy of this refusal would look like one of the next attempt
+      // for the same request.
+      if (!received.dispatch.idempotent) run.outgoing.shouldKeepAlive = false;
       discardBody(run.outgoing, incoming);
       this.finishRun(received, run);
       this.context.emit({kind: 'runHeadReceived', attempt, status, refused});
--- a/packages/daemon/src/runs/protocol.ts
+++ b/packages/daemon/src/runs/protocol.ts
@@ -6,6 +6,8 @@
 import type {ServerProtocol} from '../adapters/types.js';
 import {endOnceConnected, timeToLiveMs} from './grants.js';
 
+/** Id of the attempt; a server may return it to identify its response. */
+const ATTEMPT_HEADER = 'x-jackdawfall-attempt';
 const STATUS_UNAVAILABLE = 503;
 const GRANT_TIMEOUT_MS = 1000;
 
@@ -14,7 +16,7 @@
   headersOf(dispatch, run) {
     const record = toHeaderRecord(dispatch.headers);
     record['x-jackdawfall-request'] = dispatch.request;
-    record['x-jackdawfall-attempt'] = dispatch.attempt;
+    record[ATTEMPT_HEADER] = dispatch.attempt;
     record['x-jackdawfall-service'] = dispatch.service;
     record['x-jackdawfall-generation'] = String(run.generation);
     record['x-jackdawfall-deadline-ms'] = String(Math.floor(run.budgetMs));
@@ -23,7 +25,9 @@
     }
     return record;
   },
-  classifyResponse(_dispatch, incoming) {
+  classifyResponse(dispatch, incoming) {
+    const named = incoming.headers[ATTEMPT_HEADER];
+    if (named !== undefined && named !== dispatch.attempt) return 'foreign';
     const refused =
       incoming.statusCode === STATUS_UNAVAILABLE &&
       incoming.headers['x-not-run'] === '1';
@@ -38,6 +42,11 @@
       signal: AbortSignal.timeout(GRANT_TIMEOUT_MS),
     });
     outgoing.on('response', incoming => {
+      // A late response to a request confirms no grants.
+      if (incoming.headers[ATTEMPT_HEADER] !== undefined) {
+        outgoing.destroy();
+        return;
+      }
       incoming.resume();
       if ((incoming.statusCode ?? 0) < 300) grants.forEach(confirmed);
     });
--- a/packages/daemon/src/testing/runs.ts
+++ b/packages/daemon/src/testing/runs.ts
@@ -27,14 +27,25 @@
 const SILENCE_MS = 200;
 const WAIT_TIMEOUT_MS = 3000;
 
+/** Options of an executor for tests. */
+export interface RunHarnessOptions {
+  /** Whether the lease lasts until the request is written; true by default. */
+  readonly mayWrite?: boolean;
+  /** Whether the attempt's request is idempotent; false by default. */
+  readonly idempotent?: boolean;
+}
+
 /**
  * Creates an executor that has received one attempt.
  *
  * @param port - Port of the backend server on 127.0.0.1.
- * @param mayWrite - Whether the lease lasts until the request is written.
+ * @param options - What differs from the defaults.
  * @returns The executor, what it reported, and functions to drive it.
  */
-export function createRunHarness(port: number, mayWrite = true) {
+export function createRunHarness(
+  port: number,
+  {mayWrite = true, idempotent = false}: RunHarnessOptions = {},
+) {
   const events: Event[] = [];
   const messages: Message[] = [];
   const runs = new RunExecutor({
@@ -58,7 +69,7 @@
     leaving: false,
     coldStart: null,
   });
-  runs.receive(ORIGIN, dispatch());
+  runs.receive(ORIGIN, dispatch(idempotent));
   return {
     runs,
     events,
@@ -85,7 +96,7 @@
   });
 }
 
-function dispatch(): Dispatch {
+function dispatch(idempotent: boolean): Dispatch {
   return {
     kind: 'dispatch',
     attempt: ATTEMPT,
@@ -95,6 +106,7 @@
     headers: [],
     service: SERVICE,
     slice: 0 as Slice,
+    idempotent,
     body: new Uint8Array(),
     bodyEnds: true,
   } as unknown as Dispatch;
--- a/packages/emulator/src/scenario/runner.ts
+++ b/packages/emulator/src/scenario/runner.ts
@@ -149,6 +149,8 @@
       return steps.cold(run, step.args);
     case 'straggle':
       return steps.straggle(run, step.args);
+    case 'spoil':
+      return steps.spoil(run, step.args);
     case 'expect':
       return checkExpectation(run, step.args, index);
   }
--- a/packages/emulator/src/scenario/steps.ts
+++ b/packages/emulator/src/scenario/steps.ts
@@ -292,6 +292,16 @@
   });
 }
 
+/** Makes a backend server spoil shares of its responses. */
+export async function spoil(
+  run: ScenarioRun,
+  args: StepArguments<'spoil'>,
+): Promise<void> {
+  const {serverControlAddress} = requireHost(run, args.server);
+  const {shares} = args;
+  await sendControlCommand(serverControlAddress, {kind: 'spoil', shares});
+}
+
 function nameOf(args: ProcessTarget): string {
   if ('daemon' in args) return args.daemon;
   return 'server' in args ? args.server : args.host;
--- a/packages/emulator/src/scenario/types.ts
+++ b/packages/emulator/src/scenario/types.ts
@@ -3,6 +3,7 @@
 import {z} from 'zod';
 
 import type {Verdict} from '../ledger/types.js';
+import {SPOILT_SHARES} from '../server/types.js';
 
 const MS_PER_SECOND = 1000;
 
@@ -139,6 +140,8 @@
     factor: z.number().positive(),
     for: DURATION,
   }),
+  /** Makes a backend server spoil shares of its responses from now on. */
+  spoil: z.strictObject({server: NAME, shares: SPOILT_SHARES}),
   expect: EXPECT,
 } as const;
 
--- a/packages/emulator/src/server/definition.ts
+++ b/packages/emulator/src/server/definition.ts
@@ -33,9 +33,12 @@
   findRefusal,
   drawServiceTimeMs,
 } from './logic.js';
+import {ResponseFaults} from './faulty_responses.js';
 import {createServerState} from './state.js';
 import {SERVER_COMMANDS} from './types.js';
 
+/** Id of the attempt, in requests and responses. */
+const ATTEMPT_HEADER = 'x-jackdawfall-attempt';
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 /** Time that a health or load probe takes. */
 const PROBE_TIME_MS = 6;
@@ -55,6 +58,7 @@
   readonly opened: WeakSet<Socket>;
   /** Open connections. */
   readonly all: Set<Socket>;
+  readonly faults: ResponseFaults;
 }
 
 /**
@@ -79,6 +83,7 @@
     silent: new WeakSet<Socket>(),
     opened: new WeakSet<Socket>(),
     all: new Set<Socket>(),
+    faults: new ResponseFaults(state),
   };
   const server = createServer((request, response) => {
     handle(state, sockets, request, response).catch(() => response.destroy());
@@ -143,7 +148,7 @@
     await respondToProbe(state, response, {ok: true});
   } else if (name === 'GET /load') {
     await respondToProbe(state, response, loadOf(state));
-  } else await handleRequest(state, request, response, body);
+  } else await handleRequest(state, sockets, request, response, body);
 }
 
 function storeGrants(
@@ -188,6 +193,7 @@
 
 async function handleRequest(
   state: ServerState,
+  {faults}: Sockets,
   request: IncomingMessage,
   response: ServerResponse,
   body: string,
@@ -195,7 +201,12 @@
   if (response.destroyed) return;
   const incoming = parseRequest(state, request);
   const now = Date.now();
-  const refusal = findRefusal(state, incoming, now, performance.now());
+  const {socket} = request;
+  faults.repeatRefusal(socket);
+  response.setHeader(ATTEMPT_HEADER, incoming.attempt);
+  const refusal =
+    findRefusal(state, incoming, now, performance.now()) ??
+    (faults.refuses() ? 'shedding' : null);
   if (refusal !== null) {
     addRecord(state, {
       kind: 'refused',
@@ -205,14 +216,20 @@
       atMs: now,
       reason: refusal,
     });
-    response.setHeader('x-not-run', '1');
-    response.setHeader('x-refused', refusal);
+    const headers = {
+      [ATTEMPT_HEADER]: incoming.attempt,
+      'x-not-run': '1',
+      'x-refused': refusal,
+    };
+    faults.keepRefusal(socket, headers);
+    response.setHeaders(new Map(Object.entries(headers)));
     sendJson(response, 503, {reason: refusal});
     return;
   }
   startRun(state, incoming, now);
   const end = await waitForRun(state, incoming, response);
   finishRun(state, incoming, end);
+  if (end === 'finished' && faults.spoil(response)) return;
   if (end === 'finished') sendResponse(state, incoming, response, body);
   else if (!response.destroyed) sendJson(response, 504, {reason: end});
 }
@@ -274,7 +291,7 @@
   const path = (request.url ?? '').split('?')[0] ?? '';
   return {
     request: headerText(headers, 'x-caller-request'),
-    attempt: headerText(headers, 'x-jackdawfall-attempt'),
+    attempt: headerText(headers, ATTEMPT_HEADER),
     service: state.options.service,
     key: parseKey(path),
     slice: headerNumber(headers, 'x-jackdawfall-slice'),
--- a/packages/emulator/src/server/logic.ts
+++ b/packages/emulator/src/server/logic.ts
@@ -160,6 +160,9 @@
     case 'reports':
       state.reports = command.mode;
       return;
+    case 'spoil':
+      state.spoilt = command.shares;
+      return;
     case 'announce':
       state.announces = command.on;
       return;
--- a/packages/emulator/src/server/state.ts
+++ b/packages/emulator/src/server/state.ts
@@ -1,6 +1,11 @@
 /** @fileoverview State of the emulated backend server. */
 
-import type {RecordListener, ServerRecord, ServerOptions} from './types.js';
+import type {
+  RecordListener,
+  ServerRecord,
+  ServerOptions,
+  SpoiltShares,
+} from './types.js';
 import type {Random} from '../control/logic.js';
 
 /** The grant of one slice. */
@@ -45,6 +50,7 @@
   /** Outdated number of running requests, which `lagging` reports. */
   reportedRunning: number;
   announces: boolean;
+  spoilt: SpoiltShares;
   connectionsOpened: number;
 }
 
@@ -97,6 +103,7 @@
     reports: 'true',
     reportedRunning: 0,
     announces: true,
+    spoilt: {refuse: 0, repeatRefusal: 0, invalidStatus: 0, cutHead: 0},
     connectionsOpened: 0,
   };
 }
--- a/packages/emulator/src/server/types.ts
+++ b/packages/emulator/src/server/types.ts
@@ -6,6 +6,22 @@
 import {z} from 'zod';
 
 const MILLISECONDS = z.number().min(0);
+const SHARE = z.number().min(0).max(1).default(0);
+
+/** Shares of responses that a backend server spoils, by fault. */
+export const SPOILT_SHARES = z.strictObject({
+  /** Requests refused without need. */
+  refuse: SHARE,
+  /** Refusals that are sent again where the next response is expected. */
+  repeatRefusal: SHARE,
+  /** Responses with an invalid status instead of their own. */
+  invalidStatus: SHARE,
+  /** Responses that end in the middle of their head. */
+  cutHead: SHARE,
+});
+
+/** Shares of spoilt responses. */
+export type SpoiltShares = z.output<typeof SPOILT_SHARES>;
 
 /** Commands that a backend server's control port accepts. */
 export const SERVER_COMMANDS = z.discriminatedUnion('kind', [
@@ -36,6 +52,8 @@
     kind: z.literal('reports'),
     mode: z.enum(['true', 'lagging', 'idle']),
   }),
+  /** Spoils shares of the responses from now on. */
+  z.object({kind: z.literal('spoil'), shares: SPOILT_SHARES}),
   /** Whether the server announces itself. */
   z.object({kind: z.literal('announce'), on: z.boolean()}),
 ]);
