Responses and requests that can't be written are refused where they are read

Cause: Node's parsers accept statuses below 100, header names that end with a space, and paths with a tab or a form feed; its writers throw on them, and nothing catches that. Found by sending each byte in each place through both.

--- a/packages/daemon/src/callers/logic.spec.ts
+++ b/packages/daemon/src/callers/logic.spec.ts
@@ -103,6 +103,38 @@
   });
 }
 
+// Such a request ended the daemon that ran it.
+const INVALID_REQUESTS: ReadonlyArray<{name: string; text: string}> = [
+  {name: 'a tab in its path', text: REQUEST.replace('/1', '/1\t')},
+  {name: 'a form feed in its path', text: REQUEST.replace('/1', '/1\f')},
+  {
+    name: 'a space at the end of a header name',
+    text: REQUEST.replace('Host: a', 'Host: a\r\nx-b : c'),
+  },
+];
+
+for (const {name, text} of INVALID_REQUESTS) {
+  test(`a request with ${name} is rejected`, async t => {
+    const seen: string[] = [];
+    const {server} = createFrontend(event => void seen.push(event.kind));
+    await new Promise<void>(resolve =>
+      server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = server.address() as AddressInfo;
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    const response = new Promise(resolve => {
+      socket.once('data', bytes => resolve(String(bytes).slice(9, 12)));
+    });
+    socket.write(text);
+    t.is(await Promise.race([response, sleep(TIMEOUT_MS)]), '400');
+    t.deepEqual(seen, []);
+    socket.destroy();
+    server.closeAllConnections();
+    await new Promise(resolve => server.close(resolve));
+  });
+}
+
 function createFrontend(emit: (event: Event) => void): CallerFrontend {
   const parsed = parseWorkspace(DOCUMENT);
   if (parsed.kind === 'invalid') throw new Error('invalid document');
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -23,6 +23,7 @@
   Workspace,
 } from '@jackdawfall/core';
 
+import {areValidHeaders, isValidPath} from '../http/headers.js';
 import type {ResponseMessage} from '../links/messages.js';
 import type {CallerProtocol} from '../adapters/types.js';
 import type {LogFields} from '../logs/types.js';
@@ -321,6 +322,10 @@
     }
     const method = incoming.method ?? '';
     const path = incoming.url ?? '';
+    const headers = protocol.headersOf(incoming);
+    if (!isValidPath(path) || !areValidHeaders(headers)) {
+      return reject(failure('bad-request', 'not-run', 'invalid characters'));
+    }
     const match = configuration.router.match(method, path, incoming.headers);
     if (match.kind !== 'matched') {
       return reject(failure(match.kind, 'not-run', match.detail));
@@ -338,7 +343,7 @@
       receivedMs: performance.now(),
       method,
       path,
-      headers: protocol.headersOf(incoming),
+      headers,
       idempotencyKey: protocol.idempotencyKeyOf(incoming),
       body: body.bytes,
       addedHeaders: protocol.addedHeaders(request),
--- a/packages/daemon/src/http/headers.spec.ts
+++ b/packages/daemon/src/http/headers.spec.ts
@@ -2,7 +2,13 @@
 
 import test from 'ava';
 
-import {endToEndHeaders, toHeaderRecord} from './headers.js';
+import {
+  areValidHeaders,
+  endToEndHeaders,
+  isFinalStatus,
+  isValidPath,
+  toHeaderRecord,
+} from './headers.js';
 
 const CASES: ReadonlyArray<{
   name: string;
@@ -53,3 +59,47 @@
   ]);
   t.deepEqual(record, {a: ['1', '3'], b: '2'});
 });
+
+const PATHS: ReadonlyArray<{path: string; valid: boolean}> = [
+  {path: '/a/b?c=%20&d=~', valid: true},
+  {path: '/caf\u00e9', valid: true},
+  {path: '/a\tb', valid: false},
+  {path: '/a\fb', valid: false},
+  {path: '/a b', valid: false},
+];
+
+for (const {path, valid} of PATHS) {
+  test(`path ${JSON.stringify(path)}: valid=${valid}`, t => {
+    t.is(isValidPath(path), valid);
+  });
+}
+
+const STATUSES: ReadonlyArray<[number, boolean]> = [
+  [0, false],
+  [20, false],
+  [100, false],
+  [199, false],
+  [200, true],
+  [599, true],
+  [600, false],
+  [999, false],
+];
+
+for (const [status, final] of STATUSES) {
+  test(`status ${status}: final=${final}`, t => {
+    t.is(isFinalStatus(status), final);
+  });
+}
+
+const HEADERS: ReadonlyArray<{name: string; value: string; valid: boolean}> = [
+  {name: 'x-a', value: 'b\tc', valid: true},
+  {name: 'x-a', value: '\u00e9', valid: true},
+  {name: 'x-a ', value: 'b', valid: false},
+  {name: 'x-a', value: 'b\r\nc: d', valid: false},
+];
+
+for (const {name, value, valid} of HEADERS) {
+  test(`header ${JSON.stringify([name, value])}: valid=${valid}`, t => {
+    t.is(areValidHeaders([{name, value}]), valid);
+  });
+}
--- a/packages/daemon/src/http/headers.ts
+++ b/packages/daemon/src/http/headers.ts
@@ -1,5 +1,6 @@
 /** @fileoverview Filters and converts HTTP headers for forwarding. */
 
+import {validateHeaderName, validateHeaderValue} from 'node:http';
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 
 import type {Header} from '@jackdawfall/core';
@@ -21,6 +22,52 @@
   'upgrade',
 ]);
 
+/** What Node refuses to write in the path of a request. */
+const INVALID_PATH_CHARACTERS = /[^\u0021-\u00ff]/;
+const MIN_FINAL_STATUS = 200;
+const MAX_STATUS = 599;
+
+/**
+ * Returns whether a path can be forwarded. Node's parser accepts paths that its
+ * client throws on.
+ *
+ * @param path - Path of a request.
+ * @returns Whether all its characters are valid.
+ */
+export function isValidPath(path: string): boolean {
+  return !INVALID_PATH_CHARACTERS.test(path);
+}
+
+/**
+ * Returns whether a status is that of a final response. Node's parser accepts
+ * any three digits, and its server throws on those below 100.
+ *
+ * @param status - Status of a response.
+ * @returns Whether it is from 200 to 599.
+ */
+export function isFinalStatus(status: number): boolean {
+  return status >= MIN_FINAL_STATUS && status <= MAX_STATUS;
+}
+
+/**
+ * Returns whether headers can be forwarded. Node's parser accepts a space at
+ * the end of a name, which its writer throws on.
+ *
+ * @param headers - Headers as received.
+ * @returns Whether all names and values are valid.
+ */
+export function areValidHeaders(headers: readonly Header[]): boolean {
+  try {
+    for (const {name, value} of headers) {
+      validateHeaderName(name);
+      validateHeaderValue(name, value);
+    }
+    return true;
+  } catch {
+    return false;
+  }
+}
+
 /**
  * Returns the value of a header that has a single value.
  *
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -19,7 +19,11 @@
   Slice,
 } from '@jackdawfall/core';
 
-import {endToEndHeaders} from '../http/headers.js';
+import {
+  areValidHeaders,
+  endToEndHeaders,
+  isFinalStatus,
+} from '../http/headers.js';
 import type {AttemptMessage} from '../links/messages.js';
 import type {ServerProtocol} from '../adapters/types.js';
 import {
@@ -404,6 +408,12 @@
     run.lastActivityMs = performance.now();
     const {attempt} = received;
     const status = incoming.statusCode ?? 0;
+    const headers = endToEndHeaders(incoming.headers);
+    if (!isFinalStatus(status) || !areValidHeaders(headers)) {
+      run.outgoing.destroy();
+      this.failRun(received, run, `invalid response with status ${status}`);
+      return;
+    }
     const responseVerdict = this.context.protocol.classifyResponse(
       received.dispatch,
       incoming,
@@ -428,7 +438,7 @@
       this.context.emit({kind: 'runHeadReceived', attempt, status, refused});
       return;
     }
-    const head = {status, headers: endToEndHeaders(incoming.headers)};
+    const head = {status, headers};
     this.keptResponses.head(received, head);
     this.context.emit({kind: 'runHeadReceived', attempt, status, refused});
     for (const stream of received.streams) {
