An acknowledged shutdown holds against late heartbeats, also after a restart

Cause: InstanceTracker.leave recorded a shutdown only of the instance that it knew, and only in the process. The DELETE was answered 200 in each case.

--- a/packages/core/src/map/logic.spec.ts
+++ b/packages/core/src/map/logic.spec.ts
@@ -177,3 +177,47 @@
     }
   });
 }
+
+/** Offers of the server on host `a`, and its departure that is known then. */
+const OFFERS: ReadonlyArray<{
+  name: string;
+  offers: ReadonlyArray<readonly [instance: string, leaving: boolean]>;
+  departure: string | undefined;
+}> = [
+  {name: 'never left', offers: [['i@1', false]], departure: undefined},
+  {
+    name: 'leaves',
+    offers: [
+      ['i@1', false],
+      ['i@1', true],
+    ],
+    departure: 'i@1',
+  },
+  {
+    name: 'was replaced after it left',
+    offers: [
+      ['i@1', true],
+      ['i@2', false],
+    ],
+    departure: 'i@1',
+  },
+];
+
+// A daemon started again took a late heartbeat for that of a running server.
+for (const {name, offers, departure} of OFFERS) {
+  test(`departure of a server that ${name} outlives its member`, t => {
+    const changes = offers.map(([instance, leaving]) => ({
+      kind: 'offered' as const,
+      member: A,
+      service: SERVICE,
+      instance: instance as never,
+      slots: 1,
+      leaving,
+    }));
+    const map = mapAfter([...changes, ended(A)]);
+    const host = 'a' as never;
+    t.is(map.departures.get(host), departure as never);
+    const loaded = parseMap(serializeMap(map), 0);
+    t.is(loaded.departures.get(host), departure as never);
+  });
+}
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -1,5 +1,6 @@
 /** @fileoverview Applying log entries to the cluster map. */
 
+import {hostOf} from '../ids/logic.js';
 import type {MemberId, ServiceName, Slice, ZoneName} from '../ids/types.js';
 import type {Change, CommittedEntry} from '../log/types.js';
 import type {ExternalConfiguration} from '../loop/types.js';
@@ -8,6 +9,7 @@
   NO_MEMBER,
   addMember,
   createServicePlacement,
+  recordDeparture,
   removeMember,
   wasNeverPlaced,
 } from './state.js';
@@ -156,6 +158,9 @@
   map: ClusterMap,
   change: Extract<Change, {kind: 'offered'}>,
 ): void {
+  if (change.leaving) {
+    recordDeparture(map, hostOf(change.member), change.instance);
+  }
   updateMember(map, change.member, member => {
     const restarted =
       member.offer === null || member.offer.instance !== change.instance;
--- a/packages/core/src/map/state.ts
+++ b/packages/core/src/map/state.ts
@@ -3,7 +3,13 @@
 import murmurhash from 'murmurhash';
 
 import {NO_VERSION} from '../ids/logic.js';
-import type {MemberId, ServiceName, Slice} from '../ids/types.js';
+import type {
+  HostName,
+  InstanceId,
+  MemberId,
+  ServiceName,
+  Slice,
+} from '../ids/types.js';
 import type {ClusterMap, Member, ServicePlacement} from './types.js';
 
 /** Index that means "none" in the placement arrays. */
@@ -16,6 +22,8 @@
 const RANK_SEED = 0x72616e6b;
 /** Maximum number of removed members whose ids are kept. */
 const MAX_ENDED = 8192;
+/** Maximum number of hosts whose last departure is kept. */
+const MAX_DEPARTURES = 1024;
 
 /**
  * Creates the map of a log without entries.
@@ -32,6 +40,7 @@
     zonesOut: new Set(),
     configuration: null,
     ended: new Map(),
+    departures: new Map(),
     membershipChanges: 0,
   };
 }
@@ -129,3 +138,23 @@
     map.ended.delete(oldest);
   }
 }
+
+/**
+ * Records the server on a host that is shutting down.
+ *
+ * @param map - The map.
+ * @param host - The host.
+ * @param instance - The server.
+ */
+export function recordDeparture(
+  map: ClusterMap,
+  host: HostName,
+  instance: InstanceId,
+): void {
+  const {departures} = map;
+  departures.delete(host);
+  departures.set(host, instance);
+  if (departures.size <= MAX_DEPARTURES) return;
+  const [oldest] = departures.keys();
+  departures.delete(oldest);
+}
--- a/packages/core/src/map/types.ts
+++ b/packages/core/src/map/types.ts
@@ -2,6 +2,7 @@
 
 import type {
   Address,
+  HostName,
   InstanceId,
   MemberId,
   ServiceName,
@@ -99,6 +100,12 @@
    * the removal.
    */
   readonly ended: Map<MemberId, number>;
+  /**
+   * The last server on each host that was registered as shutting down, oldest
+   * first. It outlives its member, so that a late announcement doesn't bring
+   * the server back after a restart of the daemon.
+   */
+  readonly departures: Map<HostName, InstanceId>;
   /** Rises when members join or are removed; the cached ring depends on it. */
   membershipChanges: number;
 }
--- a/packages/core/src/ownership/types.ts
+++ b/packages/core/src/ownership/types.ts
@@ -4,6 +4,7 @@
 import type {
   Address,
   Generation,
+  InstanceId,
   MemberId,
   ServiceName,
   Slice,
@@ -63,6 +64,8 @@
   readonly workspace: Workspace | null;
   placement(service: ServiceName, slice: Slice): Placement;
   addressOf(member: MemberId): Address | null;
+  /** The last server on this host that was registered as shutting down. */
+  readonly departedServer: InstanceId | null;
   /** Returns whether this daemon is to watch the configuration's source. */
   watchesSource(at: Instant): boolean;
   /** Returns whether this member was removed from the workspace. */
--- a/packages/core/src/ownership/view.ts
+++ b/packages/core/src/ownership/view.ts
@@ -54,6 +54,9 @@
     get members() {
       return state.map.members.size;
     },
+    get departedServer() {
+      return state.map.departures.get(state.settings.host) ?? null;
+    },
     get workspace() {
       return state.map.configuration?.workspace ?? null;
     },
--- a/packages/core/src/snapshots/logic.ts
+++ b/packages/core/src/snapshots/logic.ts
@@ -19,6 +19,7 @@
     revision: map.revision,
     members: [...map.members.values()],
     ended: [...map.ended.keys()],
+    departures: [...map.departures],
     zonesOut: [...map.zonesOut],
     configuration: configuration && {
       number: configuration.number,
@@ -49,6 +50,9 @@
     map.members.set(member.id, member);
   }
   for (const member of snapshot.ended) map.ended.set(member, now);
+  for (const [host, instance] of snapshot.departures ?? []) {
+    map.departures.set(host, instance);
+  }
   for (const zone of snapshot.zonesOut) map.zonesOut.add(zone);
   if (snapshot.configuration !== null) {
     const {number, document} = snapshot.configuration;
--- a/packages/core/src/snapshots/types.ts
+++ b/packages/core/src/snapshots/types.ts
@@ -1,6 +1,13 @@
 /** @fileoverview Snapshots of the cluster map in the object store. */
 
-import type {MemberId, ServiceName, Version, ZoneName} from '../ids/types.js';
+import type {
+  HostName,
+  InstanceId,
+  MemberId,
+  ServiceName,
+  Version,
+  ZoneName,
+} from '../ids/types.js';
 import type {Member} from '../map/types.js';
 
 /** Placement of one service, with the bytes of its arrays in base64. */
@@ -24,6 +31,11 @@
   readonly members: readonly Member[];
   /** Removed members. */
   readonly ended: readonly MemberId[];
+  /**
+   * Servers that were registered as shutting down, by host; absent in snapshots
+   * of older versions.
+   */
+  readonly departures?: ReadonlyArray<readonly [HostName, InstanceId]>;
   /** Evacuated availability zones. */
   readonly zonesOut: readonly ZoneName[];
   readonly configuration: {
--- a/packages/core/src/testing/ownership.ts
+++ b/packages/core/src/testing/ownership.ts
@@ -92,6 +92,7 @@
       return stub.version as Version;
     },
     members: 1,
+    departedServer: null,
     get workspace() {
       return stub.configured ? WORKSPACE : null;
     },
--- a/packages/daemon/src/adapters/types.ts
+++ b/packages/daemon/src/adapters/types.ts
@@ -15,6 +15,7 @@
   Event,
   Failure,
   Header,
+  InstanceId,
   SliceGrant,
   LogEventName,
   RequestId,
@@ -162,6 +163,8 @@
    * in force has none.
    */
   serverLimits(service: ServiceName): ServerLimits | null;
+  /** The last server on this host that was registered as shutting down. */
+  departedServer(): InstanceId | null;
   renderMetrics(): string;
   renderStatus(): unknown;
 }
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -294,18 +294,13 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<PendingRequest | null> {
-    const {protocol} = this.context;
+    const {context} = this;
+    const {protocol} = context;
     const callerTimeoutMs = protocol.timeoutMsOf(incoming) ?? Infinity;
     const reject = (failed: Failure) => {
       const {kind: error, detail} = failed;
       const {method = '', url = ''} = incoming;
-      this.context.log('requestRejected', {
-        request,
-        method,
-        url,
-        error,
-        detail,
-      });
+      context.log('requestRejected', {request, method, url, error, detail});
       incoming.resume();
       writeErrorResponse(
         outgoing,
@@ -313,7 +308,7 @@
       );
       return null;
     };
-    const configuration = this.context.configuration();
+    const configuration = context.configuration();
     if (configuration === null) {
       return reject(failure('no-server', 'not-run', 'no configuration yet'));
     }
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -12,6 +12,7 @@
   Effect,
   Event,
   LogEventName,
+  InstanceId,
   MemberId,
   Message,
   ServerLimits,
@@ -172,6 +173,11 @@
     return found?.serverLimits ?? null;
   }
 
+  /** @returns The last server here that was registered as shutting down. */
+  departedServer(): InstanceId | null {
+    return this.options.daemon.ownershipView.departedServer;
+  }
+
   /** @returns Why the daemon doesn't accept requests, or null if it does. */
   unreadyReason(): string | null {
     if (this.stopping) return 'stopping';
--- a/packages/daemon/src/testing/runs.ts
+++ b/packages/daemon/src/testing/runs.ts
@@ -40,6 +40,8 @@
  *
  * @param port - Port of the backend server on 127.0.0.1.
  * @param options - What differs from the defaults.
+ * @param options.mayWrite - See `RunHarnessOptions`.
+ * @param options.idempotent - See `RunHarnessOptions`.
  * @returns The executor, what it reported, and functions to drive it.
  */
 export function createRunHarness(
--- a/packages/emulator/src/requests/map_copy.ts
+++ b/packages/emulator/src/requests/map_copy.ts
@@ -54,6 +54,7 @@
 /** The copy, to which changes are applied in the order of their commits. */
 export class MapCopy implements OwnershipView {
   readonly workspace = WORKSPACE;
+  readonly departedServer = null;
   version = 1 as Version;
   /** Whether this daemon holds a valid lease. */
   hasLease: (at: Instant) => boolean = () => true;
