A stopping daemon takes only requests that it can still answer

Tests: 'ms before the end, a request with 1 s', 'a stopping daemon answers all pipelined requests that it accepted', 'a stopping daemon takes no shared work that may outlast the stop'.

--- a/packages/core/src/execution/definition.spec.ts
+++ b/packages/core/src/execution/definition.spec.ts
@@ -361,6 +361,15 @@
   t.deepEqual(kinds(daemon.dispatch(3)), ['stopping not-run']);
 });
 
+// Runs that a stopping daemon had taken were cut when its process was killed.
+test('a stopping daemon takes no shared work that may outlast the stop', t => {
+  const daemon = new ExecutingDaemon();
+  daemon.state.stopEndsAt = daemon.now + 5000;
+  daemon.run(1, {slice: null});
+  t.deepEqual(kinds(daemon.dispatch(2, {slice: null})), ['stopping not-run']);
+  t.deepEqual(kinds(daemon.dispatch(3)), ['run']);
+});
+
 for (const aborts of [true, false]) {
   test(`a silent run is aborted: ${aborts}`, t => {
     const daemon = new ExecutingDaemon(false, aborts);
--- a/packages/core/src/execution/definition.ts
+++ b/packages/core/src/execution/definition.ts
@@ -64,6 +64,7 @@
     case 'stopRequested':
       state.stopping = true;
       state.stopAt = context.now + state.tuning.membership.stopServeMs;
+      state.stopEndsAt = context.now + state.tuning.membership.stopMs;
       if (context.now >= state.stopAt) recordLeaving(context);
       return;
     case 'runWriteStarting':
--- a/packages/core/src/execution/incoming.ts
+++ b/packages/core/src/execution/incoming.ts
@@ -253,6 +253,8 @@
   }
   if (state.server === null) return 'no-server';
   if (state.server.service !== job.service) return 'no-server';
+  // A run of a shared service that may outlast a planned stop goes elsewhere.
+  if (job.slice === null && job.deadline > state.stopEndsAt) return 'stopping';
   if (state.leavingSince === null) return null;
   if (job.slice === null) return 'stopping';
   const {leavingMs} = state.tuning.announcements;
--- a/packages/core/src/execution/state.ts
+++ b/packages/core/src/execution/state.ts
@@ -34,6 +34,7 @@
     leavingSince: null,
     stopping: false,
     stopAt: Infinity,
+    stopEndsAt: Infinity,
     admission: createAdmission(tuning.admission),
     jobs: new Map(),
     running: new Map(),
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -126,6 +126,8 @@
   stopping: boolean;
   /** Monotonic time at which a stopping daemon sets `leavingSince`. */
   stopAt: number;
+  /** Monotonic time by which a stopping daemon has exited. */
+  stopEndsAt: number;
   /** Concurrency limit and queues of the backend server. */
   readonly admission: Admission;
   readonly jobs: Map<AttemptId, Job>;
--- a/packages/daemon/src/callers/logic.spec.ts
+++ b/packages/daemon/src/callers/logic.spec.ts
@@ -4,9 +4,10 @@
 import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-import {compileRoutes, parseWorkspace} from '@jackdawfall/core';
-import type {Event} from '@jackdawfall/core';
+import {compileRoutes, failure, parseWorkspace} from '@jackdawfall/core';
+import type {Event, RequestId} from '@jackdawfall/core';
 import test from 'ava';
+import type {ExecutionContext} from 'ava';
 
 import {CallerFrontend} from './logic.js';
 import {CALLER_PROTOCOL} from './protocol.js';
@@ -14,6 +15,7 @@
 const SETTLE_MS = 100;
 const POLL_MS = 5;
 const TIMEOUT_MS = 10_000;
+const ROUTE_TIMEOUT_MS = 1000;
 const REQUEST = 'GET /records/1 HTTP/1.1\r\nHost: a\r\n\r\n';
 
 const DOCUMENT = JSON.stringify({
@@ -28,7 +30,7 @@
       service: 'records',
       idempotent: true,
       priority: 'interactive',
-      timeoutMs: 1000,
+      timeoutMs: ROUTE_TIMEOUT_MS,
     },
   ],
   limits: {
@@ -103,6 +105,51 @@
   });
 }
 
+// A stopping daemon passed on requests that it could not answer any more.
+const STOPS: ReadonlyArray<{stopMs: number; events: readonly string[]}> = [
+  {stopMs: 2 * ROUTE_TIMEOUT_MS, events: ['requestAccepted']},
+  {stopMs: ROUTE_TIMEOUT_MS / 2, events: []},
+];
+
+for (const {stopMs, events} of STOPS) {
+  const seconds = ROUTE_TIMEOUT_MS / 1000;
+  test(`${stopMs} ms before the end, a request with ${seconds} s: ${events.join()}`, async t => {
+    const seen: string[] = [];
+    const frontend = createFrontend(event => void seen.push(event.kind));
+    const {socket, received} = await open(t, frontend);
+    frontend.beginStop(0, stopMs);
+    socket.write(REQUEST);
+    await sleep(SETTLE_MS);
+    t.deepEqual(seen, [...events]);
+    t.is(received().slice(9, 12), events.length === 0 ? '503' : '');
+  });
+}
+
+// Requests behind a response that closed their connection were passed on, but
+// got no response.
+test('a stopping daemon answers all pipelined requests that it accepted', async t => {
+  const accepted: RequestId[] = [];
+  const frontend = createFrontend(event => {
+    if (event.kind === 'requestAccepted') accepted.push(event.accepted.request);
+  });
+  const {socket, received, closed} = await open(t, frontend);
+  const fail = (request: RequestId) =>
+    frontend.failRequest(request, failure('overloaded', 'not-run', ''));
+  socket.write(REQUEST.repeat(3));
+  await waitUntil(() => accepted.length === 3);
+  frontend.beginStop(0, 2 * ROUTE_TIMEOUT_MS);
+  await sleep(SETTLE_MS);
+  fail(accepted[0]);
+  fail(accepted[1]);
+  await sleep(SETTLE_MS);
+  t.false(closed(), 'closed before the last response');
+  fail(accepted[2]);
+  socket.write(REQUEST);
+  await waitUntil(closed);
+  t.is(received().split('HTTP/1.1 ').length - 1, 3);
+  t.is(accepted.length, 3, 'a request behind the last response is passed on');
+});
+
 // Such a request ended the daemon that ran it.
 const INVALID_REQUESTS: ReadonlyArray<{name: string; text: string}> = [
   {name: 'a tab in its path', text: REQUEST.replace('/1', '/1\t')},
@@ -151,6 +198,27 @@
   });
 }
 
+/** Opens a connection to a frontend, which is closed after the test. */
+async function open(t: ExecutionContext, {server}: CallerFrontend) {
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const {port} = server.address() as AddressInfo;
+  const socket = connect(port, '127.0.0.1');
+  let text = '';
+  let closed = false;
+  socket.on('error', () => undefined);
+  socket.on('data', bytes => (text += String(bytes)));
+  socket.on('close', () => (closed = true));
+  await new Promise(resolve => socket.once('connect', resolve));
+  t.teardown(() => {
+    socket.destroy();
+    server.closeAllConnections();
+    server.close();
+  });
+  return {socket, received: () => text, closed: () => closed};
+}
+
 async function waitUntil(holds: () => boolean): Promise<void> {
   const giveUpAt = performance.now() + TIMEOUT_MS;
   while (!holds() && performance.now() < giveUpAt) await sleep(POLL_MS);
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -6,7 +6,6 @@
 
 import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
-import type {Socket} from 'node:net';
 import {setImmediate} from 'node:timers/promises';
 
 import {failure} from '@jackdawfall/core';
@@ -14,6 +13,7 @@
   AttemptId,
   Event,
   Failure,
+  Header,
   LogEventName,
   MemberId,
   Message,
@@ -29,6 +29,7 @@
 import type {LogFields} from '../logs/types.js';
 import {ResponseRelay, writeErrorResponse} from './responses.js';
 import {BodyBudget, readBody} from './body.js';
+import {CallerConnections} from './connections.js';
 import {OverloadDetector} from './overload.js';
 import {createIncomingResponse} from './state.js';
 import type {IncomingResponse, PendingRequest} from './types.js';
@@ -84,10 +85,15 @@
   private readonly bodyBudget = new BodyBudget(MAX_TOTAL_BODY_BYTES);
   private readonly responseRelay: ResponseRelay;
   private readonly overloadDetector: OverloadDetector;
-  /** Pending requests by connection. */
-  private readonly pendingBySocket = new WeakMap<Socket, Set<PendingRequest>>();
+  private readonly connections = new CallerConnections(pending =>
+    this.handleDisconnect(pending),
+  );
   private count = 0;
-  private keepAliveDisabled = false;
+  /**
+   * Monotonic time by which each response has to be sent, in milliseconds, as
+   * this process stops then.
+   */
+  private stopsAtMs = Infinity;
 
   /** @param context - Dependencies. */
   constructor(private readonly context: CallerContext) {
@@ -96,6 +102,7 @@
         credit: (to, attempt, bytes) =>
           context.transmit(to, {kind: 'credit', attempt, bytes}),
         delivered: request => this.handleDelivered(request),
+        headWriting: outgoing => this.connections.prepareHead(outgoing),
       },
       context.windowBytes / 2,
     );
@@ -112,11 +119,15 @@
   }
 
   /**
-   * Closes the connection of each later request after its response, so that
-   * the coming shutdown interrupts no request.
+   * Begins a planned stop. Requests that may take longer than the stop are
+   * rejected from now on, as their responses could not be sent.
+   *
+   * @param serveMs - Time for which connections stay open after a response.
+   * @param stopMs - Time after which this process stops.
    */
-  disableKeepAlive(): void {
-    this.keepAliveDisabled = true;
+  beginStop(serveMs: number, stopMs: number): void {
+    this.stopsAtMs = performance.now() + stopMs;
+    setTimeout(() => this.connections.closeAfterResponses(), serveMs);
   }
 
   /**
@@ -220,6 +231,7 @@
       failed,
       remainingMs,
     );
+    this.connections.prepareHead(pending.outgoing);
     writeErrorResponse(pending.outgoing, errorResponse);
     this.close(pending);
   }
@@ -249,7 +261,7 @@
     incoming: IncomingMessage,
     outgoing: ServerResponse,
   ): Promise<void> {
-    if (this.keepAliveDisabled) outgoing.shouldKeepAlive = false;
+    if (!this.connections.addRequest(incoming.socket, outgoing)) return;
     const request = this.nextRequestId(incoming);
     const pending = await this.readRequest(request, incoming, outgoing);
     if (pending === null) return;
@@ -260,7 +272,7 @@
     }
     this.pending.set(request, pending);
     outgoing.once('close', () => this.handleDisconnect(pending));
-    this.watchDisconnect(incoming.socket, pending);
+    this.connections.watch(pending);
     this.context.emit({
       kind: 'requestAccepted',
       accepted: {
@@ -298,10 +310,9 @@
     const {protocol} = context;
     const callerTimeoutMs = protocol.timeoutMsOf(incoming) ?? Infinity;
     const reject = (failed: Failure) => {
-      const {kind: error, detail} = failed;
-      const {method = '', url = ''} = incoming;
-      context.log('requestRejected', {request, method, url, error, detail});
+      this.logRejection(request, incoming, failed);
       incoming.resume();
+      this.connections.prepareHead(outgoing);
       writeErrorResponse(
         outgoing,
         protocol.answerOf(request, failed, callerTimeoutMs),
@@ -312,15 +323,11 @@
     if (configuration === null) {
       return reject(failure('no-server', 'not-run', 'no configuration yet'));
     }
-    if (this.isOverloaded()) {
-      return reject(failure('overloaded', 'not-run', 'too many requests'));
-    }
     const method = incoming.method ?? '';
     const path = incoming.url ?? '';
     const headers = protocol.headersOf(incoming);
-    if (!isValidPath(path) || !areValidHeaders(headers)) {
-      return reject(failure('bad-request', 'not-run', 'invalid characters'));
-    }
+    const rejection = this.rejectionOf(path, headers);
+    if (rejection !== null) return reject(rejection);
     const match = configuration.router.match(method, path, incoming.headers);
     if (match.kind !== 'matched') {
       return reject(failure(match.kind, 'not-run', match.detail));
@@ -329,13 +336,19 @@
     const body = await readBody(incoming, maxBodyBytes, this.bodyBudget);
     if (body.kind === 'aborted') return null;
     if (body.kind === 'rejected') return reject(body.failure);
+    const timeoutMs = Math.min(callerTimeoutMs, match.route.timeoutMs);
+    const receivedMs = performance.now();
+    if (receivedMs + timeoutMs > this.stopsAtMs) {
+      this.bodyBudget.release(body.bytes.length);
+      return reject(failure('stopping', 'not-run', 'this daemon stops'));
+    }
     return {
       request,
       route: match.route,
       service: match.service,
       slice: match.slice,
-      timeoutMs: Math.min(callerTimeoutMs, match.route.timeoutMs),
-      receivedMs: performance.now(),
+      timeoutMs,
+      receivedMs,
       method,
       path,
       headers,
@@ -348,6 +361,27 @@
     };
   }
 
+  private logRejection(
+    request: RequestId,
+    {method = '', url = ''}: IncomingMessage,
+    {kind: error, detail}: Failure,
+  ): void {
+    const fields = {request, method, url, error, detail};
+    this.context.log('requestRejected', fields);
+  }
+
+  /** Why a request is rejected whatever its route is, or null. */
+  private rejectionOf(
+    path: string,
+    headers: readonly Header[],
+  ): Failure | null {
+    if (this.isOverloaded()) {
+      return failure('overloaded', 'not-run', 'too many requests');
+    }
+    if (isValidPath(path) && areValidHeaders(headers)) return null;
+    return failure('bad-request', 'not-run', 'invalid characters');
+  }
+
   private isOverloaded(): boolean {
     const open = this.pending.size;
     return (
@@ -392,23 +426,6 @@
     this.context.emit({kind: 'responseDelivered', request});
   }
 
-  /**
-   * Watches the connection itself: a pipelined request that waits behind
-   * another one gets no `close` event on its own response.
-   */
-  private watchDisconnect(socket: Socket, pending: PendingRequest): void {
-    const open = this.pendingBySocket.get(socket);
-    if (open !== undefined) {
-      open.add(pending);
-      return;
-    }
-    const newSet = new Set([pending]);
-    this.pendingBySocket.set(socket, newSet);
-    socket.once('close', () => {
-      for (const each of newSet) this.handleDisconnect(each);
-    });
-  }
-
   private handleDisconnect(pending: PendingRequest): void {
     if (!this.pending.has(pending.request)) return;
     this.close(pending);
@@ -417,9 +434,7 @@
 
   private close(pending: PendingRequest): void {
     this.pending.delete(pending.request);
-    if (pending.outgoing.req.socket) {
-      this.pendingBySocket.get(pending.outgoing.req.socket)?.delete(pending);
-    }
+    this.connections.remove(pending);
     this.bodyBudget.release(pending.body.length);
     for (const attempt of pending.attempts) this.responses.delete(attempt);
   }
--- a/packages/daemon/src/callers/responses.ts
+++ b/packages/daemon/src/callers/responses.ts
@@ -21,6 +21,8 @@
 export interface ResponseEvents {
   /** Bytes were delivered; the sender may send as many more. */
   credit(to: MemberId, attempt: AttemptId, bytes: number): void;
+  /** The head of a response is about to be written. */
+  headWriting(outgoing: ServerResponse): void;
   /** The complete response was written to the caller. */
   delivered(request: RequestId): void;
 }
@@ -109,7 +111,10 @@
     const {outgoing} = pending;
     if (outgoing.destroyed || response.head === null) return;
     if (!response.ended && response.received <= MAX_BUFFERED_BYTES) return;
-    if (!outgoing.headersSent) writeHead(pending, response.head);
+    if (!outgoing.headersSent) {
+      this.events.headWriting(outgoing);
+      writeHead(pending, response.head);
+    }
     if (response.ended && response.delivered === 0) {
       this.finish(response, pending, Buffer.concat(response.chunks));
       return;
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -147,10 +147,10 @@
 
   /** Begins a planned stop. */
   stop(): void {
-    const {stopServeMs} = this.options.settings.tuning.membership;
+    const {stopServeMs, stopMs} = this.options.settings.tuning.membership;
     this.stopping = true;
     this.loop.emit({kind: 'stopRequested'});
-    setTimeout(() => this.callers.disableKeepAlive(), stopServeMs);
+    this.callers.beginStop(stopServeMs, stopMs);
   }
 
   /** @returns Whether the daemon has a configuration in force. */
