Rows of the store that can't be read end no daemon

Seen, report of other operators: one odd entry in the store ends the machines that read it, again and again.

Cause: rows and objects were parsed by JSON.parse with a cast, no schema and no catch.

--- a/packages/core/src/commands/audit.ts
+++ b/packages/core/src/commands/audit.ts
@@ -1,9 +1,11 @@
 /** @fileoverview Reading the audit trail, newest entries first. */
 
+import {auditRowSchema} from '../log/schemas.js';
 import type {Change} from '../log/types.js';
 import {callStore, reply} from '../ownership/effects.js';
 import type {AuditSearch, OwnershipContext} from '../ownership/state.js';
 import type {Row, StoreReply} from '../store/types.js';
+import {parseDocument} from '../validation/logic.js';
 import {describeChange} from './view.js';
 import type {AuditEntry, AuditPage} from './types.js';
 
@@ -94,7 +96,13 @@
   );
 }
 
+/** An entry that can't be read, since it has another writer, says so. */
 function parseAuditRow(row: Row): AuditEntry {
-  const {by, at, from, to, what} = JSON.parse(row.value) as AuditRow;
-  return {from, to, at, by, what: describeChange(what)};
+  const parsed = parseDocument(row.value, auditRowSchema);
+  if (parsed.kind === 'invalid') {
+    return {from: 0, to: 0, at: 0, by: row.key, what: 'unreadable'};
+  }
+  const {by, at, from, to, what} = parsed.value;
+  const change = what as unknown as AuditRow['what'];
+  return {from, to, at, by, what: describeChange(change)};
 }
--- a/packages/core/src/commands/view.ts
+++ b/packages/core/src/commands/view.ts
@@ -134,6 +134,8 @@
       return `configuration ${change.number - 1} -> ${change.number}`;
     case 'zone':
       return `zone ${change.zone} ${change.out ? 'out' : 'in'}`;
+    case 'unreadable':
+      return 'unreadable';
   }
 }
 
--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -19,6 +19,7 @@
 import type {Row, StoreReply} from '../store/types.js';
 import {possibleGrantors, currentLease, isUnexpired} from './logic.js';
 import {MAX_FOLLOW_DELAY_MS} from './state.js';
+import {parseMemberRow} from './rows.js';
 import type {GrantorStatus, LeaseState, MemberRow, RowWrite} from './types.js';
 
 /** Maximum number of renewals without a reply that are kept. */
@@ -591,11 +592,12 @@
   const key = state.keys.member(state.self);
   const row = rows.find(each => each.key === key);
   if (row === undefined || row.revision <= lease.revision) return false;
-  const value = JSON.parse(row.value) as MemberRow;
+  const value = parseMemberRow(context, row);
   const own = lease.unresolvedWrites.find(
-    write => write.writeId === value.writeId,
+    write => write.writeId === value?.writeId,
   );
-  applyOwnRow(context, row.revision, value.grantors, own?.sentAt ?? null);
+  const grantors = value?.grantors ?? [];
+  applyOwnRow(context, row.revision, grantors, own?.sentAt ?? null);
   return true;
 }
 
--- a/packages/core/src/log/logic.ts
+++ b/packages/core/src/log/logic.ts
@@ -1,12 +1,15 @@
 /** @fileoverview Keys of rows and objects in the store; log entries as JSON. */
 
-import type {MemberId, Version} from '../ids/types.js';
+import type {MemberId, Version, WriteId} from '../ids/types.js';
 import type {LoggedEntry} from '../messages/types.js';
 import type {Row} from '../store/types.js';
+import {parseDocument} from '../validation/logic.js';
+import {entrySchema} from './schemas.js';
 import type {Change, CommittedEntry, Entry} from './types.js';
 
 /** Versions are zero-padded to this length, so that keys sort by version. */
 const VERSION_DIGITS = 12;
+const VERSION_AT_END = new RegExp(`/(\\d{${VERSION_DIGITS}})$`);
 /** The character after `9`; sorts after every key that ends in a version. */
 const AFTER_DIGITS = ':';
 /**
@@ -60,13 +63,17 @@
 }
 
 /**
- * Parses the entry of a log row.
+ * Parses the entry of a log row. All daemons read the same entry, also from a
+ * row that another writer left.
  *
- * @param row - A row of the log.
- * @returns The entry with the row's revision.
+ * @param row - A row in the range of the log.
+ * @returns The entry with the row's revision, or null if its key has no version.
  */
-export function parseLogRow(row: Row): CommittedEntry {
-  return {entry: JSON.parse(row.value) as Entry, revision: row.revision};
+export function parseLogRow(row: Row): CommittedEntry | null {
+  const digits = VERSION_AT_END.exec(row.key)?.[1];
+  if (digits === undefined) return null;
+  const version = Number(digits) as Version;
+  return {entry: parseEntry(row.value, version), revision: row.revision};
 }
 
 /**
@@ -76,7 +83,18 @@
  * @returns The entry with its row's revision.
  */
 export function parseLoggedEntry(logged: LoggedEntry): CommittedEntry {
-  return {entry: JSON.parse(logged.text) as Entry, revision: logged.revision};
+  const {text, version, revision} = logged;
+  return {entry: parseEntry(text, version), revision};
+}
+
+/** An entry that can't be read changes nothing. */
+function parseEntry(text: string, version: Version): Entry {
+  const parsed = parseDocument(text, entrySchema);
+  if (parsed.kind === 'ok' && parsed.value.version === Number(version)) {
+    return parsed.value as unknown as Entry;
+  }
+  const change = {kind: 'unreadable'} as const;
+  return {version, writeId: '' as WriteId, by: '', at: 0, change};
 }
 
 /**
--- a/packages/core/src/log/types.ts
+++ b/packages/core/src/log/types.ts
@@ -127,6 +127,11 @@
       readonly number: number;
       readonly document: string;
     }
+  /**
+   * Changes nothing. Stands for an entry that can't be read, since another
+   * writer has taken its version.
+   */
+  | {readonly kind: 'unreadable'}
   /** An availability zone is evacuated (`out`) or used again. */
   | {readonly kind: 'zone'; readonly zone: ZoneName; readonly out: boolean};
 
--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -57,6 +57,11 @@
     'A moving slice still has requests past its drain time.',
   ),
   snapshotStored: event(204, 'info', 'A snapshot of the map was stored.'),
+  storedRowUnreadable: event(
+    218,
+    'warn',
+    "A row or object of the store can't be read; it was written by another writer.",
+  ),
   configurationInForce: event(601, 'info', 'A configuration is in force.'),
   requestFailed: failed(
     301,
--- a/packages/core/src/log_replication/reader.ts
+++ b/packages/core/src/log_replication/reader.ts
@@ -12,7 +12,7 @@
 } from '../log/logic.js';
 import type {CommittedEntry} from '../log/types.js';
 import type {ControlMessage, LoggedEntry} from '../messages/types.js';
-import {callStore, send} from '../ownership/effects.js';
+import {callStore, log, send} from '../ownership/effects.js';
 import type {OwnershipContext, OwnershipState} from '../ownership/state.js';
 import {currentRing} from '../ownership/state.js';
 import type {StoreReply} from '../store/types.js';
@@ -79,6 +79,10 @@
   logReader.failures = 0;
   for (const row of reply.rows) {
     const committed = parseLogRow(row);
+    if (committed === null) {
+      log(context, 'storedRowUnreadable', {key: row.key});
+      continue;
+    }
     if (committed.entry.version > nextVersion(state.map.version)) {
       logReader.needsSnapshot = true;
       logReader.readNeeded = true;
--- a/packages/core/src/log_replication/writer.ts
+++ b/packages/core/src/log_replication/writer.ts
@@ -181,7 +181,8 @@
   const committedRow = rows.find(row => row.key === key && row.revision > 0);
   if (committedRow !== undefined) {
     // Entries after this one are pushed, or returned by the next conflict.
-    apply(parseLogRow(committedRow));
+    const committed = parseLogRow(committedRow);
+    if (committed !== null) apply(committed);
     return;
   }
   state.logReader.readNeeded = true;
@@ -310,6 +311,7 @@
     case 'placed':
     case 'moving':
     case 'released':
+    case 'unreadable':
       return false;
   }
 }
--- a/packages/core/src/map/logic.spec.ts
+++ b/packages/core/src/map/logic.spec.ts
@@ -76,6 +76,13 @@
   ];
 }
 
+/** The map as it is read from its snapshot. */
+function reloaded(map: ClusterMap): ClusterMap {
+  const loaded = parseMap(serializeMap(map), 0);
+  if (loaded === null) throw new Error('the snapshot is not readable');
+  return loaded;
+}
+
 /** Owner, standby and generation of the first slice. */
 const CASES: ReadonlyArray<{
   name: string;
@@ -148,7 +155,7 @@
   test(`map: ${name}`, t => {
     const map = mapAfter(changes);
     t.deepEqual(firstSlice(map), [...expected]);
-    t.deepEqual(firstSlice(parseMap(serializeMap(map), 0)), [...expected]);
+    t.deepEqual(firstSlice(reloaded(map)), [...expected]);
   });
 }
 
@@ -217,7 +224,6 @@
     const map = mapAfter([...changes, ended(A)]);
     const host = 'a' as never;
     t.is(map.departures.get(host), departure as never);
-    const loaded = parseMap(serializeMap(map), 0);
-    t.is(loaded.departures.get(host), departure as never);
+    t.is(reloaded(map).departures.get(host), departure as never);
   });
 }
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -142,6 +142,8 @@
     case 'zone':
       setZone(map, change.zone, change.out);
       return;
+    case 'unreadable':
+      return;
   }
 }
 
--- a/packages/core/src/membership/evictions.ts
+++ b/packages/core/src/membership/evictions.ts
@@ -6,7 +6,7 @@
 
 import type {MemberId} from '../ids/types.js';
 import {stopWatching, revokeMember} from '../leases/grantor.js';
-import type {MemberRow} from '../leases/types.js';
+import {parseMemberRow} from '../leases/rows.js';
 import type {ControlMessage} from '../messages/types.js';
 import {callStore, send} from '../ownership/effects.js';
 import type {
@@ -110,7 +110,7 @@
   member: MemberId,
   reply: StoreReply,
 ): void {
-  const {state, at} = context;
+  const {state} = context;
   const eviction = state.evictions.get(member);
   if (eviction === undefined) return;
   eviction.readInFlight = false;
@@ -122,7 +122,7 @@
     return;
   }
   if (row.revision !== eviction.row?.revision) {
-    recordRow(eviction, row, at.monotonic);
+    recordRow(context, eviction, row);
   }
 }
 
@@ -189,7 +189,7 @@
     const key = state.keys.member(eviction.member);
     const row = rows.find(each => each.key === key);
     if (row === undefined || row.revision === eviction.row?.revision) continue;
-    recordRow(eviction, row, context.at.monotonic);
+    recordRow(context, eviction, row);
   }
 }
 
@@ -260,9 +260,21 @@
 
 /**
  * Adopts a new revision of the row and lets the next step be taken immediately.
+ * Without a row that can be read, the grantors aren't known, and the member
+ * isn't removed.
  */
-function recordRow(eviction: Eviction, row: Row, now: number): void {
-  const {grantors} = JSON.parse(row.value) as MemberRow;
+function recordRow(
+  context: OwnershipContext,
+  eviction: Eviction,
+  row: Row,
+): void {
+  const now = context.at.monotonic;
+  const value = parseMemberRow(context, row);
+  if (value === null) {
+    eviction.row = null;
+    return;
+  }
+  const {grantors} = value;
   const revisionSeenAt = eviction.reportedRevisions.get(row.revision) ?? now;
   eviction.row = {
     revision: row.revision,
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -421,6 +421,10 @@
     state.lease.nextRenewalAt = at.monotonic;
     log(context, 'memberJoined', {member: state.self});
   }
+  if (change.kind === 'unreadable') {
+    const key = state.keys.log(committed.entry.version);
+    log(context, 'storedRowUnreadable', {key});
+  }
   if (change.kind === 'configured') {
     log(context, 'configurationInForce', {number: change.number});
   }
--- a/packages/core/src/snapshots/logic.ts
+++ b/packages/core/src/snapshots/logic.ts
@@ -4,6 +4,8 @@
 import {parseConfiguration} from '../map/logic.js';
 import {createMap} from '../map/state.js';
 import type {ClusterMap, ServicePlacement} from '../map/types.js';
+import {parseDocument} from '../validation/logic.js';
+import {mapSnapshotSchema} from './schemas.js';
 import type {MapSnapshot, ServiceSnapshot} from './types.js';
 
 /**
@@ -35,10 +37,12 @@
  *
  * @param text - JSON text of a `MapSnapshot`.
  * @param now - Monotonic time at which removed members count as removed.
- * @returns The map.
+ * @returns The map, or null if the text can't be read.
  */
-export function parseMap(text: string, now: number): ClusterMap {
-  const snapshot = JSON.parse(text) as MapSnapshot;
+export function parseMap(text: string, now: number): ClusterMap | null {
+  const parsed = parseDocument(text, mapSnapshotSchema);
+  if (parsed.kind === 'invalid') return null;
+  const snapshot = parsed.value as unknown as MapSnapshot;
   const map = createMap();
   map.version = snapshot.version;
   map.revision = snapshot.revision;
--- a/packages/core/src/snapshots/storage.ts
+++ b/packages/core/src/snapshots/storage.ts
@@ -6,7 +6,9 @@
 import {checkGenerations} from '../ownership/invariants.js';
 import type {OwnershipContext} from '../ownership/state.js';
 import type {RowPut, Row, StoreReply} from '../store/types.js';
+import {parseDocument} from '../validation/logic.js';
 import {serializeMap, parseMap} from './logic.js';
+import {snapshotPointerSchema} from './schemas.js';
 import type {SnapshotPointer} from './types.js';
 
 /** Minimum time between the starts of two snapshots. */
@@ -14,6 +16,12 @@
 /** Maximum number of log rows that one transaction deletes. */
 const MAX_TRIMMED_ROWS = 256;
 
+/** What the pointer row says. */
+type FoundPointer =
+  | {readonly kind: 'none'}
+  | {readonly kind: 'unreadable'}
+  | {readonly kind: 'object'; readonly name: string};
+
 /**
  * Starts to store a snapshot if the log has grown by `snapshotEntries` since
  * the latest one. Only the coordinator does this. Reads the pointer row first.
@@ -156,13 +164,20 @@
     scheduleReadRetry(context);
     return;
   }
-  const name = recordPointer(context, reply.rows);
-  if (name === null || snapshots.version <= map.version) {
+  const found = recordPointer(context, reply.rows);
+  if (found.kind === 'unreadable') {
+    // Without a snapshot, the log itself is read; it may be complete.
+    logReader.needsSnapshot = false;
+    scheduleReadRetry(context);
+    return;
+  }
+  if (found.kind === 'none' || snapshots.version <= map.version) {
     logReader.inFlight = false;
     logReader.needsSnapshot = false;
     logReader.readNeeded = true;
     return;
   }
+  const {name} = found;
   callStore(context, {kind: 'loadSnapshot'}, {kind: 'getObject', name});
 }
 
@@ -188,6 +203,12 @@
   logReader.needsSnapshot = false;
   logReader.readNeeded = true;
   const loaded = parseMap(reply.body, at.monotonic);
+  if (loaded === null) {
+    const key = state.keys.snapshotObject(state.snapshots.version);
+    log(context, 'storedRowUnreadable', {key});
+    scheduleReadRetry(context);
+    return false;
+  }
   if (loaded.version <= state.map.version) return false;
   for (const [member, seen] of state.map.ended) {
     loaded.ended.set(member, seen);
@@ -200,22 +221,29 @@
 }
 
 /**
- * Adopts the pointer row unless it is older than the known one.
+ * Adopts the pointer row unless it is older than the known one. One that can't
+ * be read is replaced with the next snapshot.
  *
- * @returns Name of the object that the row points to; null without a row.
+ * @returns What the row points to.
  */
 function recordPointer(
   context: OwnershipContext,
   rows: readonly Row[],
-): string | null {
+): FoundPointer {
   const {snapshots, keys} = context.state;
   const row = rows.find(each => each.key === keys.snapshot);
-  if (row === undefined) return null;
-  const pointer = JSON.parse(row.value) as SnapshotPointer;
+  if (row === undefined) return {kind: 'none'};
+  const parsed = parseDocument(row.value, snapshotPointerSchema);
+  if (parsed.kind === 'invalid') {
+    log(context, 'storedRowUnreadable', {key: row.key});
+    snapshots.revision = Math.max(snapshots.revision, row.revision);
+    return {kind: 'unreadable'};
+  }
+  const pointer = parsed.value as unknown as SnapshotPointer;
   if (row.revision >= snapshots.revision) {
     snapshots.version = pointer.version;
     snapshots.trimmedTo = pointer.trimmedTo;
     snapshots.revision = row.revision;
   }
-  return pointer.object;
+  return {kind: 'object', name: pointer.object};
 }
--- a/packages/core/src/validation/logic.ts
+++ b/packages/core/src/validation/logic.ts
@@ -4,6 +4,14 @@
 
 import type {ParseResult, ValidationFault} from './types.js';
 
+/**
+ * Maximum nesting of documents. Deeper ones can be parsed, but not serialized
+ * again.
+ */
+const MAX_DEPTH = 64;
+/** Strings of a JSON text, and brackets outside of them. */
+const JSON_STRINGS_AND_BRACKETS = /"(?:[^"\\]|\\.)*"|[[\]{}]/gs;
+
 /**
  * Parses a JSON document and validates it.
  *
@@ -15,6 +23,10 @@
   text: string,
   schema: z.ZodType<T>,
 ): ParseResult<T> {
+  if (isNestedTooDeeply(text)) {
+    const message = `is nested more than ${MAX_DEPTH} levels deep`;
+    return {kind: 'invalid', faults: [{path: '', message}]};
+  }
   let value: unknown;
   try {
     value = JSON.parse(text);
@@ -45,6 +57,16 @@
   return {kind: 'invalid', faults};
 }
 
+function isNestedTooDeeply(text: string): boolean {
+  let depth = 0;
+  for (const [token] of text.matchAll(JSON_STRINGS_AND_BRACKETS)) {
+    if (token === '[' || token === '{') depth += 1;
+    if (token === ']' || token === '}') depth -= 1;
+    if (depth > MAX_DEPTH) return true;
+  }
+  return false;
+}
+
 function messageOf({code, message}: z.core.$ZodIssue): string {
   const isMissing =
     code === 'invalid_type' && message.endsWith('received undefined');
--- a/packages/emulator/src/platform/logic.ts
+++ b/packages/emulator/src/platform/logic.ts
@@ -9,6 +9,11 @@
 /** Number of seconds for which counts are kept. */
 const MAX_COUNTED_SECONDS = 600;
 const MS_PER_SECOND = 1000;
+const LOG_KEY = /\/log\/(\d+)$/;
+const MEMBER_KEY = /\/members\//;
+const SNAPSHOT_KEY = /\/snapshot$/;
+/** Nesting of a foreign row. */
+const DEEP = 10_000;
 
 /**
  * Commits a transaction if all its conditions hold.
@@ -92,12 +97,40 @@
       faults.delayedWrites = command.probability;
       faults.delayMs = command.ms;
       return;
+    case 'foreignRows':
+      for (const row of foreignRows([...state.rows.keys()])) {
+        state.revision++;
+        state.rows.set(row.key, {...row, revision: state.revision});
+      }
+      return;
     case 'heal':
       state.faults = noFaults();
       return;
   }
 }
 
+/** Rows that no daemon writes, next to and in place of those in the store. */
+function foreignRows(keys: readonly string[]): Array<Omit<Row, 'revision'>> {
+  const rows: Array<Omit<Row, 'revision'>> = [];
+  const last = keys
+    .filter(key => LOG_KEY.test(key))
+    .sort()
+    .at(-1);
+  if (last !== undefined) {
+    const digits = LOG_KEY.exec(last)?.[1] ?? '';
+    const next = String(Number(digits) + 1).padStart(digits.length, '0');
+    const key = last.slice(0, -digits.length) + next;
+    rows.push({key, value: '['.repeat(DEEP) + ']'.repeat(DEEP)});
+  }
+  const member = keys.find(key => MEMBER_KEY.test(key));
+  if (member !== undefined) {
+    rows.push({key: member, value: '{"grantors":1e999}'});
+  }
+  const pointer = keys.find(key => SNAPSHOT_KEY.test(key));
+  if (pointer !== undefined) rows.push({key: pointer, value: '{"version":'});
+  return rows;
+}
+
 /**
  * Applies the rate limit to a call, and counts the call if it is admitted.
  *
--- a/packages/emulator/src/platform/types.ts
+++ b/packages/emulator/src/platform/types.ts
@@ -30,6 +30,11 @@
     probability: PROBABILITY,
     ms: MILLISECONDS,
   }),
+  /**
+   * Another writer leaves rows that can't be read: the next entry of the log,
+   * the row of a member and the pointer to the latest snapshot.
+   */
+  z.object({kind: z.literal('foreignRows')}),
   /** Switches every fault off. */
   z.object({kind: z.literal('heal')}),
 ]);
--- a/packages/emulator/src/scenario/steps.ts
+++ b/packages/emulator/src/scenario/steps.ts
@@ -343,6 +343,8 @@
       const {writesPerSecond, readsPerSecond} = args;
       return {kind: 'rate', writesPerSecond, readsPerSecond};
     }
+    case 'foreignRows':
+      return {kind: 'foreignRows'};
     case 'none':
       return {kind: 'heal'};
   }
--- a/packages/emulator/src/scenario/types.ts
+++ b/packages/emulator/src/scenario/types.ts
@@ -69,6 +69,7 @@
     writesPerSecond: z.number().positive(),
     readsPerSecond: z.number().positive(),
   }),
+  z.strictObject({fault: z.literal('foreignRows')}),
   z.strictObject({fault: z.literal('none')}),
 ]);
 
