A body in another transfer encoding that is cut by a reset isn't complete

Callers could get a short body, framed as whole. Cause: only bodies without a Transfer-Encoding header were watched for a reset, but one whose encoding isn't chunked ends with its connection, too.

--- a/packages/daemon/src/runs/connection_close.spec.ts
+++ b/packages/daemon/src/runs/connection_close.spec.ts
@@ -35,12 +35,21 @@
   },
 ];
 
-for (const {name, finish, closedCleanly} of CASES) {
-  test(`a connection that is ${name}: clean close ${closedCleanly}`, async t => {
+// A reset inside a body of another encoding looked like its end.
+const HEADS: readonly string[] = [
+  HEAD,
+  'HTTP/1.1 200 OK\r\nTransfer-Encoding: identity\r\n\r\n',
+];
+
+for (const {name, finish, closedCleanly, head} of CASES.flatMap(each =>
+  HEADS.map(head => ({...each, head})),
+)) {
+  const framing = head.slice(HEAD.length - 2).trim();
+  test(`${framing} ${name}: clean close ${closedCleanly}`, async t => {
     const server = createServer(socket => {
       socket.on('error', () => undefined);
       socket.once('data', () => {
-        socket.write(`${HEAD}part`);
+        socket.write(`${head}part`);
         finish(socket);
       });
     });
--- a/packages/daemon/src/runs/connection_close.ts
+++ b/packages/daemon/src/runs/connection_close.ts
@@ -20,7 +20,8 @@
   const {headers, statusCode = 0} = incoming;
   if (statusCode === 204 || statusCode === 304) return false;
   if (headers['content-length'] !== undefined) return false;
-  return headers['transfer-encoding'] === undefined;
+  const encodings = headers['transfer-encoding'] ?? '';
+  return !/(^|,)\s*chunked\s*$/i.test(encodings);
 }
 
 /**
