An idle connection on which anything arrives is closed

Seen by nobody yet; found by reading after reports of late extra responses. Cause: Node drops what arrives on an idle connection. The rest of a response of which a part was dropped is read in front of the next one.

--- a/packages/daemon/src/runs/connections.spec.ts
+++ b/packages/daemon/src/runs/connections.spec.ts
@@ -59,6 +59,58 @@
   });
 }
 
+// Bytes that arrive while a connection is idle were dropped, and the rest of
+// them was read as the response to the next request.
+for (const extra of ['HTTP/1.1 503 X\r\nx-not-run: 1\r\nx-a: b', 'x']) {
+  test(`a connection isn't used again after ${JSON.stringify(extra)}`, async t => {
+    let open = 0;
+    const server = createServer((incoming, outgoing) => {
+      outgoing.end('done');
+      setTimeout(() => incoming.socket.write(extra), SETTLE_MS / 2);
+    });
+    server.on('connection', () => (open += 1));
+    await new Promise<void>(resolve =>
+      server.listen(0, '127.0.0.1', () => resolve()),
+    );
+    const {port} = server.address() as AddressInfo;
+    const connections = new ServerConnectionPool({
+      address: `127.0.0.1:${port}` as Address,
+      connections: 4,
+    } as Announcement);
+    exchange(connections);
+    await settle();
+    await settle();
+    exchange(connections);
+    await settle();
+    t.is(open, 2);
+    connections.destroy();
+    server.close();
+    server.closeAllConnections();
+  });
+}
+
+test('a connection without anything odd is used again', async t => {
+  let open = 0;
+  const server = createServer((_, outgoing) => void outgoing.end('done'));
+  server.on('connection', () => (open += 1));
+  await new Promise<void>(resolve =>
+    server.listen(0, '127.0.0.1', () => resolve()),
+  );
+  const {port} = server.address() as AddressInfo;
+  const connections = new ServerConnectionPool({
+    address: `127.0.0.1:${port}` as Address,
+    connections: 4,
+  } as Announcement);
+  for (let i = 0; i < 3; i++) {
+    exchange(connections);
+    await settle();
+  }
+  t.is(open, 1);
+  connections.destroy();
+  server.close();
+  server.closeAllConnections();
+});
+
 function exchange(connections: ServerConnectionPool): void {
   const outgoing = connections.open({method: 'GET', path: '/'});
   outgoing.on('response', incoming => incoming.resume());
--- a/packages/daemon/src/runs/connections.ts
+++ b/packages/daemon/src/runs/connections.ts
@@ -6,11 +6,30 @@
 import {Agent, request} from 'node:http';
 import type {ClientRequest, RequestOptions} from 'node:http';
 import type {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 
 import type {Announcement} from '@jackdawfall/core';
 
 const IDLE_TIMEOUT_MS = 30_000;
 
+/** Closes an idle connection on which anything arrives: it belongs to nothing. */
+class IdleGuardAgent extends Agent {
+  override keepSocketAlive(socket: Duplex): boolean {
+    const isKept = super.keepSocketAlive(socket) as unknown as boolean;
+    if (isKept) socket.once('data', destroyOnData);
+    return isKept;
+  }
+
+  override reuseSocket(socket: Duplex, request: ClientRequest): void {
+    socket.off('data', destroyOnData);
+    super.reuseSocket(socket, request);
+  }
+}
+
+function destroyOnData(this: Duplex): void {
+  this.destroy();
+}
+
 /** A connection pool that stays within the limit announced by the server. */
 export class ServerConnectionPool {
   private agent: Agent;
@@ -71,7 +90,7 @@
   }
 
   private createAgent(maxSockets: number): Agent {
-    return new Agent({
+    return new IdleGuardAgent({
       keepAlive: true,
       maxSockets,
       timeout: IDLE_TIMEOUT_MS,
