The body of a request is framed whatever its method

Cause: Transfer-Encoding isn't forwarded, and Node's client frames bodies only for POST, PUT and PATCH.

--- a/packages/daemon/src/runs/logic.spec.ts
+++ b/packages/daemon/src/runs/logic.spec.ts
@@ -9,6 +9,7 @@
 
 import type {AttemptId} from '@jackdawfall/core';
 
+import {readBodyText} from '../http/body.js';
 import {ATTEMPT, ORIGIN, createRunHarness} from '../testing/runs.js';
 import type {RunHarnessOptions} from '../testing/runs.js';
 
@@ -197,6 +198,29 @@
   });
 }
 
+// A body that came in chunks was written without framing for some methods, so
+// that the server read it as further requests.
+for (const method of ['GET', 'HEAD', 'DELETE', 'OPTIONS', 'POST', 'PATCH']) {
+  test(`the body of a ${method} request arrives as its body`, async t => {
+    const seen: string[] = [];
+    const body = 'GET /smuggled HTTP/1.1\r\nHost: a\r\n\r\n';
+    const harness = await createHarness(
+      t,
+      (incoming, outgoing) => {
+        void readBodyText(incoming, body.length).then(text => {
+          seen.push(`${incoming.method} ${incoming.url} ${text}`);
+          outgoing.writeHead(204).end();
+        });
+      },
+      {method, body},
+    );
+    harness.start(false);
+    await harness.waitForEvents(3);
+    await new Promise(resolve => setTimeout(resolve, 50));
+    t.deepEqual(seen, [`${method} /finder/a ${body}`]);
+  });
+}
+
 async function createHarness(
   t: ExecutionContext,
   handler: Handler | null,
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -159,11 +159,14 @@
     const outgoing = connections.open({
       method: received.dispatch.method,
       path: received.dispatch.path,
-      headers: this.context.protocol.headersOf(
-        received.dispatch,
-        effect,
-        announcement,
-      ),
+      headers: {
+        ...this.context.protocol.headersOf(
+          received.dispatch,
+          effect,
+          announcement,
+        ),
+        ...framingOf(received),
+      },
     });
     const run: Run = {
       outgoing,
@@ -527,6 +530,18 @@
   }
 }
 
+/**
+ * Headers that frame the body. For some methods, Node's client writes a body
+ * without any, so that it would be read as further requests.
+ */
+function framingOf(received: ReceivedAttempt): Record<string, string> {
+  const {bodyChunks, bodyEnded, dispatch} = received;
+  if (dispatch.headers.some(each => each.name === 'content-length')) return {};
+  if (!bodyEnded) return {'transfer-encoding': 'chunked'};
+  const length = bodyChunks.reduce((sum, bytes) => sum + bytes.length, 0);
+  return length === 0 ? {} : {'content-length': String(length)};
+}
+
 /** Whether every receiver of the response has flow-control credit. */
 function hasCredit(received: ReceivedAttempt): boolean {
   return received.streams.every(stream => stream.credit > 0);
--- a/packages/daemon/src/testing/runs.ts
+++ b/packages/daemon/src/testing/runs.ts
@@ -33,6 +33,9 @@
   readonly mayWrite?: boolean;
   /** Whether the attempt's request is idempotent; false by default. */
   readonly idempotent?: boolean;
+  /** Method and body of the request; GET without a body by default. */
+  readonly method?: string;
+  readonly body?: string;
 }
 
 /**
@@ -42,11 +45,18 @@
  * @param options - What differs from the defaults.
  * @param options.mayWrite - See `RunHarnessOptions`.
  * @param options.idempotent - See `RunHarnessOptions`.
+ * @param options.method - See `RunHarnessOptions`.
+ * @param options.body - See `RunHarnessOptions`.
  * @returns The executor, what it reported, and functions to drive it.
  */
 export function createRunHarness(
   port: number,
-  {mayWrite = true, idempotent = false}: RunHarnessOptions = {},
+  {
+    mayWrite = true,
+    idempotent = false,
+    method = 'GET',
+    body = '',
+  }: RunHarnessOptions = {},
 ) {
   const events: Event[] = [];
   const messages: Message[] = [];
@@ -71,7 +81,11 @@
     leaving: false,
     coldStart: null,
   });
-  runs.receive(ORIGIN, dispatch(idempotent));
+  runs.receive(ORIGIN, {
+    ...dispatch(idempotent),
+    method,
+    body: Buffer.from(body),
+  });
   return {
     runs,
     events,
