--- a/packages/core/src/validation/logic.ts
+++ b/packages/core/src/validation/logic.ts
@@ -9,8 +9,6 @@
  * again.
  */
 const MAX_DEPTH = 64;
-/** Strings of a JSON text, and brackets outside of them. */
-const JSON_STRINGS_AND_BRACKETS = /"(?:[^"\\]|\\.)*"|[[\]{}]/gs;
 
 /**
  * Parses a JSON document and validates it.
@@ -57,11 +55,20 @@
   return {kind: 'invalid', faults};
 }
 
+/** Scans the text once, so that its cost is linear also if it is no JSON. */
 function isNestedTooDeeply(text: string): boolean {
   let depth = 0;
-  for (const [token] of text.matchAll(JSON_STRINGS_AND_BRACKETS)) {
-    if (token === '[' || token === '{') depth += 1;
-    if (token === ']' || token === '}') depth -= 1;
+  let inString = false;
+  for (let index = 0; index < text.length; index++) {
+    const character = text[index];
+    if (inString) {
+      if (character === '\\') index += 1;
+      else if (character === '"') inString = false;
+      continue;
+    }
+    if (character === '"') inString = true;
+    else if (character === '[' || character === '{') depth += 1;
+    else if (character === ']' || character === '}') depth -= 1;
     if (depth > MAX_DEPTH) return true;
   }
   return false;
