--- a/packages/daemon/src/callers/logic.spec.ts
+++ b/packages/daemon/src/callers/logic.spec.ts
@@ -163,22 +163,12 @@
 for (const {name, text} of INVALID_REQUESTS) {
   test(`a request with ${name} is rejected`, async t => {
     const seen: string[] = [];
-    const {server} = createFrontend(event => void seen.push(event.kind));
-    await new Promise<void>(resolve =>
-      server.listen(0, '127.0.0.1', () => resolve()),
-    );
-    const {port} = server.address() as AddressInfo;
-    const socket = connect(port, '127.0.0.1');
-    socket.on('error', () => undefined);
-    const response = new Promise(resolve => {
-      socket.once('data', bytes => resolve(String(bytes).slice(9, 12)));
-    });
+    const frontend = createFrontend(event => void seen.push(event.kind));
+    const {socket, received} = await open(t, frontend);
     socket.write(text);
-    t.is(await Promise.race([response, sleep(TIMEOUT_MS)]), '400');
+    await waitUntil(() => received() !== '');
+    t.is(received().slice(9, 12), '400');
     t.deepEqual(seen, []);
-    socket.destroy();
-    server.closeAllConnections();
-    await new Promise(resolve => server.close(resolve));
   });
 }
 
--- a/packages/daemon/src/runs/connections.spec.ts
+++ b/packages/daemon/src/runs/connections.spec.ts
@@ -1,10 +1,11 @@
 /** @fileoverview Tests of the connection pool with a fake backend server. */
 
 import {createServer} from 'node:http';
-import type {ServerResponse} from 'node:http';
+import type {RequestListener, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
 import test from 'ava';
+import type {ExecutionContext} from 'ava';
 
 import type {Address, Announcement} from '@jackdawfall/core';
 
@@ -63,36 +64,35 @@
 // them was read as the response to the next request.
 for (const extra of ['HTTP/1.1 503 X\r\nx-not-run: 1\r\nx-a: b', 'x']) {
   test(`a connection isn't used again after ${JSON.stringify(extra)}`, async t => {
-    let open = 0;
-    const server = createServer((incoming, outgoing) => {
+    const {connections, opened} = await startPool(t, (incoming, outgoing) => {
       outgoing.end('done');
       setTimeout(() => incoming.socket.write(extra), SETTLE_MS / 2);
     });
-    server.on('connection', () => (open += 1));
-    await new Promise<void>(resolve =>
-      server.listen(0, '127.0.0.1', () => resolve()),
-    );
-    const {port} = server.address() as AddressInfo;
-    const connections = new ServerConnectionPool({
-      address: `127.0.0.1:${port}` as Address,
-      connections: 4,
-    } as Announcement);
     exchange(connections);
     await settle();
     await settle();
     exchange(connections);
     await settle();
-    t.is(open, 2);
-    connections.destroy();
-    server.close();
-    server.closeAllConnections();
+    t.is(opened(), 2);
   });
 }
 
 test('a connection without anything odd is used again', async t => {
-  let open = 0;
-  const server = createServer((_, outgoing) => void outgoing.end('done'));
-  server.on('connection', () => (open += 1));
+  const {connections, opened} = await startPool(t, (_, outgoing) => {
+    outgoing.end('done');
+  });
+  for (let i = 0; i < 3; i++) {
+    exchange(connections);
+    await settle();
+  }
+  t.is(opened(), 1);
+});
+
+/** Starts a server and a pool of connections to it, closed after the test. */
+async function startPool(t: ExecutionContext, handler: RequestListener) {
+  let opened = 0;
+  const server = createServer(handler);
+  server.on('connection', () => (opened += 1));
   await new Promise<void>(resolve =>
     server.listen(0, '127.0.0.1', () => resolve()),
   );
@@ -101,15 +101,13 @@
     address: `127.0.0.1:${port}` as Address,
     connections: 4,
   } as Announcement);
-  for (let i = 0; i < 3; i++) {
-    exchange(connections);
-    await settle();
-  }
-  t.is(open, 1);
-  connections.destroy();
-  server.close();
-  server.closeAllConnections();
-});
+  t.teardown(() => {
+    connections.destroy();
+    server.close();
+    server.closeAllConnections();
+  });
+  return {connections, opened: () => opened};
+}
 
 function exchange(connections: ServerConnectionPool): void {
   const outgoing = connections.open({method: 'GET', path: '/'});
