--- a/packages/core/src/grants/logic.ts
+++ b/packages/core/src/grants/logic.ts
@@ -244,8 +244,14 @@
   return grants;
 }
 
-/** Returns a member's slices that don't move away, in ascending order. */
-function ownedSlices(service: ServicePlacement, owner: number): Slice[] {
+/**
+ * Lists a member's slices that don't move away.
+ *
+ * @param service - The service's placement.
+ * @param owner - Index of the member.
+ * @returns The slices in ascending order.
+ */
+export function ownedSlices(service: ServicePlacement, owner: number): Slice[] {
   const slices: Slice[] = [];
   for (let slice = 0; slice < service.slices; slice++) {
     if (service.owner[slice] !== owner) continue;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -31,6 +31,8 @@
 export type * from './messages/types.js';
 export type {LeaseSource, CurrentLease} from './leases/types.js';
 export {currentLease} from './leases/logic.js';
+export {grantFiguresOf} from './grants/view.js';
+export type {GrantFigures} from './grants/view.js';
 export type * from './log/types.js';
 export {applyEntry} from './map/logic.js';
 export {createMap} from './map/state.js';
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -459,4 +459,5 @@
   | {readonly kind: 'exitProcess'};
 
 /** Latency histograms. */
-export type HistogramName = 'request' | 'queue' | 'run' | 'renewal' | 'store';
+export type HistogramName =
+  'request' | 'queue' | 'run' | 'renewal' | 'store' | 'loopLag';
--- a/packages/core/src/testing/harness.ts
+++ b/packages/core/src/testing/harness.ts
@@ -12,6 +12,8 @@
 import {OWNERSHIP} from '../ownership/definition.js';
 import {createOwnershipState} from '../ownership/state.js';
 import type {DispatchPermission} from '../ownership/types.js';
+import {grantFiguresOf} from '../grants/view.js';
+import type {GrantFigures} from '../grants/view.js';
 import {mayDispatch} from '../ownership/view.js';
 import {mergeTuning} from '../settings/logic.js';
 import type {StoreCall, StoreReply} from '../store/types.js';
@@ -137,6 +139,11 @@
     return mayDispatch(this.state, FINDER, slice as Slice, at);
   }
 
+  /** @returns The figures about its slices and grants. */
+  grantFigures(): GrantFigures {
+    return grantFiguresOf(this.state);
+  }
+
   /** Makes the daemon commit its removal from the workspace. */
   startEnding(): void {
     this.state.phase = 'ending';
--- a/packages/daemon/src/callers/logic.spec.ts
+++ b/packages/daemon/src/callers/logic.spec.ts
@@ -180,6 +180,8 @@
     emit,
     transmit: () => undefined,
     log: () => undefined,
+    onConnection: () => undefined,
+    onLoopLag: () => undefined,
     configuration: () => ({workspace, router: compileRoutes(workspace)}),
     protocol: CALLER_PROTOCOL,
     windowBytes: 1024,
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -56,6 +56,10 @@
   /** Sends a message to a member, which may be this daemon itself. */
   transmit(to: MemberId, message: Message): void;
   log(event: LogEventName, fields: LogFields): void;
+  /** Called for each accepted connection. */
+  onConnection(): void;
+  /** Called each tick with the time by which its timer was late. */
+  onLoopLag(lagMs: number): void;
   /** The configuration in force, or null if there was none so far. */
   configuration(): CompiledConfiguration | null;
   readonly protocol: CallerProtocol;
@@ -88,6 +92,7 @@
   private readonly connections = new CallerConnections(pending =>
     this.handleDisconnect(pending),
   );
+  private connectionCount = 0;
   private count = 0;
   /**
    * Monotonic time by which each response has to be sent, in milliseconds, as
@@ -116,6 +121,21 @@
       (incoming, outgoing) => void this.handleRequest(incoming, outgoing),
     );
     this.server.maxConnections = MAX_CONNECTIONS;
+    this.server.on('connection', socket => {
+      this.connectionCount += 1;
+      context.onConnection();
+      socket.once('close', () => (this.connectionCount -= 1));
+    });
+  }
+
+  /** @returns The number of open connections. */
+  get openConnections(): number {
+    return this.connectionCount;
+  }
+
+  /** @returns The smoothed lag of the event loop, in milliseconds. */
+  get loopLagMs(): number {
+    return this.overloadDetector.lagMs;
   }
 
   /**
@@ -252,11 +272,24 @@
 
   /** Measures event loop lag and applies the idle timeout; called each tick. */
   tick(): void {
-    this.overloadDetector.recordTick(performance.now());
+    this.measureLoopLag();
     const idleMs = this.context.configuration()?.workspace.limits.idleMs;
     if (idleMs !== undefined) this.server.keepAliveTimeout = idleMs;
   }
 
+  private measureLoopLag(): void {
+    const detector = this.overloadDetector;
+    const wasStalled = detector.isStalled;
+    const lagMs = detector.recordTick(performance.now());
+    if (lagMs !== null) this.context.onLoopLag(lagMs);
+    if (detector.isStalled === wasStalled) return;
+    this.context.log(detector.isStalled ? 'loopLags' : 'loopKeepsUp', {
+      lagMs: Math.round(detector.lagMs),
+      connections: this.connectionCount,
+      requests: this.pending.size,
+    });
+  }
+
   private async handleRequest(
     incoming: IncomingMessage,
     outgoing: ServerResponse,
--- a/packages/daemon/src/callers/overload.spec.ts
+++ b/packages/daemon/src/callers/overload.spec.ts
@@ -52,3 +52,36 @@
     t.is(detector.shouldReject(pending), rejects);
   });
 }
+
+const STALLS: ReadonlyArray<{
+  name: string;
+  late: readonly number[];
+  stalled: boolean;
+}> = [
+  {name: 'no delay', late: [0, 0, 0], stalled: false},
+  {name: 'a single pause of a second', late: [1000, 0], stalled: false},
+  {name: 'seconds of delays', late: [800, 800, 800, 800], stalled: true},
+  {
+    name: 'delays that have become shorter',
+    late: [800, 800, 800, 800, 300],
+    stalled: true,
+  },
+  {
+    name: 'delays that have ended',
+    late: [800, 800, 800, 800, 0, 0, 0, 0],
+    stalled: false,
+  },
+];
+
+for (const {name, late, stalled} of STALLS) {
+  test(`after ${name}, the loop is ${stalled ? '' : 'not '}stalled`, t => {
+    const detector = new OverloadDetector(INTERVAL_MS);
+    let now = 0;
+    t.is(detector.recordTick(now), null);
+    for (const each of late) {
+      now += INTERVAL_MS + each;
+      t.is(detector.recordTick(now), each);
+    }
+    t.is(detector.isStalled, stalled);
+  });
+}
--- a/packages/daemon/src/callers/overload.ts
+++ b/packages/daemon/src/callers/overload.ts
@@ -10,10 +10,16 @@
 /** Weight of the newest sample in the moving average of the lag. */
 const SMOOTHING_FACTOR = 0.3;
 
+/** Event loop lag from which the loop counts as stalled. */
+const STALLED_LAG_MS = 500;
+/** Event loop lag below which a stalled loop counts as keeping up again. */
+const RESUMED_LAG_MS = 200;
+
 /** Tracks an exponential moving average of the event loop lag. */
 export class OverloadDetector {
   private averageLagMs = 0;
   private lastTickMs: number | null = null;
+  private stalled = false;
 
   /** @param intervalMs - Interval of the timer that calls `recordTick`. */
   constructor(private readonly intervalMs: number) {}
@@ -22,13 +28,27 @@
    * Records that the timer has fired.
    *
    * @param nowMs - Monotonic time in milliseconds.
+   * @returns The time by which it was late, or null the first time.
    */
-  recordTick(nowMs: number): void {
+  recordTick(nowMs: number): number | null {
     const last = this.lastTickMs;
     this.lastTickMs = nowMs;
-    if (last === null) return;
+    if (last === null) return null;
     const sampleMs = Math.max(0, nowMs - last - this.intervalMs);
     this.averageLagMs += (sampleMs - this.averageLagMs) * SMOOTHING_FACTOR;
+    const limitMs = this.stalled ? RESUMED_LAG_MS : STALLED_LAG_MS;
+    this.stalled = this.averageLagMs >= limitMs;
+    return sampleMs;
+  }
+
+  /** @returns Whether the loop is too late to take connections in time. */
+  get isStalled(): boolean {
+    return this.stalled;
+  }
+
+  /** @returns The moving average of the lag, in milliseconds. */
+  get lagMs(): number {
+    return this.averageLagMs;
   }
 
   /**
--- a/packages/daemon/src/metrics/logic.spec.ts
+++ b/packages/daemon/src/metrics/logic.spec.ts
@@ -25,6 +25,10 @@
     line: /^jackdawfall_store_seconds_sum 600$/m,
   },
   {what: 'an empty latency', line: /^jackdawfall_queue_seconds_count 0$/m},
+  {
+    what: 'the lag of the loop',
+    line: /^jackdawfall_loop_lag_seconds_max 0\.2/m,
+  },
   {what: 'a counter', line: /^jackdawfall_links_opened_total 2$/m},
   {
     what: 'an escaped label value',
@@ -44,6 +48,7 @@
       metrics.record('run', i);
       metrics.count('requests', `service-${i}`);
     }
+    metrics.record('loopLag', 200);
     metrics.record('store', 1e12);
     metrics.record('queue', Number.NaN);
     metrics.count('linksOpened', '', 2);
--- a/packages/daemon/src/metrics/logic.ts
+++ b/packages/daemon/src/metrics/logic.ts
@@ -21,6 +21,7 @@
   run: 'Time from dispatch to the end of the response of the backend server.',
   renewal: 'Round-trip time of a lease renewal.',
   store: 'Round-trip time of a call to the platform.',
+  loopLag: 'Time by which a timer of the event loop fired late.',
 };
 
 /** Help texts and label names of the counters. */
@@ -36,6 +37,11 @@
   storeCalls: {help: 'Calls to the platform, by reply.', label: 'reply'},
   linksOpened: {help: 'Links opened to other daemons.', label: ''},
   linksLost: {help: 'Links that were closed or timed out.', label: ''},
+  connectionsAccepted: {
+    help: 'Connections accepted from callers.',
+    label: '',
+  },
+  attempts: {help: 'Attempts sent to daemons for requests.', label: ''},
   logEvents: {help: 'Log events, by name.', label: 'name'},
 };
 
--- a/packages/daemon/src/metrics/types.ts
+++ b/packages/daemon/src/metrics/types.ts
@@ -9,6 +9,8 @@
   | 'storeCalls'
   | 'linksOpened'
   | 'linksLost'
+  | 'connectionsAccepted'
+  | 'attempts'
   | 'logEvents';
 
 /** A value that is read when metrics are rendered. */
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -31,7 +31,7 @@
 } from '../links/messages.js';
 import type {MessageReceiver} from '../links/messages.js';
 import {CallerFrontend} from '../callers/logic.js';
-import type {CompiledConfiguration} from '../callers/logic.js';
+import type {CallerContext, CompiledConfiguration} from '../callers/logic.js';
 import type {DaemonPort, Adapters} from '../adapters/types.js';
 import type {LogFields, Logger} from '../logs/types.js';
 import {ReducerLoop, readClocks} from '../loop/logic.js';
@@ -116,14 +116,7 @@
       transmit: (to: MemberId, message: Message) => this.transmit(to, message),
       windowBytes: tuning.links.windowBytes,
     };
-    this.callers = new CallerFrontend({
-      ...shared,
-      protocol: adapters.callers,
-      tickMs: tuning.loop.tickMs,
-      log: (event, fields) => this.log(event, fields),
-      configuration: () => this.currentConfiguration(),
-      idPrefix: this.self,
-    });
+    this.callers = this.createFrontend(shared);
     this.executor = new RunExecutor({
       ...shared,
       mayWrite: (service, slice) => this.mayWrite(service, slice),
@@ -139,6 +132,22 @@
     });
   }
 
+  private createFrontend(
+    shared: Pick<CallerContext, 'emit' | 'transmit' | 'windowBytes'>,
+  ): CallerFrontend {
+    const {settings, adapters, metrics} = this.options;
+    return new CallerFrontend({
+      ...shared,
+      protocol: adapters.callers,
+      tickMs: settings.tuning.loop.tickMs,
+      log: (event, fields) => this.log(event, fields),
+      onConnection: () => metrics.count('connectionsAccepted'),
+      onLoopLag: lagMs => metrics.record('loopLag', lagMs),
+      configuration: () => this.currentConfiguration(),
+      idPrefix: this.self,
+    });
+  }
+
   /** Starts the loop. Links and callers must be listening. */
   start(): void {
     this.loop.start(this.options.settings.tuning.loop.tickMs);
@@ -248,6 +257,7 @@
         void this.callStore(effect.call, effect.request, effect.timeoutMs);
         return;
       case 'sendDispatch':
+        this.options.metrics.count('attempts');
         this.callers.sendDispatch(effect);
         return;
       case 'run':
@@ -394,7 +404,12 @@
   /** @returns All metrics in the Prometheus text format. */
   renderMetrics(): string {
     const {daemon, metrics} = this.options;
-    return metrics.render(readGauges(daemon, readClocks()));
+    const figures = {
+      loopLagMs: this.callers.loopLagMs,
+      connections: this.callers.openConnections,
+      runs: this.executor.activeCount,
+    };
+    return metrics.render(readGauges(daemon, readClocks(), figures));
   }
 
   /** @returns The state of every subsystem, for operators. */
