Few grants and releases are under way at a server

Cause, one part of it: a daemon granted each range of adjacent slices by a call of its own, all at once and again every 0.6 s; it owned 516 ranges of one slice, with 130 calls on connections and up to 830 waiting in the pool, most of which ended at their time limit without being written. Each tick compared every owned slice with every unconfirmed grant, and each released slice ran all tasks again.

Now at most eight grants and eight releases are under way. What expires soon is renewed first, then new slices, then the rest; the end of a call, which protocols report also if it failed, starts the next. Each slice has its own time of renewal instead of a round for all. Unconfirmed grants are indexed by slice. Event 410 is limited like other failures: it wrote up to 1,368 lines a second.

Evidence: the tests fail on (2,048 calls at once, 2,048 releases, ticks that need 0.90 of a core; bound 0.27, the smallest machine) and pass now.

--- a/packages/core/src/execution/definition.ts
+++ b/packages/core/src/execution/definition.ts
@@ -83,6 +83,7 @@
     case 'configurationRead':
     case 'sourcePolled':
     case 'slicesGranted':
+    case 'sliceGrantFailed':
     case 'slicesReleased':
     case 'commandReceived':
       return;
--- a/packages/core/src/grants/logic.ts
+++ b/packages/core/src/grants/logic.ts
@@ -4,71 +4,16 @@
  * until it has expired.
  */
 
-import {timeLeftMs} from '../clock/logic.js';
 import type {Generation, ServiceName, Slice} from '../ids/types.js';
-import {currentLease} from '../leases/logic.js';
 import type {Event, SliceGrant} from '../loop/types.js';
 import type {ServicePlacement} from '../map/types.js';
-import type {OwnershipContext} from '../ownership/state.js';
-import type {SliceGrants, UnconfirmedGrant} from './types.js';
+import {sliceKey, sliceKeysOf} from './keys.js';
+import type {SliceGrants} from './types.js';
+import {takeUnconfirmed, unconfirmedGrantsOf} from './unconfirmed.js';
 
-/** Maximum time between two rounds of slice grants, as a share of the lease. */
-const RENEW_INTERVAL_SHARE = 1 / 3;
-/** Share of a grant's time after which it is renewed at the latest. */
-const RENEW_LEFT_SHARE = 1 / 2;
 /** Time after which an unconfirmed grant no longer delays a release request. */
 const CONFIRM_TIMEOUT_MS = 600;
 
-/**
- * Grants the server the slices that this member owns, if it holds a lease. All
- * are granted again once the lease is extended, and in any case before earlier
- * grants expire; slices with a new generation are granted immediately. A server
- * that checks grants ends a run when the grant under which the run began
- * expires, also if it was renewed since: each run should find a long one.
- *
- * @param context - Context of the current input.
- */
-export function renewServerGrants(context: OwnershipContext): void {
-  const {state, at, effects} = context;
-  const {announcement, grants, settings} = state;
-  dropExpired(grants, at.monotonic);
-  if (announcement === null) return;
-  const {source, until} = currentLease(state, at);
-  if (source === 'none' || timeLeftMs(until, at) <= 0) return;
-  const service = state.map.services.get(announcement.service);
-  const self = state.map.members.get(state.self);
-  if (service === undefined || self === undefined) return;
-  if (self.offer?.instance !== announcement.instance) return;
-  const owned = ownedSlices(service, self.index);
-  const now = at.monotonic;
-  const {leaseMs, marginMs, renewMs} = settings.tuning.leases;
-  const extendedMs = until.monotonic - grants.leaseEndsAt;
-  const isDue = now >= grants.renewAt || extendedMs >= renewMs / 2;
-  const due = isDue
-    ? owned
-    : owned.filter(slice => needsGrant(grants, service, slice, now));
-  if (isDue) {
-    const leftMs = timeLeftMs(until, at);
-    const intervalMs = leaseMs * RENEW_INTERVAL_SHARE;
-    grants.renewAt = now + Math.min(intervalMs, leftMs * RENEW_LEFT_SHARE);
-    grants.leaseEndsAt = until.monotonic;
-  }
-  if (due.length === 0) return;
-  const sent = groupIntoGrants(service, due);
-  grants.round += 1;
-  if (announcement.checksGrants) {
-    recordSent(grants, service.name, sent, now, until.monotonic, marginMs);
-  }
-  effects.push({
-    kind: 'grantSlices',
-    service: service.name,
-    slices: service.slices,
-    grants: sent,
-    round: grants.round,
-    until,
-  });
-}
-
 /**
  * Records that the server confirmed a grant. A confirmation that arrives after
  * the grant has expired is ignored.
@@ -83,10 +28,8 @@
   expires: boolean,
 ): void {
   const {service, grant, round} = event;
-  const sentKey = unconfirmedGrantKey(round, grant);
-  const sent = grants.unconfirmed.get(sentKey);
+  const sent = takeUnconfirmed(grants, round, grant);
   if (sent === undefined && expires) return;
-  grants.unconfirmed.delete(sentKey);
   const {generation} = grant;
   for (const key of sliceKeysOf(service, grant)) {
     const known = grants.confirmed.get(key);
@@ -104,7 +47,9 @@
  */
 export function clearConfirmed(grants: SliceGrants): void {
   grants.confirmed.clear();
-  grants.renewAt = 0;
+  grants.schedule.clear();
+  grants.queue.length = 0;
+  grants.underWay.clear();
 }
 
 /**
@@ -117,6 +62,7 @@
   clearConfirmed(grants);
   grants.mayHoldUntil.clear();
   grants.unconfirmed.clear();
+  grants.unconfirmedBySlice.clear();
   grants.predecessorGrantsUntil = 0;
 }
 
@@ -259,84 +205,3 @@
   }
   return slices;
 }
-
-/**
- * Returns whether the current generation is neither confirmed nor in an
- * unconfirmed grant.
- */
-function needsGrant(
-  grants: SliceGrants,
-  service: ServicePlacement,
-  slice: Slice,
-  now: number,
-): boolean {
-  const generation = service.generation[slice] as Generation;
-  const {name} = service;
-  if (isGrantConfirmed(grants, name, slice, generation, now)) return false;
-  const unconfirmed = unconfirmedGrantsOf(grants, name, slice);
-  return !unconfirmed.some(each => each.generation === generation);
-}
-
-function recordSent(
-  grants: SliceGrants,
-  service: ServiceName,
-  sent: readonly SliceGrant[],
-  now: number,
-  heldUntil: number,
-  marginMs: number,
-): void {
-  const until = heldUntil + marginMs;
-  for (const grant of sent) {
-    const {first, count, generation} = grant;
-    grants.unconfirmed.set(unconfirmedGrantKey(grants.round, grant), {
-      service,
-      first,
-      count,
-      generation,
-      sentAt: now,
-      until,
-      heldUntil,
-    });
-    for (const key of sliceKeysOf(service, grant)) {
-      const previous = grants.mayHoldUntil.get(key) ?? 0;
-      grants.mayHoldUntil.set(key, Math.max(previous, until));
-    }
-  }
-}
-
-function dropExpired(grants: SliceGrants, now: number): void {
-  for (const [key, {until}] of grants.unconfirmed) {
-    if (now >= until) grants.unconfirmed.delete(key);
-  }
-}
-
-function unconfirmedGrantsOf(
-  grants: SliceGrants,
-  service: ServiceName,
-  slice: Slice,
-): UnconfirmedGrant[] {
-  const found: UnconfirmedGrant[] = [];
-  for (const each of grants.unconfirmed.values()) {
-    const {first, count} = each;
-    if (each.service !== service) continue;
-    if (slice >= first && slice < first + count) found.push(each);
-  }
-  return found;
-}
-
-function unconfirmedGrantKey(round: number, {first}: SliceGrant): string {
-  return `${round}/${first}`;
-}
-
-function sliceKeysOf(
-  service: ServiceName,
-  {first, count}: SliceGrant,
-): string[] {
-  return Array.from({length: count}, (_, step) =>
-    sliceKey(service, (first + step) as Slice),
-  );
-}
-
-function sliceKey(service: ServiceName, slice: Slice): string {
-  return `${service}/${slice}`;
-}
--- a/packages/core/src/grants/state.ts
+++ b/packages/core/src/grants/state.ts
@@ -13,8 +13,10 @@
     mayHoldUntil: new Map(),
     predecessorGrantsUntil: 0,
     unconfirmed: new Map(),
+    unconfirmedBySlice: new Map(),
     round: 0,
-    renewAt: 0,
-    leaseEndsAt: 0,
+    schedule: new Map(),
+    queue: [],
+    underWay: new Map(),
   };
 }
--- a/packages/core/src/grants/types.ts
+++ b/packages/core/src/grants/types.ts
@@ -1,6 +1,7 @@
 /** @fileoverview State of slice grants to the local backend server. */
 
 import type {Generation, ServiceName, Slice} from '../ids/types.js';
+import type {SliceGrant} from '../loop/types.js';
 
 /** A slice grant that was sent and is not confirmed. */
 export interface UnconfirmedGrant {
@@ -18,6 +19,15 @@
   readonly heldUntil: number;
 }
 
+/** When a slice was granted last, and when it is due again. */
+export interface ScheduledSlice {
+  readonly generation: Generation;
+  /** Monotonic end of the lease under which the grant was sent. */
+  readonly leaseEndsAt: number;
+  /** Monotonic time of the next grant, if the lease isn't extended before. */
+  readonly renewAt: number;
+}
+
 /** What the server has confirmed of a slice. */
 export interface ConfirmedGrant {
   readonly generation: Generation;
@@ -41,10 +51,14 @@
   predecessorGrantsUntil: number;
   /** Unconfirmed grants, by round and first slice. */
   readonly unconfirmed: Map<string, UnconfirmedGrant>;
-  /** Number of the latest round of slice grants. */
+  /** The same grants by slice; a slice without any has no entry. */
+  readonly unconfirmedBySlice: Map<string, Set<UnconfirmedGrant>>;
+  /** Number of the latest `grantSlices` effect. */
   round: number;
-  /** Monotonic time of the next round, if the lease isn't extended before. */
-  renewAt: number;
-  /** Monotonic end of the lease under which the latest round was sent. */
-  leaseEndsAt: number;
+  /** The latest grant of each slice. */
+  readonly schedule: Map<string, ScheduledSlice>;
+  /** Grants that are due and wait for a call to end, the most urgent first. */
+  readonly queue: SliceGrant[];
+  /** Monotonic times at which calls under way began, by round and first slice. */
+  readonly underWay: Map<string, number>;
 }
--- /dev/null
+++ b/packages/core/src/grants/unconfirmed.ts
@@ -0,0 +1,93 @@
+/**
+ * @fileoverview Grants that were sent and not confirmed. They are indexed by
+ * slice, since each tick asks for those of every slice that isn't confirmed.
+ */
+
+import type {ServiceName, Slice} from '../ids/types.js';
+import type {SliceGrant} from '../loop/types.js';
+import {sliceKey, sliceKeysOf} from './keys.js';
+import type {SliceGrants, UnconfirmedGrant} from './types.js';
+
+/**
+ * Records that a grant was sent.
+ *
+ * @param grants - State of the grants.
+ * @param round - Number of the effect that sent it.
+ * @param sent - The grant and its times.
+ */
+export function addUnconfirmed(
+  grants: SliceGrants,
+  round: number,
+  sent: UnconfirmedGrant,
+): void {
+  grants.unconfirmed.set(unconfirmedKey(round, sent), sent);
+  for (const key of sliceKeysOf(sent.service, sent)) {
+    const known = grants.unconfirmedBySlice.get(key);
+    if (known === undefined) {
+      grants.unconfirmedBySlice.set(key, new Set([sent]));
+    } else known.add(sent);
+  }
+}
+
+/**
+ * Removes a grant that was confirmed.
+ *
+ * @param grants - State of the grants.
+ * @param round - Number of the effect that sent it.
+ * @param grant - The grant.
+ * @returns The grant and its times, or undefined if it isn't known.
+ */
+export function takeUnconfirmed(
+  grants: SliceGrants,
+  round: number,
+  grant: SliceGrant,
+): UnconfirmedGrant | undefined {
+  const key = unconfirmedKey(round, grant);
+  const sent = grants.unconfirmed.get(key);
+  if (sent !== undefined) drop(grants, key, sent);
+  return sent;
+}
+
+/**
+ * Drops the grants that can no longer take effect.
+ *
+ * @param grants - State of the grants.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function dropExpired(grants: SliceGrants, now: number): void {
+  for (const [key, sent] of grants.unconfirmed) {
+    if (now >= sent.until) drop(grants, key, sent);
+  }
+}
+
+/**
+ * Lists the unconfirmed grants of a slice.
+ *
+ * @param grants - State of the grants.
+ * @param service - The service.
+ * @param slice - The slice.
+ * @returns The grants, oldest first.
+ */
+export function unconfirmedGrantsOf(
+  grants: SliceGrants,
+  service: ServiceName,
+  slice: Slice,
+): UnconfirmedGrant[] {
+  return [...(grants.unconfirmedBySlice.get(sliceKey(service, slice)) ?? [])];
+}
+
+function drop(grants: SliceGrants, key: string, sent: UnconfirmedGrant): void {
+  grants.unconfirmed.delete(key);
+  for (const slice of sliceKeysOf(sent.service, sent)) {
+    const known = grants.unconfirmedBySlice.get(slice);
+    known?.delete(sent);
+    if (known?.size === 0) grants.unconfirmedBySlice.delete(slice);
+  }
+}
+
+function unconfirmedKey(
+  round: number,
+  {first}: Pick<SliceGrant, 'first'>,
+): string {
+  return `${round}/${first}`;
+}
--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -144,10 +144,9 @@
     'info',
     'The announcement of the backend server changed.',
   ),
-  grantFailed: event(
+  grantFailed: failed(
     410,
-    'warn',
-    'The backend server did not accept a slice grant.',
+    'The backend server did not accept a slice grant or a release.',
   ),
   sourceFailed: event(
     513,
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -243,6 +243,16 @@
       /** Round of the `grantSlices` effect. */
       readonly round: number;
     }
+  /**
+   * The call for a slice grant ended without a confirmation; the grant may still
+   * take effect.
+   */
+  | {
+      readonly kind: 'sliceGrantFailed';
+      readonly grant: SliceGrant;
+      /** Round of the `grantSlices` effect. */
+      readonly round: number;
+    }
   /** The backend server released slices; nothing runs on them any more. */
   | {
       readonly kind: 'slicesReleased';
@@ -404,7 +414,7 @@
     }
   /**
    * Send slice grants to the backend server; report `slicesGranted` for each
-   * one that it confirms.
+   * one that it confirms and `sliceGrantFailed` for each other one.
    */
   | {
       readonly kind: 'grantSlices';
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -10,19 +10,26 @@
   mayServerHold,
   recordRelease,
 } from '../grants/logic.js';
+import {sliceKey} from '../grants/keys.js';
 import type {ServiceName, Slice} from '../ids/types.js';
 import {MAX_LIST_CHARACTERS} from '../log/logic.js';
 import type {Handover, Release} from '../log/types.js';
-import type {Event} from '../loop/types.js';
+import type {Event, SliceGrant} from '../loop/types.js';
 import type {ServicePlacement} from '../map/types.js';
 import {log} from '../ownership/effects.js';
 import type {
   OwnershipContext,
+  OwnershipState,
   SliceDrain,
   ProposedChange,
 } from '../ownership/state.js';
 import {drainMsOf} from '../workspace/limits.js';
 
+/** Maximum number of ranges that the server is asked to hand back at a time. */
+const MAX_UNDER_WAY = 8;
+/** Time after which a call counts as ended although nothing was reported. */
+const CALL_TIMEOUT_MS = 1500;
+
 /**
  * Tracks the draining of each slice that moves away from this member.
  *
@@ -82,14 +89,52 @@
 
 /**
  * Asks a backend server that checks slice grants to hand back moving slices on
- * which nothing runs, each once.
+ * which nothing runs, each once. Few calls are under way at a time; the other
+ * slices wait, at most until their grants expire.
  *
  * @param context - Context of the current input.
  */
 export function requestHandBack(context: OwnershipContext): void {
-  const {state, effects, work, at} = context;
+  const {state, effects} = context;
   if (state.announcement?.checksGrants !== true) return;
-  const toRelease = new Map<ServicePlacement, Slice[]>();
+  dropOverdueCalls(context);
+  for (const [service, slices] of releasableSlices(context)) {
+    const {name} = service;
+    const grants: SliceGrant[] = [];
+    for (const grant of groupIntoGrants(service, slices)) {
+      if (state.releasesUnderWay.size >= MAX_UNDER_WAY) break;
+      const {first, count} = grant;
+      state.releasesUnderWay.set(sliceKey(name, first), context.at.monotonic);
+      for (let slice = first; slice < first + count; slice++) {
+        const drain = state.drains.get(sliceKey(name, slice));
+        if (drain !== undefined) drain.handBackRequested = true;
+      }
+      grants.push(grant);
+    }
+    if (grants.length === 0) return;
+    effects.push({
+      kind: 'releaseSlices',
+      service: name,
+      slices: service.slices,
+      grants,
+    });
+  }
+}
+
+/** Frees the places of calls of which nothing was reported in time. */
+function dropOverdueCalls({state, at}: OwnershipContext): void {
+  for (const [key, begunAt] of state.releasesUnderWay) {
+    const isOverdue = at.monotonic - begunAt >= CALL_TIMEOUT_MS;
+    if (isOverdue) state.releasesUnderWay.delete(key);
+  }
+}
+
+/** Lists the slices that the server may be asked to hand back now. */
+function releasableSlices(
+  context: OwnershipContext,
+): Map<ServicePlacement, Slice[]> {
+  const {state, work, at} = context;
+  const found = new Map<ServicePlacement, Slice[]>();
   for (const drain of state.drains.values()) {
     if (drain.handBackRequested) continue;
     if (work.inFlight(drain.service, drain.slice) > 0) continue;
@@ -99,19 +144,11 @@
     if (!mayRequestRelease(state.grants, name, drain.slice, at.monotonic)) {
       continue;
     }
-    drain.handBackRequested = true;
-    toRelease.set(service, [...(toRelease.get(service) ?? []), drain.slice]);
-  }
-  for (const [service, slices] of toRelease) {
-    const {name} = service;
-    const grants = groupIntoGrants(service, slices);
-    effects.push({
-      kind: 'releaseSlices',
-      service: name,
-      slices: service.slices,
-      grants,
-    });
+    const slices = found.get(service) ?? [];
+    slices.push(drain.slice);
+    found.set(service, slices);
   }
+  return found;
 }
 
 /**
@@ -134,7 +171,16 @@
     drain.handover = event.handover;
   }
   recordRelease(state.grants, event.service, event.grant);
-  state.runTasksNow = true;
+  state.releasesUnderWay.delete(sliceKey(event.service, first));
+  const callsEnded = state.releasesUnderWay.size === 0;
+  if (callsEnded || !hasUnrequestedDrain(state)) state.runTasksNow = true;
+}
+
+function hasUnrequestedDrain({drains}: OwnershipState): boolean {
+  for (const {handBackRequested} of drains.values()) {
+    if (!handBackRequested) return true;
+  }
+  return false;
 }
 
 /**
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -7,7 +7,8 @@
   adoptConfiguration,
   handleConfigurationMessage,
 } from '../configuration/logic.js';
-import {clearConfirmed, clearGrants, confirmGrant} from '../grants/logic.js';
+import {clearConfirmed, clearGrants} from '../grants/logic.js';
+import {handleGrantCallEnded} from '../grants/schedule.js';
 import type {MemberId} from '../ids/types.js';
 import {makeMemberId} from '../ids/logic.js';
 import {changesOf} from '../log/logic.js';
@@ -149,11 +150,8 @@
         context.at.monotonic + event.confirmedForMs;
       return;
     case 'slicesGranted':
-      confirmGrant(
-        state.grants,
-        event,
-        state.announcement?.checksGrants === true,
-      );
+    case 'sliceGrantFailed':
+      handleGrantCallEnded(context, event);
       return;
     case 'slicesReleased':
       handleSlicesHandedBack(context, event);
@@ -474,6 +472,7 @@
   state.revokedMembers.clear();
   state.evictions.clear();
   state.drains.clear();
+  state.releasesUnderWay.clear();
   state.notAcceptingWorkSince = null;
   if (state.map.members.has(state.self)) {
     reportViolation(context, 'incarnations-are-unique', state.self);
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -215,6 +215,11 @@
   pendingCommands: PendingCommand[];
   /** Drains by `service/slice`. */
   drains: Map<string, SliceDrain>;
+  /**
+   * Monotonic times at which calls for ranges to hand back began, by
+   * `service/first slice`.
+   */
+  readonly releasesUnderWay: Map<string, number>;
   /**
    * Monotonic time since which this member offers a server but accepts no new
    * work, or null.
@@ -319,6 +324,7 @@
     announcement: null,
     pendingCommands: [],
     drains: new Map(),
+    releasesUnderWay: new Map(),
     notAcceptingWorkSince: null,
     pendingCalls: new Map(),
     nextCall: 1,
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -105,6 +105,7 @@
     case 'configurationRead':
     case 'sourcePolled':
     case 'slicesGranted':
+    case 'sliceGrantFailed':
     case 'slicesReleased':
     case 'commandReceived':
     case 'stopRequested':
--- a/packages/core/src/testing/harness.ts
+++ b/packages/core/src/testing/harness.ts
@@ -144,6 +144,12 @@
     return grantFiguresOf(this.state);
   }
 
+  /** @returns The number of slices that the server may hold. */
+  heldSlices(): number {
+    const {mayHoldUntil} = this.state.grants;
+    return [...mayHoldUntil.values()].filter(until => until > this.now).length;
+  }
+
   /** Makes the daemon commit its removal from the workspace. */
   startEnding(): void {
     this.state.phase = 'ending';
--- a/packages/daemon/src/adapters/types.ts
+++ b/packages/daemon/src/adapters/types.ts
@@ -124,12 +124,13 @@
    *
    * @param server - Connections to the server.
    * @param effect - The grants and the end of the lease that backs them.
-   * @param confirmed - Called for each grant that the server confirms.
+   * @param report - Called once for each grant, with whether the server has
+   *     confirmed it.
    */
   grant(
     server: ServerConnections,
     effect: EffectOf<'grantSlices'>,
-    confirmed: (grant: SliceGrant) => void,
+    report: (grant: SliceGrant, confirmed: boolean) => void,
   ): void;
   /**
    * Asks the server to release slices.
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -17,6 +17,7 @@
   RunState,
   ServiceName,
   Slice,
+  SliceGrant,
 } from '@jackdawfall/core';
 
 import {
@@ -264,10 +265,15 @@
     if (this.connections === null) return;
     const {service, round} = effect;
     const server = this.announcement;
-    this.context.protocol.grant(this.connections, effect, grant => {
+    const report = (grant: SliceGrant, confirmed: boolean): void => {
       if (this.announcement?.instance !== server?.instance) return;
-      this.context.emit({kind: 'slicesGranted', service, grant, round});
-    });
+      this.context.emit(
+        confirmed
+          ? {kind: 'slicesGranted', service, grant, round}
+          : {kind: 'sliceGrantFailed', grant, round},
+      );
+    };
+    this.context.protocol.grant(this.connections, effect, report);
   }
 
   /**
--- a/packages/daemon/src/runs/protocol.ts
+++ b/packages/daemon/src/runs/protocol.ts
@@ -33,7 +33,7 @@
       incoming.headers['x-not-run'] === '1';
     return refused ? 'refused' : 'answer';
   },
-  grant(server, effect, confirmed) {
+  grant(server, effect, report) {
     const {service, until, grants} = effect;
     const outgoing = server.open({
       method: 'POST',
@@ -41,6 +41,12 @@
       headers: {'content-type': 'application/json'},
       signal: AbortSignal.timeout(GRANT_TIMEOUT_MS),
     });
+    let reported = false;
+    const reportAll = (confirmed: boolean): void => {
+      if (reported) return;
+      reported = true;
+      for (const grant of grants) report(grant, confirmed);
+    };
     outgoing.on('response', incoming => {
       // A late response to a request confirms no grants.
       if (incoming.headers[ATTEMPT_HEADER] !== undefined) {
@@ -48,10 +54,11 @@
         return;
       }
       incoming.resume();
-      if ((incoming.statusCode ?? 0) < 300) grants.forEach(confirmed);
+      reportAll((incoming.statusCode ?? 0) < 300);
     });
     // A grant that isn't confirmed is sent again with the next renewal.
-    outgoing.on('error', () => undefined);
+    outgoing.on('error', () => reportAll(false));
+    outgoing.on('close', () => reportAll(false));
     endOnceConnected(outgoing, () => {
       const ttlMs = timeToLiveMs(until);
       if (ttlMs === null) return null;
