Connections don't wait in a long queue; a daemon behind with it is not ready

Cause: the event loop (libuv 1.46 in Node 20) accepts one connection in each iteration. Busy iterations of 15 to 30 ms accept 35 to 80 a second; at 190 new ones a second the queue of 511 is full of connections that are older than their callers wait (a second, or a third of the time left), and each that is accepted costs an iteration. Nothing showed it: the lag measured by timers was under 100 ms, and readiness said 200 all the while.

Now the queue holds 64: at 64 accepts a second a connection waits a second at most, and the rest fails at the caller, which tries another daemon. A streak of iterations that each accept one shows that the queue isn't empty; once a full queue would take over a second, or the loop is half a second late in the mean, readiness checks fail, events 517 and 518 say why and until when.

--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -127,12 +127,16 @@
   linkLost: event(510, 'warn', 'A link to another daemon was lost.'),
   platformFailed: event(511, 'warn', 'The platform does not respond.'),
   linesDropped: event(516, 'warn', 'Log lines were dropped.'),
-  loopLags: event(
+  connectionsLate: event(
     517,
     'warn',
-    'Timers of the event loop fire so late that requests are not taken in time.',
+    'This daemon takes new connections too late; readiness checks fail.',
+  ),
+  connectionsTaken: event(
+    518,
+    'info',
+    'This daemon takes new connections in time again.',
   ),
-  loopKeepsUp: event(518, 'info', 'The event loop keeps up again.'),
   platformAnswers: event(512, 'info', 'The platform responds again.'),
   announcementRefused: event(
     408,
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -30,6 +30,7 @@
 import {ResponseRelay, writeErrorResponse} from './responses.js';
 import {BodyBudget, readBody} from './body.js';
 import {CallerConnections} from './connections.js';
+import {AcceptQueue} from './accept_queue.js';
 import {OverloadDetector} from './overload.js';
 import {createIncomingResponse} from './state.js';
 import type {IncomingResponse, PendingRequest} from './types.js';
@@ -92,7 +93,10 @@
   private readonly connections = new CallerConnections(pending =>
     this.handleDisconnect(pending),
   );
+  private readonly acceptQueue = new AcceptQueue();
   private connectionCount = 0;
+  /** The overload that was logged last. */
+  private loggedReason: string | null = null;
   private count = 0;
   /**
    * Monotonic time by which each response has to be sent, in milliseconds, as
@@ -123,6 +127,7 @@
     this.server.maxConnections = MAX_CONNECTIONS;
     this.server.on('connection', socket => {
       this.connectionCount += 1;
+      this.acceptQueue.recordAccept();
       context.onConnection();
       socket.once('close', () => (this.connectionCount -= 1));
     });
@@ -133,6 +138,12 @@
     return this.connectionCount;
   }
 
+  /** @returns Why new connections are not taken in time, or null if they are. */
+  get overloadReason(): string | null {
+    if (this.overloadDetector.isStalled) return 'the event loop lags';
+    return this.acceptQueue.isBehind ? 'the accept queue is full' : null;
+  }
+
   /** @returns The smoothed lag of the event loop, in milliseconds. */
   get loopLagMs(): number {
     return this.overloadDetector.lagMs;
@@ -278,16 +289,19 @@
   }
 
   private measureLoopLag(): void {
-    const detector = this.overloadDetector;
-    const wasStalled = detector.isStalled;
-    const lagMs = detector.recordTick(performance.now());
+    const lagMs = this.overloadDetector.recordTick(performance.now());
     if (lagMs !== null) this.context.onLoopLag(lagMs);
-    if (detector.isStalled === wasStalled) return;
-    this.context.log(detector.isStalled ? 'loopLags' : 'loopKeepsUp', {
-      lagMs: Math.round(detector.lagMs),
+    const reason = this.overloadReason;
+    if (reason === this.loggedReason) return;
+    this.loggedReason = reason;
+    const fields = {
+      lagMs: Math.round(this.loopLagMs),
       connections: this.connectionCount,
+      accepted: this.acceptQueue.acceptedCount,
       requests: this.pending.size,
-    });
+    };
+    if (reason === null) this.context.log('connectionsTaken', fields);
+    else this.context.log('connectionsLate', {reason, ...fields});
   }
 
   private async handleRequest(
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -12,6 +12,7 @@
 export {HttpClient} from './http/client.js';
 export type {HttpRequest, HttpResponse} from './http/client.js';
 export {replyFromError} from './store_client/logic.js';
-export {ListenError, runProcess} from './process/logic.js';
+export {ListenError} from './process/listen.js';
+export {runProcess} from './process/logic.js';
 export {ServerConnectionPool} from './runs/connections.js';
 export {endOnceConnected, timeToLiveMs} from './runs/grants.js';
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -4,7 +4,8 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 
-import {ListenError, runProcess} from './process/logic.js';
+import {ListenError} from './process/listen.js';
+import {runProcess} from './process/logic.js';
 import {readSettings} from './settings/logic.js';
 import {SettingsError} from './settings/logic.js';
 
--- a/packages/daemon/src/process/logic.ts
+++ b/packages/daemon/src/process/logic.ts
@@ -20,6 +20,12 @@
 import {DaemonRuntime, linkAddressOf} from '../runtime/logic.js';
 import {CALLER_PROTOCOL} from '../callers/protocol.js';
 import type {Adapters} from '../adapters/types.js';
+import {
+  ListenError,
+  formatEndpoint,
+  listen,
+  listenForCallers,
+} from './listen.js';
 import {StoreClient} from '../store_client/logic.js';
 import {SERVER_PROTOCOL} from '../runs/protocol.js';
 import type {Endpoint, Settings} from '../settings/types.js';
@@ -31,23 +37,6 @@
 /** Descriptor of standard output. */
 const STANDARD_OUTPUT = 1;
 
-/** The process could not listen on a port. */
-export class ListenError extends Error {
-  override readonly name = 'ListenError';
-
-  /**
-   * @param purpose - What the port is for.
-   * @param endpoint - Address and port.
-   * @param cause - The system's error.
-   */
-  constructor(purpose: string, endpoint: Endpoint, cause: unknown) {
-    const detail = cause instanceof Error ? cause.message : String(cause);
-    super(
-      `can't listen for ${purpose} at ${formatEndpoint(endpoint)}: ${detail}`,
-    );
-  }
-}
-
 /**
  * Runs a daemon until it has left the workspace after a planned stop.
  *
@@ -93,7 +82,7 @@
   });
   const servers = [runtime.callers.server, createOperatorServer(runtime)];
   try {
-    await listen('callers', runtime.callers.server, settings.callers);
+    await listenForCallers(runtime.callers.server, settings.callers);
     await listen('operators', servers[1], settings.operators);
     await listenForLinks(runtime, settings.links);
     runtime.start();
@@ -156,19 +145,6 @@
   }
 }
 
-function listen(
-  purpose: string,
-  server: Server,
-  endpoint: Endpoint,
-): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', error =>
-      reject(new ListenError(purpose, endpoint, error)),
-    );
-    server.listen(endpoint.port, endpoint.ip, resolve);
-  });
-}
-
 /** Waits until the pending responses are sent, or for the timeout. */
 async function finishResponses(runtime: DaemonRuntime): Promise<void> {
   const {server} = runtime.callers;
@@ -208,7 +184,3 @@
   if (operators.port === 0) return {};
   return {operators: formatEndpoint(operators) as Address};
 }
-
-function formatEndpoint(endpoint: Endpoint): string {
-  return `${endpoint.ip}:${endpoint.port}`;
-}
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -190,6 +190,8 @@
   /** @returns Why the daemon doesn't accept requests, or null if it does. */
   unreadyReason(): string | null {
     if (this.stopping) return 'stopping';
+    const overload = this.callers.overloadReason;
+    if (overload !== null) return `overloaded: ${overload}`;
     if (this.options.daemon.ownershipView.self !== null) return null;
     return this.storeUnavailable
       ? 'not joined: the platform does not answer'
