Redirects after rejections have a budget

Cause, supposed from the timeline and shown by the test for the rule itself: an attempt that a daemon rejects for want of room was followed at once by another, to every server of the service in turn, free of charge.

Now redirects after overloaded and no-server are a tenth of the requests and a burst of ten for each daemon; beyond it the caller gets its 503 at once. Other redirects (moved slices, lost links, stops) are not charged.

Test: 1,000 requests at 20 servers that all reject cause at most 0.2 attempts more for each; without the budget 19,000 more.

--- a/packages/core/src/routing/definition.spec.ts
+++ b/packages/core/src/routing/definition.spec.ts
@@ -396,6 +396,36 @@
   t.true(dispatches - count <= 0.1 * count + retryBurst);
 });
 
+/** Attempts beyond the first of each request, as a share of the requests. */
+const MAX_EXTRA_SHARE = 0.2;
+
+// Attempts at servers without room took down the daemons that sent them.
+for (const error of ['overloaded', 'no-server'] as const) {
+  test(`attempts stay near the requests while all servers answer ${error}`, t => {
+    const origin = new Origin();
+    const servers = Array.from(
+      {length: 20},
+      (_, index) => `s${index}#1` as MemberId,
+    );
+    origin.ownership.servers = servers;
+    const rejection = {error, run: 'not-run'} as const;
+    const count = 1000;
+    for (let request = 0; request < count; request++) {
+      origin.accept({slice: null, request: `r${request}` as never});
+      for (let at = 0; at < servers.length; at++) {
+        const [open] = origin.state.attempts.values();
+        if (open === undefined) break;
+        origin.failed(origin.state.sequence, rejection, open.to);
+      }
+      origin.now += 10;
+    }
+    t.is(origin.state.requests.size, 0);
+    const {redirectBurst} = DEFAULT_TUNING.routing;
+    const extra = origin.state.sequence - count;
+    t.true(extra <= MAX_EXTRA_SHARE * count + redirectBurst, `${extra} more`);
+  });
+}
+
 test('a slow lookup is hedged after the usual latency, the slower attempt cancelled', t => {
   const origin = new Origin();
   origin.ownership.servers = [OWNER, OTHER];
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -149,6 +149,7 @@
     tokensPerRequest,
     capacityPerDaemon(state.tuning.routing, ownership.members),
   );
+  state.redirectBudget.deposit(state.tuning.routing.redirectShare);
   dispatchRequest(context, pending);
 }
 
--- a/packages/core/src/routing/failures.ts
+++ b/packages/core/src/routing/failures.ts
@@ -20,7 +20,8 @@
    * Another attempt that isn't charged to the retry budget: this one was
    * rejected by its daemon, for example since that no longer owns the slice, or
    * never reached it, and no earlier one may have run. A refusal by a backend
-   * server is charged.
+   * server is charged. Redirects after rejections for want of room have a budget
+   * of their own.
    */
   | 'redirect'
   /** Another attempt, charged to the retry budget. */
@@ -100,7 +101,10 @@
     failRequest(context, pending, {...failed, kind: 'deadline-exceeded'});
     return;
   }
-  if (course === 'fail' || !tryReserveRetry(context, pending, course)) {
+  if (
+    course === 'fail' ||
+    !tryReserveAttempt(context, pending, course, failed.kind)
+  ) {
     failRequest(context, pending, failed);
     return;
   }
@@ -149,14 +153,21 @@
   }
 }
 
-/** Charges a retry to the budget, unless the attempt is a redirect. */
-function tryReserveRetry(
+/**
+ * Charges another attempt to the budgets. A redirect after a rejection for want
+ * of room is charged too: when all servers are full, each one costs two daemons
+ * more than the request is worth.
+ */
+function tryReserveAttempt(
   context: RoutingContext,
   pending: RoutedRequest,
   course: FailureAction,
+  error: ErrorKind,
 ): boolean {
   const {state} = context;
-  if (course === 'redirect') return true;
+  if (course === 'redirect') {
+    return !isRejection(error) || state.redirectBudget.tryWithdraw();
+  }
   if (pending.chargedRetries + 1 >= maxAttemptsOf(context, pending)) {
     return false;
   }
@@ -165,6 +176,11 @@
   return true;
 }
 
+/** Returns whether a daemon had no room for an attempt or no server. */
+function isRejection(error: ErrorKind): boolean {
+  return error === 'overloaded' || error === 'no-server';
+}
+
 function maxAttemptsOf(
   context: RoutingContext,
   pending: RoutedRequest,
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -46,6 +46,7 @@
     waiting: new Set(),
     timers: new TimerQueue<RequestTimer>(),
     budget: new RetryBudget(tuning.routing.retryBurst),
+    redirectBudget: new RetryBudget(tuning.routing.redirectBurst),
     selection: createSelectionState(),
     sequence: 0,
     lastSeenMapVersion: NO_VERSION,
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -101,6 +101,8 @@
   readonly waiting: Set<RequestId>;
   readonly timers: TimerQueue<RequestTimer>;
   readonly budget: RetryBudget;
+  /** Pays for redirects after rejections for want of room. */
+  readonly redirectBudget: RetryBudget;
   readonly selection: SelectionState;
   /** Number of the latest attempt; part of its id. */
   sequence: number;
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -149,6 +149,12 @@
     retryBurst: 20,
     /** Maximum balance of all retry budgets together; 0 means no limit. */
     sharedRetryBurst: 0,
+    /**
+     * Redirects after rejections for want of room, as a share of the requests.
+     */
+    redirectShare: 0.1,
+    /** Maximum number of such redirects beyond that share. */
+    redirectBurst: 10,
     /** Minimum delay before a hedge. */
     minHedgeMs: 2,
     /** Half-life of an observed latency in the selection of a server. */
