A slot is reserved only where the next one becomes free too late

Callers: catalogue-browse on the larger Windhoek site, 503 while a slot was free.

Now none is reserved if the next slot is expected to become free within a quarter of the urgent work's objective. Without known run times it is reserved as before.

--- a/packages/core/src/admission/ranks.ts
+++ b/packages/core/src/admission/ranks.ts
@@ -17,6 +17,11 @@
 const MIN_FREQUENT_ARRIVALS = 3;
 /** Minimum limit at which a slot is reserved. */
 const MIN_LIMIT_TO_RESERVE = 4;
+/**
+ * Share of a rank's latency objective that its work may wait for the next slot
+ * to become free; only where it takes longer is a slot reserved.
+ */
+const MAX_WAIT_SHARE = 0.25;
 
 /** The part of a request that decides whether it gets a slot. */
 export type SlotClaim = Pick<
@@ -59,7 +64,8 @@
  * Returns the number of slots to leave free for frequent work of a lower rank:
  * one or none. This avoids priority inversion: running requests wait for the
  * short requests that they make themselves, and without the slot those would
- * wait behind long runs.
+ * wait behind long runs. Where runs end often enough that the head of the queue
+ * soon gets a slot, none is left free.
  *
  * @param admission - The admission state.
  * @param claim - The work that asks for a slot.
@@ -79,7 +85,22 @@
     if (other >= rank || !frequent || now - windowStart > 2 * SECOND_MS) {
       continue;
     }
+    if (isSlotSoonFree(admission, objectiveMsOf(other))) continue;
     return 1;
   }
   return 0;
 }
+
+/** Latency objective of the work of a rank, in milliseconds. */
+function objectiveMsOf(rank: number): number {
+  return rank % RANKS_PER_URGENCY;
+}
+
+/** Returns whether the next run is expected to end soon enough for work. */
+function isSlotSoonFree(
+  {meanRunMs, limit}: Admission,
+  objectiveMs: number,
+): boolean {
+  if (meanRunMs === 0 || objectiveMs === 0) return false;
+  return meanRunMs / limit <= MAX_WAIT_SHARE * objectiveMs;
+}
