Responses to grants and releases are limited in length

Report of another operator: a server sent bytes that were no answer, without end, until the caller closed. For requests this is tested since; calls for grants and releases read such a body, chunks or empty lines until their time limit, as fast as the server sends.

Now a call ends once its response has more than 64 KiB; only its head matters. The built-in protocol has the same limit.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,4 +15,5 @@
 export {ListenError} from './process/listen.js';
 export {runProcess} from './process/logic.js';
 export {ServerConnectionPool} from './runs/connections.js';
+export {limitResponse} from './runs/excess_bytes.js';
 export {endOnceConnected, timeToLiveMs} from './runs/grants.js';
--- a/packages/daemon/src/runs/excess_bytes.ts
+++ b/packages/daemon/src/runs/excess_bytes.ts
@@ -53,6 +53,25 @@
   incoming.once('close', () => clearTimeout(timer));
 }
 
+/**
+ * Fails a request whose response, of which only the head matters, is too long,
+ * in its head, its body or anything else.
+ *
+ * @param outgoing - The request.
+ */
+export function limitResponse(outgoing: ClientRequest): void {
+  let size = 0;
+  const count = (bytes: Buffer): void => {
+    size += bytes.length;
+    if (size <= MAX_DISCARDED_BYTES) return;
+    outgoing.destroy(new Error('the response is too long'));
+  };
+  outgoing.once('socket', socket => {
+    socket.on('data', count);
+    outgoing.once('close', () => socket.off('data', count));
+  });
+}
+
 /**
  * Returns whether the server sent far more bytes than the body of its response,
  * for example a chunk header that doesn't end.
--- a/packages/daemon/src/runs/protocol.ts
+++ b/packages/daemon/src/runs/protocol.ts
@@ -4,6 +4,7 @@
 
 import {toHeaderRecord} from '../http/headers.js';
 import type {ServerProtocol} from '../adapters/types.js';
+import {limitResponse} from './excess_bytes.js';
 import {endOnceConnected, timeToLiveMs} from './grants.js';
 
 /** Id of the attempt; a server may return it to identify its response. */
@@ -41,6 +42,7 @@
       headers: {'content-type': 'application/json'},
       signal: AbortSignal.timeout(GRANT_TIMEOUT_MS),
     });
+    limitResponse(outgoing);
     let reported = false;
     const reportAll = (confirmed: boolean): void => {
       if (reported) return;
