Test of cut heads doesn't depend on the time for connecting

Traced: the harness gives a connection 200 ms to open, which passes on a busy machine before the test's own server accepts; nothing was written then and 'not-run' is true. No product code is involved.

--- a/packages/daemon/src/runs/cut_heads.spec.ts
+++ b/packages/daemon/src/runs/cut_heads.spec.ts
@@ -12,6 +12,8 @@
 
 /** Number of runs at a time. */
 const BATCH = 16;
+/** Time for connecting and for a run, also on a busy machine. */
+const PATIENCE_MS = 2500;
 
 const HEADS: ReadonlyArray<{name: string; head: string}> = [
   {
@@ -69,7 +71,10 @@
     server.listen(0, '127.0.0.1', () => resolve()),
   );
   const {port} = server.address() as AddressInfo;
-  const harness = createRunHarness(port);
+  const harness = createRunHarness(port, {
+    connectMs: PATIENCE_MS,
+    budgetMs: PATIENCE_MS,
+  });
   harness.start(true);
   await harness.waitForEvents(2);
   server.close();
--- a/packages/daemon/src/testing/runs.ts
+++ b/packages/daemon/src/testing/runs.ts
@@ -33,6 +33,12 @@
   readonly mayWrite?: boolean;
   /** Whether the attempt's request is idempotent; false by default. */
   readonly idempotent?: boolean;
+  /**
+   * Time for opening the connection, in milliseconds, and budget of the run;
+   * `SILENCE_MS` and `BUDGET_MS` by default.
+   */
+  readonly connectMs?: number;
+  readonly budgetMs?: number;
   /** Method and body of the request; GET without a body by default. */
   readonly method?: string;
   readonly body?: string;
@@ -45,6 +51,8 @@
  * @param options - What differs from the defaults.
  * @param options.mayWrite - See `RunHarnessOptions`.
  * @param options.idempotent - See `RunHarnessOptions`.
+ * @param options.connectMs - See `RunHarnessOptions`.
+ * @param options.budgetMs - See `RunHarnessOptions`.
  * @param options.method - See `RunHarnessOptions`.
  * @param options.body - See `RunHarnessOptions`.
  * @returns The executor, what it reported, and functions to drive it.
@@ -54,6 +62,8 @@
   {
     mayWrite = true,
     idempotent = false,
+    connectMs = SILENCE_MS,
+    budgetMs = BUDGET_MS,
     method = 'GET',
     body = '',
   }: RunHarnessOptions = {},
@@ -65,7 +75,7 @@
     transmit: (_, message) => void messages.push(message),
     mayWrite: () => mayWrite,
     windowBytes: 1024,
-    silenceMs: SILENCE_MS,
+    silenceMs: connectMs,
     silentRunMs: SILENCE_MS,
     protocol: SERVER_PROTOCOL,
     onServerUnreachable: () => undefined,
@@ -89,7 +99,7 @@
   return {
     runs,
     events,
-    start: (keep: boolean) => startRun(runs, keep),
+    start: (keep: boolean) => startRun(runs, keep, budgetMs),
     kinds: (attempt: AttemptId = ATTEMPT) => messageKinds(messages, attempt),
     waitForEvents: (count: number) =>
       waitUntil(() => {
@@ -99,7 +109,11 @@
   };
 }
 
-function startRun(runs: RunExecutor, keepResponse: boolean): void {
+function startRun(
+  runs: RunExecutor,
+  keepResponse: boolean,
+  budgetMs: number,
+): void {
   runs.run({
     kind: 'run',
     attempt: ATTEMPT,
@@ -107,7 +121,7 @@
     service: SERVICE,
     slice: 0 as Slice,
     generation: 1 as Generation,
-    budgetMs: BUDGET_MS,
+    budgetMs,
     keepResponse,
   });
 }
