A server that takes no work is not tried first by each request

Cause: only servers without room were penalized.

Now a rejection as stopping or no-server penalizes the server for a second in the mean.

--- a/packages/core/src/routing/failures.ts
+++ b/packages/core/src/routing/failures.ts
@@ -47,6 +47,8 @@
   recordReportedLoad(state.selection, attempt.to, failed.outstanding, now);
   if (failed.error === 'overloaded' || failed.error === 'server-refused') {
     penalizeServer(context, attempt.to);
+  } else if (failed.error === 'stopping' || failed.error === 'no-server') {
+    penalizeServer(context, attempt.to, true);
   }
   const isNewer = failed.version > ownership.version;
   if (isNewer && failed.owner !== null) pending.ownerHint = failed.owner;
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -12,8 +12,13 @@
 
 /** Minimum time of a `startTimer` effect, in milliseconds. */
 const MIN_TIMER_MS = 1;
-/** Mean time for which a server is penalized, in milliseconds. */
+/** Mean time for which a server without room is penalized, in milliseconds. */
 const PENALTY_MS = 200;
+/**
+ * Mean time for which a server that takes no work is penalized, in milliseconds.
+ * Until the map shows it as well, it looks idle and fast.
+ */
+const GONE_PENALTY_MS = 1000;
 
 /** What the handling of one input reads and writes. */
 export interface RoutingContext {
@@ -92,12 +97,15 @@
  *
  * @param context - Context of the current input.
  * @param member - The server's member.
+ * @param isGone - Whether it takes no work at all.
  */
 export function penalizeServer(
   context: RoutingContext,
   member: MemberId,
+  isGone = false,
 ): void {
-  const until = context.now + PENALTY_MS * (0.5 + drawRandom(context));
+  const meanMs = isGone ? GONE_PENALTY_MS : PENALTY_MS;
+  const until = context.now + meanMs * (0.5 + drawRandom(context));
   recordPenalty(context.state.selection, member, until);
 }
 
