Released slices are committed together; ranges are joined less often

Cause: with eight releases under way, each of up to a dozen batches of single slices ended with an entry of its own; and ranges were joined every two seconds above 16 a member, against moves for load that had just split them.

Now the next releases are sent without an entry in between, and entries are proposed at ticks and once none is under way. Joins begin above 24 ranges, at most every stayMs.

--- a/packages/core/src/balance/load.ts
+++ b/packages/core/src/balance/load.ts
@@ -174,7 +174,7 @@
   const maxMoves = map.configuration?.workspace.limits.maxMovingSlices ?? 0;
   const moves = planMerges(service, candidates, rates, maxMoves);
   if (moves.length === 0) return null;
-  balance.mergeNotBefore = at.monotonic + settings.tuning.balance.roundMs;
+  balance.mergeNotBefore = at.monotonic + settings.tuning.balance.stayMs;
   return {kind: 'moving', service: service.name, moves};
 }
 
--- a/packages/core/src/balance/merges.ts
+++ b/packages/core/src/balance/merges.ts
@@ -9,7 +9,7 @@
 import type {Member, ServicePlacement} from '../map/types.js';
 
 /** Ranges per member, in the mean, above which ranges are joined. */
-const MAX_MEAN_RANGES = 16;
+const MAX_MEAN_RANGES = 24;
 /** Load, in busy slots, up to which a slice counts as idle and may be moved. */
 const MAX_IDLE_RATE = 0.05;
 
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -19,7 +19,6 @@
 import {log} from '../ownership/effects.js';
 import type {
   OwnershipContext,
-  OwnershipState,
   SliceDrain,
   ProposedChange,
 } from '../ownership/state.js';
@@ -172,15 +171,9 @@
   }
   recordRelease(state.grants, event.service, event.grant);
   state.releasesUnderWay.delete(sliceKey(event.service, first));
-  const callsEnded = state.releasesUnderWay.size === 0;
-  if (callsEnded || !hasUnrequestedDrain(state)) state.runTasksNow = true;
-}
-
-function hasUnrequestedDrain({drains}: OwnershipState): boolean {
-  for (const {handBackRequested} of drains.values()) {
-    if (!handBackRequested) return true;
-  }
-  return false;
+  requestHandBack(context);
+  // One entry for as many slices as possible: each is a call of the store.
+  if (state.releasesUnderWay.size === 0) state.runTasksNow = true;
 }
 
 /**
