--- a/packages/daemon/src/runs/connections.spec.ts
+++ b/packages/daemon/src/runs/connections.spec.ts
@@ -47,7 +47,7 @@
     } as Announcement);
     for (const [index, count] of rounds.entries()) {
       if (index > 0) connections.useNewConnections();
-      for (let i = 0; i < count; i++) exchange(connections);
+      for (let i = 0; i < count; i++) void exchange(connections);
       await settle();
     }
     t.true(maxOpen <= limit);
@@ -68,10 +68,10 @@
       outgoing.end('done');
       setTimeout(() => incoming.socket.write(extra), SETTLE_MS / 2);
     });
-    exchange(connections);
+    void exchange(connections);
     await settle();
     await settle();
-    exchange(connections);
+    void exchange(connections);
     await settle();
     t.is(opened(), 2);
   });
@@ -81,10 +81,7 @@
   const {connections, opened} = await startPool(t, (_, outgoing) => {
     outgoing.end('done');
   });
-  for (let i = 0; i < 3; i++) {
-    exchange(connections);
-    await settle();
-  }
+  for (let i = 0; i < 3; i++) await exchange(connections);
   t.is(opened(), 1);
 });
 
@@ -109,11 +106,13 @@
   return {connections, opened: () => opened};
 }
 
-function exchange(connections: ServerConnectionPool): void {
+/** Sends a request; the promise is resolved once its connection is free. */
+function exchange(connections: ServerConnectionPool): Promise<void> {
   const outgoing = connections.open({method: 'GET', path: '/'});
   outgoing.on('response', incoming => incoming.resume());
   outgoing.on('error', () => undefined);
   outgoing.end();
+  return new Promise(resolve => outgoing.once('close', () => resolve()));
 }
 
 function settle(): Promise<void> {
