--- a/packages/core/src/balance/load.ts
+++ b/packages/core/src/balance/load.ts
@@ -151,7 +151,8 @@
 }
 
 /**
- * Proposes moves that join ranges of slices, if the members own too many.
+ * Proposes moves that join ranges of slices, if the members own too many. A
+ * slice without a reported load counts as idle.
  *
  * @param context - Context of the current input.
  * @param service - The service's placement.
--- a/packages/core/src/balance/merges.ts
+++ b/packages/core/src/balance/merges.ts
@@ -91,9 +91,9 @@
     each => each !== undefined && each.count >= range.count,
   );
   if (neighbors.length === 0) return null;
-  const [before, after] = neighbors;
-  const saves = after !== undefined && before.owner === after.owner ? 2 : 1;
-  const to = candidates.find(each => each.index === before.owner);
+  const [one, other] = neighbors;
+  const saves = other !== undefined && one.owner === other.owner ? 2 : 1;
+  const to = candidates.find(each => each.index === one.owner);
   return to === undefined ? null : {at, range, to, saves};
 }
 
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -283,12 +283,13 @@
 
   /** Measures event loop lag and applies the idle timeout; called each tick. */
   tick(): void {
-    this.measureLoopLag();
+    this.recordLoopLag();
     const idleMs = this.context.configuration()?.workspace.limits.idleMs;
     if (idleMs !== undefined) this.server.keepAliveTimeout = idleMs;
   }
 
-  private measureLoopLag(): void {
+  /** Records the lag of the event loop and logs a change of overload. */
+  private recordLoopLag(): void {
     const lagMs = this.overloadDetector.recordTick(performance.now());
     if (lagMs !== null) this.context.onLoopLag(lagMs);
     const reason = this.overloadReason;
