Grants and releases share the limit of calls under way and their keys

No change of behaviour. The limit of eight calls, the time after which a call counts as ended, and the loop that frees its place stood in grants/schedule.ts and moves/logic.ts alike; they are grants/calls.ts now. The key of a sent grant was written twice (grantKey in grants/keys.ts), and the drains of moves use sliceKey.

--- a/packages/core/src/grants/keys.ts
+++ b/packages/core/src/grants/keys.ts
@@ -29,3 +29,17 @@
     sliceKey(service, (grant.first + step) as Slice),
   );
 }
+
+/**
+ * Returns the key of a grant that was sent.
+ *
+ * @param round - Number of the effect that sent it.
+ * @param grant - The grant.
+ * @returns `round/first slice`.
+ */
+export function grantKey(
+  round: number,
+  grant: Pick<SliceGrant, 'first'>,
+): string {
+  return `${round}/${grant.first}`;
+}
--- a/packages/core/src/grants/schedule.ts
+++ b/packages/core/src/grants/schedule.ts
@@ -11,15 +11,12 @@
 import type {Event, SliceGrant} from '../loop/types.js';
 import type {ServicePlacement} from '../map/types.js';
 import type {OwnershipContext} from '../ownership/state.js';
-import {sliceKeysOf} from './keys.js';
+import {MAX_CALLS_UNDER_WAY, dropOverdueCalls} from './calls.js';
+import {grantKey, sliceKeysOf} from './keys.js';
 import {confirmGrant, groupIntoGrants, ownedSlices} from './logic.js';
 import type {ScheduledSlice, SliceGrants} from './types.js';
 import {addUnconfirmed, dropExpired} from './unconfirmed.js';
 
-/** Maximum number of grants whose calls are under way. */
-const MAX_UNDER_WAY = 8;
-/** Time after which a call counts as ended although nothing was reported. */
-const CALL_TIMEOUT_MS = 1500;
 /** Maximum time between two grants of a slice, as a share of the lease. */
 const RENEW_INTERVAL_SHARE = 1 / 3;
 /** Share of a grant's time after which it is renewed at the latest. */
@@ -52,10 +49,7 @@
   const {state, at} = context;
   const {grants} = state;
   dropExpired(grants, at.monotonic);
-  for (const [key, sentAt] of grants.underWay) {
-    const isOverdue = at.monotonic - sentAt >= CALL_TIMEOUT_MS;
-    if (isOverdue) grants.underWay.delete(key);
-  }
+  dropOverdueCalls(grants.underWay, at.monotonic);
   const source = grantSourceOf(context);
   grants.queue.length = 0;
   if (source === null) return;
@@ -77,7 +71,7 @@
   if (event.kind === 'slicesGranted') {
     confirmGrant(grants, event, announcement?.checksGrants === true);
   }
-  if (!grants.underWay.delete(callKey(event.round, event.grant))) return;
+  if (!grants.underWay.delete(grantKey(event.round, event.grant))) return;
   if (grants.queue.length === 0) return;
   const source = grantSourceOf(context);
   if (source !== null) sendQueued(context, source);
@@ -157,7 +151,7 @@
   const {grants, announcement} = state;
   const {service, until} = source;
   const sent: SliceGrant[] = [];
-  while (grants.underWay.size + sent.length < MAX_UNDER_WAY) {
+  while (grants.underWay.size + sent.length < MAX_CALLS_UNDER_WAY) {
     const next = grants.queue.shift();
     if (next === undefined) break;
     if (isCurrent(next, source)) sent.push(next);
@@ -206,7 +200,7 @@
   const leaseEndsAt = until.monotonic;
   const endsAt = leaseEndsAt + marginMs;
   const scheduled = {generation, leaseEndsAt, renewAt: now + intervalMs};
-  grants.underWay.set(callKey(grants.round, grant), now);
+  grants.underWay.set(grantKey(grants.round, grant), now);
   for (const key of sliceKeysOf(service, grant)) {
     grants.schedule.set(key, scheduled);
     if (!checksGrants) continue;
@@ -224,7 +218,3 @@
     heldUntil: leaseEndsAt,
   });
 }
-
-function callKey(round: number, {first}: SliceGrant): string {
-  return `${round}/${first}`;
-}
--- a/packages/core/src/grants/unconfirmed.ts
+++ b/packages/core/src/grants/unconfirmed.ts
@@ -1,11 +1,11 @@
 /**
  * @fileoverview Grants that were sent and not confirmed. They are indexed by
- * slice, since each tick asks for those of every slice that isn't confirmed.
+ * slice, since the release of a slice waits for those of that slice.
  */
 
 import type {ServiceName, Slice} from '../ids/types.js';
 import type {SliceGrant} from '../loop/types.js';
-import {sliceKey, sliceKeysOf} from './keys.js';
+import {grantKey, sliceKey, sliceKeysOf} from './keys.js';
 import type {SliceGrants, UnconfirmedGrant} from './types.js';
 
 /**
@@ -20,7 +20,7 @@
   round: number,
   sent: UnconfirmedGrant,
 ): void {
-  grants.unconfirmed.set(unconfirmedKey(round, sent), sent);
+  grants.unconfirmed.set(grantKey(round, sent), sent);
   for (const key of sliceKeysOf(sent.service, sent)) {
     const known = grants.unconfirmedBySlice.get(key);
     if (known === undefined) {
@@ -42,7 +42,7 @@
   round: number,
   grant: SliceGrant,
 ): UnconfirmedGrant | undefined {
-  const key = unconfirmedKey(round, grant);
+  const key = grantKey(round, grant);
   const sent = grants.unconfirmed.get(key);
   if (sent !== undefined) drop(grants, key, sent);
   return sent;
@@ -84,10 +84,3 @@
     if (known?.size === 0) grants.unconfirmedBySlice.delete(slice);
   }
 }
-
-function unconfirmedKey(
-  round: number,
-  {first}: Pick<SliceGrant, 'first'>,
-): string {
-  return `${round}/${first}`;
-}
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -10,6 +10,7 @@
   mayServerHold,
   recordRelease,
 } from '../grants/logic.js';
+import {MAX_CALLS_UNDER_WAY, dropOverdueCalls} from '../grants/calls.js';
 import {sliceKey} from '../grants/keys.js';
 import type {ServiceName, Slice} from '../ids/types.js';
 import {MAX_LIST_CHARACTERS} from '../log/logic.js';
@@ -24,11 +25,6 @@
 } from '../ownership/state.js';
 import {drainMsOf} from '../workspace/limits.js';
 
-/** Maximum number of ranges that the server is asked to hand back at a time. */
-const MAX_UNDER_WAY = 8;
-/** Time after which a call counts as ended although nothing was reported. */
-const CALL_TIMEOUT_MS = 1500;
-
 /**
  * Tracks the draining of each slice that moves away from this member.
  *
@@ -41,7 +37,7 @@
   for (const service of state.map.services.values()) {
     for (const slice of service.moves.keys()) {
       if (own === undefined || service.owner[slice] !== own) continue;
-      const key = `${service.name}/${slice}`;
+      const key = sliceKey(service.name, slice);
       draining.add(key);
       if (state.drains.has(key)) continue;
       const begunAt = at.monotonic;
@@ -96,12 +92,12 @@
 export function requestHandBack(context: OwnershipContext): void {
   const {state, effects} = context;
   if (state.announcement?.checksGrants !== true) return;
-  dropOverdueCalls(context);
+  dropOverdueCalls(state.releasesUnderWay, context.at.monotonic);
   for (const [service, slices] of releasableSlices(context)) {
     const {name} = service;
     const grants: SliceGrant[] = [];
     for (const grant of groupIntoGrants(service, slices)) {
-      if (state.releasesUnderWay.size >= MAX_UNDER_WAY) break;
+      if (state.releasesUnderWay.size >= MAX_CALLS_UNDER_WAY) break;
       const {first, count} = grant;
       state.releasesUnderWay.set(sliceKey(name, first), context.at.monotonic);
       for (let slice = first; slice < first + count; slice++) {
@@ -120,14 +116,6 @@
   }
 }
 
-/** Frees the places of calls of which nothing was reported in time. */
-function dropOverdueCalls({state, at}: OwnershipContext): void {
-  for (const [key, begunAt] of state.releasesUnderWay) {
-    const isOverdue = at.monotonic - begunAt >= CALL_TIMEOUT_MS;
-    if (isOverdue) state.releasesUnderWay.delete(key);
-  }
-}
-
 /** Lists the slices that the server may be asked to hand back now. */
 function releasableSlices(
   context: OwnershipContext,
@@ -164,7 +152,7 @@
   const {first, count, generation} = event.grant;
   const service = state.map.services.get(event.service);
   for (let slice = first; slice < first + count; slice++) {
-    const drain = state.drains.get(`${event.service}/${slice}`);
+    const drain = state.drains.get(sliceKey(event.service, slice));
     if (drain === undefined) continue;
     if (service?.generation[slice] !== generation) continue;
     drain.handover = event.handover;
--- a/packages/wire/src/codec/logical_types.ts
+++ b/packages/wire/src/codec/logical_types.ts
@@ -22,7 +22,7 @@
 const MAX_COUNT = 2 ** 52 - 1;
 /** Maximum size of a compressed text once it is inflated, in bytes. */
 const MAX_INFLATED_BYTES = 4 * 1024 * 1024;
-/** Fast: the texts are JSON, which shrinks to a tenth at any level. */
+/** The fastest level; JSON shrinks well at any. */
 const COMPRESSION_LEVEL = 1;
 
 /** Non-negative integers such as versions, rounds and sizes. */
