Grants and releases of slices are logged, with why a hold ended

Releases get a number from the same counter as grants, and their answers carry it. New events: 415 grantSent and 416 grantConfirmed (first grant of a generation), 417 releaseSent, 418 releaseAnswered, 419 holdsExpired, 420 holdsCleared; histogram of the time until a grant is confirmed. Renewals are only in the histogram. The handlers of announcements move to a file of their own. No decision changes.

--- a/packages/core/src/grants/logic.spec.ts
+++ b/packages/core/src/grants/logic.spec.ts
@@ -47,13 +47,18 @@
 ];
 
 type Grant = Extract<Effect, {kind: 'grantSlices'}>;
+type Release = Extract<Effect, {kind: 'releaseSlices'}>;
 
 function grantsIn(effects: readonly Effect[]): Grant[] {
   return effects.filter(effect => effect.kind === 'grantSlices');
 }
 
+function releasesIn(effects: readonly Effect[]): Release[] {
+  return effects.filter(effect => effect.kind === 'releaseSlices');
+}
+
 function requestsRelease(effects: readonly Effect[]): boolean {
-  return effects.some(effect => effect.kind === 'releaseSlices');
+  return releasesIn(effects).length > 0;
 }
 
 function confirmationOf(effect: Grant): Event {
@@ -61,6 +66,11 @@
   return {kind: 'slicesGranted', service, round, grant: grants[0]};
 }
 
+function answerTo({service, round, grants}: Release): Event {
+  const [grant] = grants;
+  return {kind: 'slicesReleased', service, round, grant, handover: null};
+}
+
 /** A daemon that owns both slices and has just granted them. */
 function createGrantingDaemon(): {harness: OwnershipHarness; sent: Grant} {
   const harness = new OwnershipHarness(HISTORY, true);
@@ -98,13 +108,12 @@
 }
 
 test('an unconfirmed grant delays the release until it expires', t => {
-  const {harness, sent} = createGrantingDaemon();
+  const {harness} = createGrantingDaemon();
   const begun = harness.now;
   harness.receiveEntries([MOVING]);
-  const [service, grant] = [FINDER, {...sent.grants[0], count: 1}];
   harness.now += 1000;
-  harness.tick();
-  harness.handle({kind: 'slicesReleased', service, grant, handover: null});
+  const [asked] = releasesIn(harness.tick());
+  harness.handle(answerTo(asked));
   t.is(harness.waitForChange('released', LEASE_MS / 4), null);
   harness.waitForChange('released', 2 * LEASE_MS);
   const waited = harness.now - begun;
--- a/packages/core/src/grants/logic.ts
+++ b/packages/core/src/grants/logic.ts
@@ -8,7 +8,7 @@
 import type {Event, SliceGrant} from '../loop/types.js';
 import type {ServicePlacement} from '../map/types.js';
 import {sliceKey, sliceKeysOf} from './keys.js';
-import type {SliceGrants} from './types.js';
+import type {SliceGrants, UnconfirmedGrant} from './types.js';
 import {takeUnconfirmed, unconfirmedGrantsOf} from './unconfirmed.js';
 
 /** Time after which an unconfirmed grant no longer delays a release request. */
@@ -21,15 +21,17 @@
  * @param grants - State of the grants.
  * @param event - The grant and its round.
  * @param expires - Whether the server checks grants, which expire there.
+ * @returns The grant as it was sent, or undefined if it has expired or the
+ *     server doesn't check grants.
  */
 export function confirmGrant(
   grants: SliceGrants,
   event: Extract<Event, {kind: 'slicesGranted'}>,
   expires: boolean,
-): void {
+): UnconfirmedGrant | undefined {
   const {service, grant, round} = event;
   const sent = takeUnconfirmed(grants, round, grant);
-  if (sent === undefined && expires) return;
+  if (sent === undefined && expires) return undefined;
   const {generation} = grant;
   for (const key of sliceKeysOf(service, grant)) {
     const known = grants.confirmed.get(key);
@@ -37,6 +39,7 @@
     const heldUntil = Math.max(knownUntil, sent?.heldUntil ?? Infinity);
     grants.confirmed.set(key, {generation, heldUntil});
   }
+  return sent;
 }
 
 /**
@@ -117,17 +120,20 @@
  * @param grants - State of the grants.
  * @param service - The service.
  * @param released - The slices.
+ * @returns Number of the slices that the server may still hold.
  */
 export function recordRelease(
   grants: SliceGrants,
   service: ServiceName,
   released: SliceGrant,
-): void {
+): number {
   const {first, count} = released;
+  let kept = 0;
   for (let slice = first; slice < first + count; slice++) {
-    if (unconfirmedGrantsOf(grants, service, slice).length > 0) continue;
-    grants.mayHoldUntil.delete(sliceKey(service, slice));
+    if (unconfirmedGrantsOf(grants, service, slice).length > 0) kept += 1;
+    else grants.mayHoldUntil.delete(sliceKey(service, slice));
   }
+  return kept;
 }
 
 /**
@@ -161,6 +167,17 @@
   return [...grants.mayHoldUntil.values()].some(until => now < until);
 }
 
+/**
+ * Counts the slices that the server may hold.
+ *
+ * @param grants - State of the grants.
+ * @param now - Monotonic time, in milliseconds.
+ * @returns The number of slices, without those of the predecessor's grants.
+ */
+export function countHeldSlices(grants: SliceGrants, now: number): number {
+  return [...grants.mayHoldUntil.values()].filter(until => now < until).length;
+}
+
 /**
  * Merges consecutive slices with the same generation and handover into grants.
  *
--- a/packages/core/src/grants/schedule.spec.ts
+++ b/packages/core/src/grants/schedule.spec.ts
@@ -61,15 +61,16 @@
 /** The event with which one call of an effect ends. */
 function endsOf(call: Call, succeeds: boolean): Event[] {
   return call.grants.map((grant): Event => {
+    const {round} = call;
     if (call.kind === 'releaseSlices') {
       return {
         kind: 'slicesReleased',
         service: FINDER,
         grant,
+        round,
         handover: null,
       };
     }
-    const {round} = call;
     return succeeds
       ? {kind: 'slicesGranted', service: FINDER, grant, round}
       : {kind: 'sliceGrantFailed', grant, round};
--- a/packages/core/src/grants/schedule.ts
+++ b/packages/core/src/grants/schedule.ts
@@ -10,9 +10,10 @@
 import {currentLease} from '../leases/logic.js';
 import type {Event, SliceGrant} from '../loop/types.js';
 import type {ServicePlacement} from '../map/types.js';
+import {log} from '../ownership/effects.js';
 import type {OwnershipContext} from '../ownership/state.js';
 import {MAX_CALLS_UNDER_WAY, dropOverdueCalls} from './calls.js';
-import {grantKey, sliceKeysOf} from './keys.js';
+import {grantKey, sliceKey, sliceKeysOf} from './keys.js';
 import {confirmGrant, groupIntoGrants, ownedSlices} from './logic.js';
 import type {ScheduledSlice, SliceGrants} from './types.js';
 import {addUnconfirmed, dropExpired} from './unconfirmed.js';
@@ -48,7 +49,11 @@
 export function renewServerGrants(context: OwnershipContext): void {
   const {state, at} = context;
   const {grants} = state;
-  dropExpired(grants, at.monotonic);
+  for (const sent of dropExpired(grants, at.monotonic)) {
+    const {service, first, count, generation, sentAt} = sent;
+    const ageMs = Math.round(at.monotonic - sentAt);
+    log(context, 'holdsExpired', {service, first, count, generation, ageMs});
+  }
   dropOverdueCalls(grants.underWay, at.monotonic);
   const source = grantSourceOf(context);
   grants.queue.length = 0;
@@ -67,16 +72,39 @@
   context: OwnershipContext,
   event: Extract<Event, {kind: 'slicesGranted' | 'sliceGrantFailed'}>,
 ): void {
-  const {grants, announcement} = context.state;
-  if (event.kind === 'slicesGranted') {
-    confirmGrant(grants, event, announcement?.checksGrants === true);
-  }
+  const {grants} = context.state;
+  if (event.kind === 'slicesGranted') recordConfirmation(context, event);
   if (!grants.underWay.delete(grantKey(event.round, event.grant))) return;
   if (grants.queue.length === 0) return;
   const source = grantSourceOf(context);
   if (source !== null) sendQueued(context, source);
 }
 
+function recordConfirmation(
+  context: OwnershipContext,
+  event: Extract<Event, {kind: 'slicesGranted'}>,
+): void {
+  const {state, at, effects} = context;
+  const {grants, announcement} = state;
+  const {service, grant, round} = event;
+  const {first, count, generation} = grant;
+  const known = grants.confirmed.get(sliceKey(service, first));
+  const sent = confirmGrant(grants, event, announcement?.checksGrants === true);
+  if (sent === undefined) return;
+  const valueMs = at.monotonic - sent.sentAt;
+  effects.push({kind: 'recordDuration', histogram: 'sliceGrant', valueMs});
+  if (known?.generation === generation) return;
+  log(context, 'grantConfirmed', {
+    service,
+    round,
+    first,
+    count,
+    generation,
+    ageMs: Math.round(valueMs),
+    heldForMs: Math.round(sent.until - at.monotonic),
+  });
+}
+
 /** Returns null without a server that the log names, or without a lease. */
 function grantSourceOf({state, at}: OwnershipContext): GrantSource | null {
   const {announcement} = state;
@@ -159,7 +187,10 @@
   if (sent.length === 0) return;
   grants.round += 1;
   const checksGrants = announcement?.checksGrants === true;
-  for (const grant of sent) recordSent(context, source, grant, checksGrants);
+  for (const grant of sent) {
+    logIfNew(context, source, grant);
+    recordSent(context, source, grant, checksGrants);
+  }
   effects.push({
     kind: 'grantSlices',
     service: service.name,
@@ -170,6 +201,21 @@
   });
 }
 
+/** Logs the first grant of slices under their generation. */
+function logIfNew(
+  context: OwnershipContext,
+  {service: {name: service}, until}: GrantSource,
+  {first, count, generation}: SliceGrant,
+): void {
+  const {state, at} = context;
+  const {schedule, round} = state.grants;
+  const scheduled = schedule.get(sliceKey(service, first));
+  if (scheduled?.generation === generation) return;
+  const leaseLeftMs = Math.round(timeLeftMs(until, at));
+  const fields = {service, round, first, count, generation, leaseLeftMs};
+  log(context, 'grantSent', fields);
+}
+
 /** Returns whether this member still owns all slices of a queued grant. */
 function isCurrent(
   {first, count, generation}: SliceGrant,
--- a/packages/core/src/grants/types.ts
+++ b/packages/core/src/grants/types.ts
@@ -53,7 +53,7 @@
   readonly unconfirmed: Map<string, UnconfirmedGrant>;
   /** The same grants by slice; a slice without any has no entry. */
   readonly unconfirmedBySlice: Map<string, Set<UnconfirmedGrant>>;
-  /** Number of the latest `grantSlices` effect. */
+  /** Number of the latest `grantSlices` or `releaseSlices` effect. */
   round: number;
   /** The latest grant of each slice. */
   readonly schedule: Map<string, ScheduledSlice>;
--- a/packages/core/src/grants/unconfirmed.ts
+++ b/packages/core/src/grants/unconfirmed.ts
@@ -53,11 +53,19 @@
  *
  * @param grants - State of the grants.
  * @param now - Monotonic time, in milliseconds.
+ * @returns The dropped grants, oldest first.
  */
-export function dropExpired(grants: SliceGrants, now: number): void {
+export function dropExpired(
+  grants: SliceGrants,
+  now: number,
+): readonly UnconfirmedGrant[] {
+  const expired: UnconfirmedGrant[] = [];
   for (const [key, sent] of grants.unconfirmed) {
-    if (now >= sent.until) drop(grants, key, sent);
+    if (now < sent.until) continue;
+    drop(grants, key, sent);
+    expired.push(sent);
   }
+  return expired;
 }
 
 /**
--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -152,6 +152,28 @@
     410,
     'The backend server did not accept a slice grant or a release.',
   ),
+  grantSent: step(
+    415,
+    'Slices were granted to the backend server under a new generation.',
+  ),
+  grantConfirmed: step(
+    416,
+    'The backend server confirmed a grant; it may hold the slices for some time.',
+  ),
+  releaseSent: step(417, 'The backend server was asked to release slices.'),
+  releaseAnswered: step(
+    418,
+    'The backend server released slices; `kept` of them it may still hold.',
+  ),
+  holdsExpired: step(
+    419,
+    'Unconfirmed grants expired; the backend server no longer holds the slices.',
+  ),
+  holdsCleared: event(
+    420,
+    'info',
+    'The backend server has ended, and with it its holds of slices.',
+  ),
   sourceFailed: event(
     513,
     'warn',
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -258,6 +258,8 @@
       readonly kind: 'slicesReleased';
       readonly service: ServiceName;
       readonly grant: SliceGrant;
+      /** Round of the `releaseSlices` effect. */
+      readonly round: number;
       /** Opaque token for the next server, or null if the server gave none. */
       readonly handover: string | null;
     }
@@ -440,6 +442,8 @@
       readonly service: ServiceName;
       readonly slices: number;
       readonly grants: readonly SliceGrant[];
+      /** Number of this effect; grants and releases share the numbers. */
+      readonly round: number;
     }
   | {
       readonly kind: 'log';
@@ -470,4 +474,4 @@
 
 /** Latency histograms. */
 export type HistogramName =
-  'request' | 'queue' | 'run' | 'renewal' | 'store' | 'loopLag';
+  'request' | 'queue' | 'run' | 'renewal' | 'store' | 'loopLag' | 'sliceGrant';
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -107,11 +107,18 @@
       grants.push(grant);
     }
     if (grants.length === 0) return;
+    state.grants.round += 1;
+    const {round} = state.grants;
+    for (const {first, count, generation} of grants) {
+      const fields = {service: name, round, first, count, generation};
+      log(context, 'releaseSent', fields);
+    }
     effects.push({
       kind: 'releaseSlices',
       service: name,
       slices: service.slices,
       grants,
+      round,
     });
   }
 }
@@ -157,13 +164,28 @@
     if (service?.generation[slice] !== generation) continue;
     drain.handover = event.handover;
   }
-  recordRelease(state.grants, event.service, event.grant);
+  const kept = recordRelease(state.grants, event.service, event.grant);
+  logReleaseAnswered(context, event, kept);
   state.releasesUnderWay.delete(sliceKey(event.service, first));
   requestHandBack(context);
   // One entry for as many slices as possible: each is a call of the store.
   if (state.releasesUnderWay.size === 0) state.runTasksNow = true;
 }
 
+function logReleaseAnswered(
+  context: OwnershipContext,
+  event: Extract<Event, {kind: 'slicesReleased'}>,
+  kept: number,
+): void {
+  const {state, at} = context;
+  const {service, round, grant} = event;
+  const {first, count, generation} = grant;
+  const sentAt = state.releasesUnderWay.get(sliceKey(service, first));
+  const ageMs = sentAt === undefined ? -1 : Math.round(at.monotonic - sentAt);
+  const fields = {service, round, first, count, generation, ageMs, kept};
+  log(context, 'releaseAnswered', fields);
+}
+
 /**
  * Returns whether nothing can run on a slice at this member any more: no run is
  * in flight, and the backend server handed the slice back or its last slice
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -7,7 +7,6 @@
   adoptConfiguration,
   handleConfigurationMessage,
 } from '../configuration/logic.js';
-import {clearConfirmed, clearGrants} from '../grants/logic.js';
 import {handleGrantCallEnded} from '../grants/schedule.js';
 import type {MemberId} from '../ids/types.js';
 import {makeMemberId} from '../ids/logic.js';
@@ -44,7 +43,7 @@
 import {createLeaseState} from '../leases/state.js';
 import type {Change, CommittedEntry} from '../log/types.js';
 import type {Subsystem} from '../loop/subsystem.js';
-import type {Announcement, Effect, Event, Input} from '../loop/types.js';
+import type {Effect, Event, Input} from '../loop/types.js';
 import {applyEntry, applyExternalConfiguration} from '../map/logic.js';
 import {
   suspectMember,
@@ -72,6 +71,7 @@
 import {runDueTasks} from './due_tasks.js';
 import {checkInvariants} from './invariants.js';
 import {log, send, reportViolation} from './effects.js';
+import {handleAnnouncement, handleServerGone} from './local_server.js';
 import type {OwnershipContext, OwnershipState} from './state.js';
 import type {WorkView} from './types.js';
 
@@ -132,11 +132,11 @@
       handleStoreReply(context, event.call, event.reply);
       return;
     case 'announcementReceived':
-      handleAnnouncement(state, event.announcement);
+      handleAnnouncement(context, event.announcement);
       return;
     case 'announcementExpired':
       if (state.announcement?.instance === event.instance) {
-        handleServerGone(state, event.processEnded);
+        handleServerGone(context, event.processEnded);
       }
       return;
     case 'commandReceived':
@@ -178,31 +178,6 @@
   }
 }
 
-/** Handles an announcement; a new instance of the server holds no slices. */
-function handleAnnouncement(
-  state: OwnershipState,
-  announcement: Announcement,
-): void {
-  if (state.announcement?.instance !== announcement.instance) {
-    clearConfirmed(state.grants);
-  }
-  state.announcement = announcement;
-  state.runTasksNow = true;
-}
-
-/**
- * Handles that the local backend server no longer announces itself. Its slice
- * grants end immediately only if it has exited without having announced that it
- * shuts down; a silent one may still hold slices.
- */
-function handleServerGone(state: OwnershipState, ended: boolean): void {
-  const wasLeaving = state.announcement?.leaving === true;
-  state.announcement = null;
-  if (ended && !wasLeaving) clearGrants(state.grants);
-  else clearConfirmed(state.grants);
-  state.runTasksNow = true;
-}
-
 function handleMessage(
   context: OwnershipContext,
   from: MemberId,
--- a/packages/core/src/testing/harness.ts
+++ b/packages/core/src/testing/harness.ts
@@ -12,6 +12,7 @@
 import {OWNERSHIP} from '../ownership/definition.js';
 import {createOwnershipState} from '../ownership/state.js';
 import type {DispatchPermission} from '../ownership/types.js';
+import {countHeldSlices} from '../grants/logic.js';
 import {grantFiguresOf} from '../grants/view.js';
 import type {GrantFigures} from '../grants/view.js';
 import {mayDispatch} from '../ownership/view.js';
@@ -146,8 +147,7 @@
 
   /** @returns The number of slices that the server may hold. */
   heldSlices(): number {
-    const {mayHoldUntil} = this.state.grants;
-    return [...mayHoldUntil.values()].filter(until => until > this.now).length;
+    return countHeldSlices(this.state.grants, this.now);
   }
 
   /** Makes the daemon commit its removal from the workspace. */
--- a/packages/daemon/src/metrics/logic.ts
+++ b/packages/daemon/src/metrics/logic.ts
@@ -21,6 +21,7 @@
   run: 'Time from dispatch to the end of the response of the backend server.',
   renewal: 'Round-trip time of a lease renewal.',
   store: 'Round-trip time of a call to the platform.',
+  sliceGrant: 'Time until the backend server confirmed a slice grant.',
   loopLag: 'Time by which a timer of the event loop fired late.',
 };
 
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -283,12 +283,18 @@
    */
   releaseSlices(effect: Extract<Effect, {kind: 'releaseSlices'}>): void {
     if (this.connections === null) return;
-    const {service} = effect;
+    const {service, round} = effect;
     this.context.protocol.release(
       this.connections,
       effect,
       (grant, handover) => {
-        this.context.emit({kind: 'slicesReleased', service, grant, handover});
+        this.context.emit({
+          kind: 'slicesReleased',
+          service,
+          grant,
+          round,
+          handover,
+        });
       },
     );
   }
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -511,13 +511,18 @@
 
   private release(
     node: SimulatedNode,
-    {service}: Extract<Effect, {kind: 'releaseSlices'}>,
+    {service, round}: Extract<Effect, {kind: 'releaseSlices'}>,
     grant: SliceGrant,
   ): void {
     this.queue.add(this.now + SERVER_EXCHANGE_MS, () => {
       this.servers.release(node.host, grant);
-      const handover = null;
-      this.deliver(node, {kind: 'slicesReleased', service, grant, handover});
+      this.deliver(node, {
+        kind: 'slicesReleased',
+        service,
+        grant,
+        round,
+        handover: null,
+      });
     });
   }
 
