The answer to a release ends no newer grant

What callers saw: nothing; two backend servers held the same keys (OWNER, from the operators' real processes).

Cause: the time until which the server may hold a slice was deleted by any answer to a release of that slice. A server answers when its work has ended, up to 1.2 s later; if the move was cancelled meanwhile, or the slice left and came back, it has been granted again, and the next move was committed at once.

Why it works: grants and releases are numbered by one counter. A hold remembers the number at which it was last confirmed, and a release ends it only if it was sent after that. Unconfirmed grants only expire. A handover is kept only from the release that the current move asked for. grants/holds.ts is the one place that says until when the server may hold a slice.

--- a/packages/core/src/grants/logic.ts
+++ b/packages/core/src/grants/logic.ts
@@ -7,6 +7,7 @@
 import type {Generation, ServiceName, Slice} from '../ids/types.js';
 import type {Event, SliceGrant} from '../loop/types.js';
 import type {ServicePlacement} from '../map/types.js';
+import {recordHold} from './holds.js';
 import {sliceKey, sliceKeysOf} from './keys.js';
 import type {SliceGrants, UnconfirmedGrant} from './types.js';
 import {takeUnconfirmed, unconfirmedGrantsOf} from './unconfirmed.js';
@@ -39,6 +40,7 @@
     const heldUntil = Math.max(knownUntil, sent?.heldUntil ?? Infinity);
     grants.confirmed.set(key, {generation, heldUntil});
   }
+  if (sent !== undefined) recordHold(grants, sent);
   return sent;
 }
 
@@ -63,7 +65,7 @@
  */
 export function clearGrants(grants: SliceGrants): void {
   clearConfirmed(grants);
-  grants.mayHoldUntil.clear();
+  grants.holds.clear();
   grants.unconfirmed.clear();
   grants.unconfirmedBySlice.clear();
   grants.predecessorGrantsUntil = 0;
@@ -113,71 +115,6 @@
   );
 }
 
-/**
- * Records that the server released slices. A slice with an unconfirmed grant
- * still counts as held, since that grant may take effect after the release.
- *
- * @param grants - State of the grants.
- * @param service - The service.
- * @param released - The slices.
- * @returns Number of the slices that the server may still hold.
- */
-export function recordRelease(
-  grants: SliceGrants,
-  service: ServiceName,
-  released: SliceGrant,
-): number {
-  const {first, count} = released;
-  let kept = 0;
-  for (let slice = first; slice < first + count; slice++) {
-    if (unconfirmedGrantsOf(grants, service, slice).length > 0) kept += 1;
-    else grants.mayHoldUntil.delete(sliceKey(service, slice));
-  }
-  return kept;
-}
-
-/**
- * Returns whether the server may hold a slice.
- *
- * @param grants - State of the grants.
- * @param service - The service.
- * @param slice - The slice.
- * @param now - Monotonic time, in milliseconds.
- * @returns False if it is safe to grant the slice to another server.
- */
-export function mayServerHold(
-  grants: SliceGrants,
-  service: ServiceName,
-  slice: Slice,
-  now: number,
-): boolean {
-  const until = grants.mayHoldUntil.get(sliceKey(service, slice)) ?? 0;
-  return now < Math.max(until, grants.predecessorGrantsUntil);
-}
-
-/**
- * Returns whether the server may hold any slice.
- *
- * @param grants - State of the grants.
- * @param now - Monotonic time, in milliseconds.
- * @returns False if it is safe to grant all its slices to other servers.
- */
-export function mayServerHoldAny(grants: SliceGrants, now: number): boolean {
-  if (now < grants.predecessorGrantsUntil) return true;
-  return [...grants.mayHoldUntil.values()].some(until => now < until);
-}
-
-/**
- * Counts the slices that the server may hold.
- *
- * @param grants - State of the grants.
- * @param now - Monotonic time, in milliseconds.
- * @returns The number of slices, without those of the predecessor's grants.
- */
-export function countHeldSlices(grants: SliceGrants, now: number): number {
-  return [...grants.mayHoldUntil.values()].filter(until => now < until).length;
-}
-
 /**
  * Merges consecutive slices with the same generation and handover into grants.
  *
--- a/packages/core/src/grants/schedule.ts
+++ b/packages/core/src/grants/schedule.ts
@@ -249,9 +249,6 @@
   grants.underWay.set(grantKey(grants.round, grant), now);
   for (const key of sliceKeysOf(service, grant)) {
     grants.schedule.set(key, scheduled);
-    if (!checksGrants) continue;
-    const previous = grants.mayHoldUntil.get(key) ?? 0;
-    grants.mayHoldUntil.set(key, Math.max(previous, endsAt));
   }
   if (!checksGrants) return;
   addUnconfirmed(grants, grants.round, {
--- a/packages/core/src/grants/state.ts
+++ b/packages/core/src/grants/state.ts
@@ -10,7 +10,7 @@
 export function createSliceGrants(): SliceGrants {
   return {
     confirmed: new Map(),
-    mayHoldUntil: new Map(),
+    holds: new Map(),
     predecessorGrantsUntil: 0,
     unconfirmed: new Map(),
     unconfirmedBySlice: new Map(),
--- a/packages/core/src/grants/types.ts
+++ b/packages/core/src/grants/types.ts
@@ -35,6 +35,14 @@
   readonly heldUntil: number;
 }
 
+/** That the server may hold a slice under grants that it has confirmed. */
+export interface ServerHold {
+  /** Monotonic time of its end at the latest. */
+  readonly until: number;
+  /** Number of the latest grant or release when it was last confirmed. */
+  readonly confirmedAfter: number;
+}
+
 /**
  * State of the slice grants that a daemon sends. Keys are `service/slice`
  * unless stated otherwise.
@@ -42,8 +50,8 @@
 export interface SliceGrants {
   /** The latest confirmation of each slice. */
   readonly confirmed: Map<string, ConfirmedGrant>;
-  /** Monotonic time until which the server may hold each slice. */
-  readonly mayHoldUntil: Map<string, number>;
+  /** Holds by confirmed grants; those of unconfirmed ones come on top. */
+  readonly holds: Map<string, ServerHold>;
   /**
    * Monotonic time until which the server may hold any slice under grants of
    * this daemon's predecessor on the host.
--- a/packages/core/src/moves/logic.spec.ts
+++ b/packages/core/src/moves/logic.spec.ts
@@ -25,7 +25,7 @@
     slice: slice as Slice,
     begunAt: 0,
     loggedLate: false,
-    handBackRequested: true,
+    releaseRound: 1,
     handover: '5c0e7a21d94b36f8',
   };
 }
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -4,12 +4,8 @@
  * holds it by a slice grant (R6).
  */
 
-import {
-  groupIntoGrants,
-  mayRequestRelease,
-  mayServerHold,
-  recordRelease,
-} from '../grants/logic.js';
+import {groupIntoGrants, mayRequestRelease} from '../grants/logic.js';
+import {mayServerHold, recordRelease} from '../grants/holds.js';
 import {MAX_CALLS_UNDER_WAY, dropOverdueCalls} from '../grants/calls.js';
 import {sliceKey} from '../grants/keys.js';
 import type {ServiceName, Slice} from '../ids/types.js';
@@ -96,19 +92,19 @@
   for (const [service, slices] of releasableSlices(context)) {
     const {name} = service;
     const grants: SliceGrant[] = [];
+    const round = state.grants.round + 1;
     for (const grant of groupIntoGrants(service, slices)) {
       if (state.releasesUnderWay.size >= MAX_CALLS_UNDER_WAY) break;
       const {first, count} = grant;
       state.releasesUnderWay.set(sliceKey(name, first), context.at.monotonic);
       for (let slice = first; slice < first + count; slice++) {
         const drain = state.drains.get(sliceKey(name, slice));
-        if (drain !== undefined) drain.handBackRequested = true;
+        if (drain !== undefined) drain.releaseRound = round;
       }
       grants.push(grant);
     }
     if (grants.length === 0) return;
-    state.grants.round += 1;
-    const {round} = state.grants;
+    state.grants.round = round;
     for (const {first, count, generation} of grants) {
       const fields = {service: name, round, first, count, generation};
       log(context, 'releaseSent', fields);
@@ -130,7 +126,7 @@
   const {state, work, at} = context;
   const found = new Map<ServicePlacement, Slice[]>();
   for (const drain of state.drains.values()) {
-    if (drain.handBackRequested) continue;
+    if (drain.releaseRound !== null) continue;
     if (work.inFlight(drain.service, drain.slice) > 0) continue;
     const service = state.map.services.get(drain.service);
     if (service === undefined) continue;
@@ -156,15 +152,12 @@
   event: Extract<Event, {kind: 'slicesReleased'}>,
 ): void {
   const {state} = context;
-  const {first, count, generation} = event.grant;
-  const service = state.map.services.get(event.service);
+  const {first, count} = event.grant;
   for (let slice = first; slice < first + count; slice++) {
     const drain = state.drains.get(sliceKey(event.service, slice));
-    if (drain === undefined) continue;
-    if (service?.generation[slice] !== generation) continue;
-    drain.handover = event.handover;
+    if (drain?.releaseRound === event.round) drain.handover = event.handover;
   }
-  const kept = recordRelease(state.grants, event.service, event.grant);
+  const kept = recordRelease(state.grants, event);
   logReleaseAnswered(context, event, kept);
   state.releasesUnderWay.delete(sliceKey(event.service, first));
   requestHandBack(context);
@@ -210,7 +203,7 @@
     slice,
     begunAt,
     loggedLate: false,
-    handBackRequested: false,
+    releaseRound: null,
     handover: null,
   };
 }
--- a/packages/core/src/ownership/due_tasks.ts
+++ b/packages/core/src/ownership/due_tasks.ts
@@ -5,7 +5,7 @@
 
 import {requestConfigurationIfDue} from '../configuration/logic.js';
 import {confirmConfiguration} from '../configuration/watchers.js';
-import {mayServerHoldAny} from '../grants/logic.js';
+import {mayServerHoldAny} from '../grants/holds.js';
 import {renewServerGrants} from '../grants/schedule.js';
 import {hostOf} from '../ids/logic.js';
 import type {MemberId} from '../ids/types.js';
--- a/packages/core/src/ownership/local_server.ts
+++ b/packages/core/src/ownership/local_server.ts
@@ -1,6 +1,7 @@
 /** @fileoverview Announcements of the local backend server, and its loss. */
 
-import {clearConfirmed, clearGrants, countHeldSlices} from '../grants/logic.js';
+import {countHeldSlices} from '../grants/holds.js';
+import {clearConfirmed, clearGrants} from '../grants/logic.js';
 import type {Announcement} from '../loop/types.js';
 import {log} from './effects.js';
 import type {OwnershipContext} from './state.js';
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -181,8 +181,11 @@
   readonly begunAt: number;
   /** Whether the log event `drainLate` was written for it. */
   loggedLate: boolean;
-  /** Whether the backend server was asked to hand the slice back. */
-  handBackRequested: boolean;
+  /**
+   * Number of the release by which the backend server was asked to hand the
+   * slice back, or null.
+   */
+  releaseRound: number | null;
   /** Opaque token from the backend server for the next one, or null. */
   handover: string | null;
 }
--- a/packages/core/src/testing/harness.ts
+++ b/packages/core/src/testing/harness.ts
@@ -12,7 +12,7 @@
 import {OWNERSHIP} from '../ownership/definition.js';
 import {createOwnershipState} from '../ownership/state.js';
 import type {DispatchPermission} from '../ownership/types.js';
-import {countHeldSlices} from '../grants/logic.js';
+import {countHeldSlices} from '../grants/holds.js';
 import {grantFiguresOf} from '../grants/view.js';
 import type {GrantFigures} from '../grants/view.js';
 import {mayDispatch} from '../ownership/view.js';
@@ -91,6 +91,8 @@
    * member to.
    */
   readonly firstWrittenAt = new Map<Change['kind'], number>();
+  /** JSON text of these first changes. */
+  readonly firstWrittenText = new Map<Change['kind'], string>();
   private revision = 100;
 
   /** Effects of applying the given entries and of the first two ticks. */
@@ -234,6 +236,7 @@
     const kind = CHANGE_KIND.exec(text)?.[1] as Change['kind'] | undefined;
     if (kind === undefined || this.firstWrittenAt.has(kind)) return;
     this.firstWrittenAt.set(kind, this.now);
+    this.firstWrittenText.set(kind, text);
   }
 
   private reduce(event: Event): Effect[] {
