A grant reaches only the process that announced itself

What callers saw: nothing; the next process at a server's address took keys under a generation of its predecessor (OWNER: a token that isn't above all with which another life had the keys), 7 calls in one restart.

Cause: a daemon goes on granting until a request is refused or a new instance announces itself. A process that is started within about a second is reached by these grants; it has seen no higher generation, so it takes them, and the daemon counts them for an instance that has ended.

Why it works: the connections of a process end with it. The pool keeps one idle connection, opened when the process announces itself; while a connection from its life is open, new ones reach the same process. A grant of which nothing was written can't take effect, so its slices don't wait for its expiry.

--- a/packages/core/src/grants/schedule.spec.ts
+++ b/packages/core/src/grants/schedule.spec.ts
@@ -73,7 +73,7 @@
     }
     return succeeds
       ? {kind: 'slicesGranted', service: FINDER, grant, round}
-      : {kind: 'sliceGrantFailed', grant, round};
+      : {kind: 'sliceGrantFailed', grant, written: true, round};
   });
 }
 
--- a/packages/core/src/grants/schedule.ts
+++ b/packages/core/src/grants/schedule.ts
@@ -16,7 +16,7 @@
 import {grantKey, sliceKey, sliceKeysOf} from './keys.js';
 import {confirmGrant, groupIntoGrants, ownedSlices} from './logic.js';
 import type {ScheduledSlice, SliceGrants} from './types.js';
-import {addUnconfirmed, dropExpired} from './unconfirmed.js';
+import {addUnconfirmed, dropExpired, takeUnconfirmed} from './unconfirmed.js';
 
 /** Maximum time between two grants of a slice, as a share of the lease. */
 const RENEW_INTERVAL_SHARE = 1 / 3;
@@ -74,6 +74,7 @@
 ): void {
   const {grants} = context.state;
   if (event.kind === 'slicesGranted') recordConfirmation(context, event);
+  else if (!event.written) takeUnconfirmed(grants, event.round, event.grant);
   if (!grants.underWay.delete(grantKey(event.round, event.grant))) return;
   if (grants.queue.length === 0) return;
   const source = grantSourceOf(context);
--- a/packages/core/src/grants/unconfirmed.ts
+++ b/packages/core/src/grants/unconfirmed.ts
@@ -30,7 +30,7 @@
 }
 
 /**
- * Removes a grant that was confirmed.
+ * Removes a grant that was confirmed, or of which nothing was written.
  *
  * @param grants - State of the grants.
  * @param round - Number of the effect that sent it.
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -243,13 +243,12 @@
       /** Round of the `grantSlices` effect. */
       readonly round: number;
     }
-  /**
-   * The call for a slice grant ended without a confirmation; the grant may still
-   * take effect.
-   */
+  /** The call for a slice grant ended without a confirmation. */
   | {
       readonly kind: 'sliceGrantFailed';
       readonly grant: SliceGrant;
+      /** Whether anything was written, so that the grant may take effect. */
+      readonly written: boolean;
       /** Round of the `grantSlices` effect. */
       readonly round: number;
     }
--- a/packages/daemon/src/adapters/types.ts
+++ b/packages/daemon/src/adapters/types.ts
@@ -93,8 +93,19 @@
   open(options: RequestOptions): ClientRequest;
   /** Uses a connection of its own, which no other request shares. */
   openUnshared(options: RequestOptions): ClientRequest;
+  /**
+   * Whether the open connection of a request leads to the process that announced
+   * itself, and not to a successor at its address.
+   */
+  reachesProcess(outgoing: ClientRequest): boolean;
 }
 
+/**
+ * What is known of a slice grant. `unconfirmed`: it was written and may take
+ * effect; `not-written`: it can't.
+ */
+export type GrantOutcome = 'confirmed' | 'unconfirmed' | 'not-written';
+
 type EffectOf<Kind> = Extract<Effect, {readonly kind: Kind}>;
 
 /** HTTP protocol between the daemon and the local backend server. */
@@ -124,13 +135,12 @@
    *
    * @param server - Connections to the server.
    * @param effect - The grants and the end of the lease that backs them.
-   * @param report - Called once for each grant, with whether the server has
-   *     confirmed it.
+   * @param report - Called once for each grant, with what became of it.
    */
   grant(
     server: ServerConnections,
     effect: EffectOf<'grantSlices'>,
-    report: (grant: SliceGrant, confirmed: boolean) => void,
+    report: (grant: SliceGrant, outcome: GrantOutcome) => void,
   ): void;
   /**
    * Asks the server to release slices.
--- a/packages/daemon/src/runs/grants.ts
+++ b/packages/daemon/src/runs/grants.ts
@@ -13,9 +13,9 @@
 /** Shorter grants are not sent: they would expire before they can be used. */
 const MIN_TTL_MS = 20;
 
-/** The lease expired before the request was written. */
-class LeaseExpiredError extends Error {
-  override readonly name = 'LeaseExpiredError';
+/** A request was aborted before anything of it was written. */
+class NotWrittenError extends Error {
+  override readonly name = 'NotWrittenError';
 }
 
 /**
@@ -30,7 +30,8 @@
 }
 
 /**
- * Sends a request whose body is created once its connection is open.
+ * Sends a request whose body is created once its connection is open and the ends
+ * of earlier connections to the server are known.
  *
  * @param outgoing - A request of which nothing has been written.
  * @param body - Creates the body; if it returns null, the request is aborted.
@@ -43,10 +44,10 @@
     if (outgoing.destroyed) return;
     const text = body();
     if (text !== null) outgoing.end(text);
-    else outgoing.destroy(new LeaseExpiredError('the lease has run out'));
+    else outgoing.destroy(new NotWrittenError('nothing was written'));
   };
   outgoing.once('socket', socket => {
-    if (socket.connecting) socket.once('connect', writeBody);
-    else writeBody();
+    if (!socket.connecting) writeBody();
+    else socket.once('connect', () => void setImmediate(writeBody));
   });
 }
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -26,7 +26,7 @@
   isFinalStatus,
 } from '../http/headers.js';
 import type {AttemptMessage} from '../links/messages.js';
-import type {ServerProtocol} from '../adapters/types.js';
+import type {GrantOutcome, ServerProtocol} from '../adapters/types.js';
 import {
   discardBody,
   hasExcessBytes,
@@ -63,8 +63,11 @@
   /**
    * Called when no connection to the server can be opened, since nothing
    * listens at its address. This isn't a refusal of a request by the server.
+   *
+   * @param server - The server.
+   * @param isAlive - Whether its process is known to be alive nevertheless.
    */
-  onServerUnreachable(server: Announcement): void;
+  onServerUnreachable(server: Announcement, isAlive: boolean): void;
   readonly keptLimits: KeptResponseLimits;
 }
 
@@ -92,16 +95,20 @@
     const previous = this.announcement;
     this.announcement = announcement;
     if (announcement === null) {
-      this.connections?.useNewConnections();
+      this.connections?.retire();
       return;
     }
     const isUnchanged =
       previous?.address === announcement.address &&
       previous.instance === announcement.instance &&
       previous.connections === announcement.connections;
-    if (isUnchanged && this.connections !== null) return;
-    this.connections?.useNewConnections();
-    this.connections = new ServerConnectionPool(announcement);
+    if (!isUnchanged || this.connections === null) {
+      this.connections?.retire();
+      this.connections = new ServerConnectionPool(announcement, isAlive =>
+        this.context.onServerUnreachable(announcement, isAlive),
+      );
+    }
+    if (announcement.checksGrants) this.connections.confirmProcess();
   }
 
   /**
@@ -265,12 +272,14 @@
     if (this.connections === null) return;
     const {service, round} = effect;
     const server = this.announcement;
-    const report = (grant: SliceGrant, confirmed: boolean): void => {
+    const report = (grant: SliceGrant, outcome: GrantOutcome): void => {
       if (this.announcement?.instance !== server?.instance) return;
+      const confirmed = outcome === 'confirmed';
+      const written = outcome !== 'not-written';
       this.context.emit(
         confirmed
           ? {kind: 'slicesGranted', service, grant, round}
-          : {kind: 'sliceGrantFailed', grant, round},
+          : {kind: 'sliceGrantFailed', grant, written, round},
       );
     };
     this.context.protocol.grant(this.connections, effect, report);
@@ -393,19 +402,12 @@
       this.handleResponse(received, run, incoming),
     );
     outgoing.on('error', error => {
-      this.checkUnreachable(error);
       // Bytes after a complete response don't belong to it.
       if (run.incoming?.complete === true) return;
       this.failRun(received, run, error.message);
     });
   }
 
-  private checkUnreachable(error: Error): void {
-    const {announcement} = this;
-    if ((error as {code?: string}).code !== 'ECONNREFUSED') return;
-    if (announcement !== null) this.context.onServerUnreachable(announcement);
-  }
-
   /** Records that the server may have received the request from now on. */
   private markWritten(received: ReceivedAttempt, run: Run): void {
     if (run.written || run.finished) return;
--- /dev/null
+++ b/packages/daemon/src/runs/process_watch.ts
@@ -0,0 +1,94 @@
+/**
+ * @fileoverview Knows which connections lead to the process that announced
+ * itself. The connections of a process end with it, so while one that was opened
+ * in its life is open, it is alive, and new connections to its address reach it
+ * and not a successor.
+ */
+
+import type {Socket} from 'node:net';
+
+/** Age after which the idle connection is replaced, before it times out. */
+const ANCHOR_MAX_AGE_MS = 4000;
+
+/** What a watch needs from the pool. */
+export interface ProcessWatchOptions {
+  /** Opens a connection to the server, apart from those of requests. */
+  connect(): Socket;
+  /**
+   * Called when nothing listens at the server's address.
+   *
+   * @param isAlive - Whether its process is known to be alive nevertheless.
+   */
+  onRefused(isAlive: boolean): void;
+}
+
+/** Watches the process of a backend server by the connections to it. */
+export class ProcessWatch {
+  /** Open connections that lead to the announced process. */
+  private readonly verified = new Set<Socket>();
+  /** Connection without requests, so that one is always open. */
+  private anchor: Socket | null = null;
+  private anchorOpenedMs = 0;
+
+  /** @param options - What the watch needs from the pool. */
+  constructor(private readonly options: ProcessWatchOptions) {}
+
+  /** Records that the process has announced itself, so it was just alive. */
+  confirm(): void {
+    const previous = this.anchor;
+    const ageMs = performance.now() - this.anchorOpenedMs;
+    const isUsable =
+      previous !== null && (previous.connecting || this.reaches(previous));
+    if (isUsable && ageMs < ANCHOR_MAX_AGE_MS) return;
+    const anchor = this.options.connect();
+    this.anchor = anchor;
+    this.anchorOpenedMs = performance.now();
+    anchor.unref().resume();
+    this.follow(anchor, this.verified.size === 0);
+    anchor.once('connect', () => previous?.destroy());
+    anchor.once('close', () => {
+      if (this.anchor === anchor) this.anchor = null;
+    });
+  }
+
+  /**
+   * Follows a connection that is being opened.
+   *
+   * @param socket - The connection.
+   */
+  track(socket: Socket): void {
+    this.follow(socket, false);
+  }
+
+  /**
+   * Returns whether a connection leads to the announced process.
+   *
+   * @param socket - The connection, or null if there is none.
+   * @returns False if it may lead to a successor.
+   */
+  reaches(socket: Socket | null): boolean {
+    return socket !== null && this.verified.has(socket);
+  }
+
+  /** Closes the watch's own connection. */
+  close(): void {
+    this.anchor?.destroy();
+  }
+
+  private follow(socket: Socket, wasJustAnnounced: boolean): void {
+    const forget = (): void => void this.verified.delete(socket);
+    socket.once('connect', () => {
+      // The ends of earlier connections that are known by now come first.
+      setImmediate(() => {
+        const isReached = wasJustAnnounced || this.verified.size > 0;
+        if (isReached && !socket.destroyed) this.verified.add(socket);
+      });
+    });
+    socket.once('end', forget);
+    socket.once('close', forget);
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      if (error.code !== 'ECONNREFUSED') return;
+      setImmediate(() => this.options.onRefused(this.verified.size > 0));
+    });
+  }
+}
--- a/packages/daemon/src/runs/protocol.ts
+++ b/packages/daemon/src/runs/protocol.ts
@@ -3,7 +3,7 @@
 import type {Effect, Generation, Slice} from '@jackdawfall/core';
 
 import {toHeaderRecord} from '../http/headers.js';
-import type {ServerProtocol} from '../adapters/types.js';
+import type {GrantOutcome, ServerProtocol} from '../adapters/types.js';
 import {limitResponse} from './excess_bytes.js';
 import {endOnceConnected, timeToLiveMs} from './grants.js';
 
@@ -44,10 +44,10 @@
     });
     limitResponse(outgoing);
     let reported = false;
-    const reportAll = (confirmed: boolean): void => {
+    const reportAll = (outcome: GrantOutcome): void => {
       if (reported) return;
       reported = true;
-      for (const grant of grants) report(grant, confirmed);
+      for (const grant of grants) report(grant, outcome);
     };
     outgoing.on('response', incoming => {
       // A late response to a request confirms no grants.
@@ -56,11 +56,12 @@
         return;
       }
       incoming.resume();
-      reportAll((incoming.statusCode ?? 0) < 300);
+      const isConfirmed = (incoming.statusCode ?? 0) < 300;
+      reportAll(isConfirmed ? 'confirmed' : 'unconfirmed');
     });
     // A grant that isn't confirmed is sent again with the next renewal.
-    outgoing.on('error', () => reportAll(false));
-    outgoing.on('close', () => reportAll(false));
+    outgoing.on('error', () => reportAll('unconfirmed'));
+    outgoing.on('close', () => reportAll('unconfirmed'));
     endOnceConnected(outgoing, () => {
       const ttlMs = timeToLiveMs(until);
       if (ttlMs === null) return null;
