A closed listener doesn't end the holds of a living server

Cause: a refused connection was taken for the end of the server's process, and all its holds were forgotten. A process that shuts down closes its listener first; if the daemon doesn't know of the shutdown, its slices moved to other servers while it held them.

'a refused connection to a process that only closed its listener' is new; nothing told the two apart before.

Why it works: the holds are forgotten only if no connection from the life of the process is open any more. Otherwise the server counts as lost, gets no work, and its slices move once its grants have expired.

--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -123,8 +123,8 @@
       silenceMs: tuning.links.silenceMs,
       silentRunMs: tuning.execution.silentRunMs,
       protocol: adapters.servers,
-      onServerUnreachable: server =>
-        this.reportServerLost(server, 'connection refused', true),
+      onServerUnreachable: (server, isAlive) =>
+        this.reportServerLost(server, 'connection refused', !isAlive),
       keptLimits: {
         responseBytes: tuning.execution.keptAnswerBytes,
         totalBytes: tuning.execution.keptTotalBytes,
