A server that is heard again keeps the proof that its process is alive

Cause: a server that counts as lost lost its connection pool, and with it the connection that showed that its process was alive. The next announcement of the same instance began a new pool, whose first refused connection proved an end.

Evidence: the case 'a process that announces itself after it closed its listener' failed (alive is false).

Why it works: the pool stays until another instance, address or limit is announced.

--- a/packages/daemon/src/runs/connections.ts
+++ b/packages/daemon/src/runs/connections.ts
@@ -80,6 +80,21 @@
     );
   }
 
+  /**
+   * Returns whether the pool leads to the server of an announcement.
+   *
+   * @param announcement - The announcement.
+   * @returns False if the server needs another pool.
+   */
+  serves(announcement: Announcement): boolean {
+    const {address, instance, connections} = this.announcement;
+    return (
+      address === announcement.address &&
+      instance === announcement.instance &&
+      connections === announcement.connections
+    );
+  }
+
   /** Records that the server's process has just announced itself. */
   confirmProcess(): void {
     this.watch.confirm();
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -92,17 +92,13 @@
    * @param announcement - The server's announcement, or null if there is none now.
    */
   setServer(announcement: Announcement | null): void {
-    const previous = this.announcement;
     this.announcement = announcement;
     if (announcement === null) {
-      this.connections?.retire();
+      // Its process may still be alive, and only its connections tell.
+      this.connections?.useNewConnections();
       return;
     }
-    const isUnchanged =
-      previous?.address === announcement.address &&
-      previous.instance === announcement.instance &&
-      previous.connections === announcement.connections;
-    if (!isUnchanged || this.connections === null) {
+    if (this.connections?.serves(announcement) !== true) {
       this.connections?.retire();
       this.connections = new ServerConnectionPool(announcement, isAlive =>
         this.context.onServerUnreachable(announcement, isAlive),
--- a/packages/daemon/src/runs/process_watch.spec.ts
+++ b/packages/daemon/src/runs/process_watch.spec.ts
@@ -3,10 +3,17 @@
 import {createServer} from 'node:net';
 import type {AddressInfo, Socket} from 'node:net';
 
-import type {Address, Announcement} from '@jackdawfall/core';
+import type {
+  Address,
+  Announcement,
+  Effect,
+  InstanceId,
+  ServiceName,
+} from '@jackdawfall/core';
 import test from 'ava';
 
-import {ServerConnectionPool} from './connections.js';
+import {RunExecutor} from './logic.js';
+import {SERVER_PROTOCOL} from './protocol.js';
 
 const WAIT_MS = 2000;
 const STEP_MS = 10;
@@ -15,12 +22,26 @@
   name: string;
   /** Whether the server's open connections end with its listener. */
   connectionsEnd: boolean;
+  /** Whether the server is lost and announces itself again meanwhile. */
+  announcedAgain: boolean;
   isAlive: boolean;
 }> = [
-  {name: 'a process that ended', connectionsEnd: true, isAlive: false},
+  {
+    name: 'a process that ended',
+    connectionsEnd: true,
+    announcedAgain: false,
+    isAlive: false,
+  },
   {
     name: 'a process that only closed its listener',
     connectionsEnd: false,
+    announcedAgain: false,
+    isAlive: true,
+  },
+  {
+    name: 'a process that announces itself after it closed its listener',
+    connectionsEnd: false,
+    announcedAgain: true,
     isAlive: true,
   },
 ];
@@ -32,7 +53,36 @@
   }
 }
 
-for (const {name, connectionsEnd, isAlive} of CASES) {
+function createExecutor(onRefused: (isAlive: boolean) => void): RunExecutor {
+  return new RunExecutor({
+    emit: () => undefined,
+    transmit: () => undefined,
+    mayWrite: () => true,
+    windowBytes: 1024,
+    silenceMs: WAIT_MS,
+    silentRunMs: WAIT_MS,
+    protocol: SERVER_PROTOCOL,
+    onServerUnreachable: (_, isAlive) => onRefused(isAlive),
+    keptLimits: {responseBytes: 100, totalBytes: 1000},
+  });
+}
+
+function grantEffect(): Extract<Effect, {kind: 'grantSlices'}> {
+  return {
+    kind: 'grantSlices',
+    service: 'finder' as ServiceName,
+    slices: 2,
+    grants: [],
+    round: 1,
+    until: {
+      monotonic: performance.now() + WAIT_MS,
+      wall: Date.now() + WAIT_MS,
+    },
+    timeoutMs: WAIT_MS,
+  };
+}
+
+for (const {name, connectionsEnd, announcedAgain, isAlive} of CASES) {
   // A server that no longer listened was taken for one that holds no slices.
   test(`a refused connection to ${name}: alive is ${isAlive}`, async t => {
     const sockets = new Set<Socket>();
@@ -45,21 +95,26 @@
       server.listen(0, '127.0.0.1', () => resolve()),
     );
     const {port} = server.address() as AddressInfo;
+    const announcement = {
+      address: `127.0.0.1:${port}` as Address,
+      instance: 'i' as InstanceId,
+      connections: 4,
+      checksGrants: true,
+    } as Announcement;
     const seen: boolean[] = [];
-    const pool = new ServerConnectionPool(
-      {address: `127.0.0.1:${port}` as Address, connections: 4} as Announcement,
-      alive => void seen.push(alive),
-    );
+    const executor = createExecutor(alive => void seen.push(alive));
     t.teardown(() => {
-      pool.destroy();
       for (const socket of sockets) socket.destroy();
     });
-    pool.confirmProcess();
+    executor.setServer(announcement);
     await waitUntil(() => sockets.size === 1);
     server.close();
     if (connectionsEnd) for (const socket of sockets) socket.destroy();
-    const outgoing = pool.open({path: '/'});
-    outgoing.on('error', () => undefined);
+    if (announcedAgain) {
+      executor.setServer(null);
+      executor.setServer(announcement);
+    }
+    executor.grantSlices(grantEffect());
     await waitUntil(() => seen.length > 0);
     t.deepEqual(seen, [isAlive]);
   });
--- a/packages/daemon/src/runs/process_watch.ts
+++ b/packages/daemon/src/runs/process_watch.ts
@@ -29,6 +29,8 @@
   /** Connection without requests, so that one is always open. */
   private anchor: Socket | null = null;
   private anchorOpenedMs = 0;
+  /** All connections that the watch opened and that aren't closed. */
+  private readonly own = new Set<Socket>();
 
   /** @param options - What the watch needs from the pool. */
   constructor(private readonly options: ProcessWatchOptions) {}
@@ -43,10 +45,12 @@
     const anchor = this.options.connect();
     this.anchor = anchor;
     this.anchorOpenedMs = performance.now();
+    this.own.add(anchor);
     anchor.unref().resume();
     this.follow(anchor, this.verified.size === 0);
     anchor.once('connect', () => previous?.destroy());
     anchor.once('close', () => {
+      this.own.delete(anchor);
       if (this.anchor === anchor) this.anchor = null;
     });
   }
@@ -70,9 +74,9 @@
     return socket !== null && this.verified.has(socket);
   }
 
-  /** Closes the watch's own connection. */
+  /** Closes the watch's own connections. */
   close(): void {
-    this.anchor?.destroy();
+    for (const socket of this.own) socket.destroy();
   }
 
   private follow(socket: Socket, wasJustAnnounced: boolean): void {
