Unanswered grants are released when the server is heard again

Cause: an unconfirmed grant counted as ended once it expired by the daemon's clock, and was forgotten. Its call may still wait at the server, which counts the time from its arrival.

Why it works: slices whose grants expired unanswered, or were open as the member was removed, are released as far as the log gives them to others, as soon as the server is announced, and until it responds: a release is never refused, and it waits behind the grants. This bounds the time; it doesn't prevent it.

--- a/packages/core/src/grants/calls.ts
+++ b/packages/core/src/grants/calls.ts
@@ -3,7 +3,7 @@
 /** Maximum number of calls of one kind that are under way at a time. */
 export const MAX_CALLS_UNDER_WAY = 8;
 /** Time after which a call counts as ended although nothing was reported. */
-const CALL_TIMEOUT_MS = 1500;
+export const CALL_TIMEOUT_MS = 1500;
 
 /**
  * Frees the places of calls of which nothing was reported in time.
--- a/packages/core/src/grants/releases.spec.ts
+++ b/packages/core/src/grants/releases.spec.ts
@@ -129,3 +129,66 @@
     t.notRegex(text ?? '', /11aa/);
   });
 }
+
+/** First slices of the releases among the effects. */
+function askedIn(effects: readonly Effect[]): number[] {
+  return effects.flatMap(effect =>
+    effect.kind === 'releaseSlices'
+      ? effect.grants.map(grant => grant.first)
+      : [],
+  );
+}
+
+/**
+ * A daemon that moved a slice away whose grant had no response, and what it asked
+ * its server to release since the move was committed.
+ */
+function createAfterUnansweredGrant(): {
+  harness: OwnershipHarness;
+  asked: number[];
+} {
+  const harness = new OwnershipHarness(HISTORY, true);
+  harness.receiveEntries([moving(OTHER)]);
+  for (let waited = 0; waited < 2 * LEASE_MS; waited += TICK_MS) {
+    harness.now += TICK_MS;
+    const asked = askedIn(harness.tick());
+    if (harness.firstWrittenAt.has('released')) return {harness, asked};
+  }
+  throw new Error('the move was not committed');
+}
+
+/** Ticks for some time; returns the first slices of all releases asked for. */
+function askedWithin(harness: OwnershipHarness, ms: number): number[] {
+  const asked: number[] = [];
+  for (let waited = 0; waited < ms; waited += TICK_MS) {
+    harness.now += TICK_MS;
+    asked.push(...askedIn(harness.tick()));
+  }
+  return asked;
+}
+
+// A server that stood still carried the grant out as it continued, and held the
+// slice beside its next owner until the grant expired.
+test('an unanswered grant of a slice that moved away is released', t => {
+  const {harness, asked} = createAfterUnansweredGrant();
+  t.deepEqual([...asked, ...askedWithin(harness, LEASE_MS / 2)], [SLICE]);
+});
+
+test('an unanswered release is repeated until the server responds', t => {
+  const {harness, asked} = createAfterUnansweredGrant();
+  const since = askedWithin(harness, 2 * LEASE_MS);
+  t.deepEqual([...asked, ...since], [SLICE, SLICE, SLICE]);
+});
+
+test('a server that was lost is asked for releases once it is back', t => {
+  const {harness} = createAfterUnansweredGrant();
+  const announcement = harness.announcementOf(SELF);
+  const {instance} = announcement;
+  harness.handle({kind: 'announcementExpired', instance, processEnded: false});
+  t.deepEqual(askedWithin(harness, LEASE_MS), []);
+  const effects = harness.handle({kind: 'announcementReceived', announcement});
+  const release = releaseIn(effects);
+  t.deepEqual(askedIn(effects), [SLICE]);
+  harness.handle(answerTo(release, ''));
+  t.deepEqual(askedWithin(harness, 2 * LEASE_MS), []);
+});
--- a/packages/core/src/grants/schedule.ts
+++ b/packages/core/src/grants/schedule.ts
@@ -18,6 +18,7 @@
 import {grantKey, sliceKey, sliceKeysOf} from './keys.js';
 import {confirmGrant, groupIntoGrants, ownedSlices} from './logic.js';
 import type {ScheduledSlice, SliceGrants} from './types.js';
+import {recordUnproven} from './unproven.js';
 import {addUnconfirmed, dropExpired, takeUnconfirmed} from './unconfirmed.js';
 
 /** Maximum time between two grants of a slice, as a share of the lease. */
@@ -55,6 +56,7 @@
   for (const sent of dropExpired(grants, at.monotonic)) {
     const {service, first, count, generation, sentAt} = sent;
     const ageMs = Math.round(at.monotonic - sentAt);
+    recordUnproven(grants, sent);
     log(context, 'holdsExpired', {service, first, count, generation, ageMs});
   }
   dropOverdueCalls(grants.underWay, at.monotonic);
--- a/packages/core/src/grants/state.ts
+++ b/packages/core/src/grants/state.ts
@@ -14,6 +14,7 @@
     predecessorGrantsUntil: 0,
     unconfirmed: new Map(),
     unconfirmedBySlice: new Map(),
+    unproven: new Map(),
     round: 0,
     schedule: new Map(),
     queue: [],
--- a/packages/core/src/grants/types.ts
+++ b/packages/core/src/grants/types.ts
@@ -45,6 +45,16 @@
   readonly confirmedAfter: number;
 }
 
+/** A slice whose grants ended without a proof from the server. */
+export interface UnprovenEnd {
+  readonly service: ServiceName;
+  readonly slice: Slice;
+  /** Number of the latest release that asked for it, or null. */
+  releaseRound: number | null;
+  /** Monotonic time of that release. */
+  releasedAt: number;
+}
+
 /**
  * State of the slice grants that a daemon sends. Keys are `service/slice`
  * unless stated otherwise.
@@ -63,6 +73,8 @@
   readonly unconfirmed: Map<string, UnconfirmedGrant>;
   /** The same grants by slice; a slice without any has no entry. */
   readonly unconfirmedBySlice: Map<string, Set<UnconfirmedGrant>>;
+  /** Slices that the server may hold though their grants count as ended. */
+  readonly unproven: Map<string, UnprovenEnd>;
   /** Number of the latest `grantSlices` or `releaseSlices` effect. */
   round: number;
   /** The latest grant of each slice. */
--- /dev/null
+++ b/packages/core/src/grants/unproven.ts
@@ -0,0 +1,141 @@
+/**
+ * @fileoverview Slices that the server may hold although their grants count as
+ * ended: a call without a response may have waited at a server that stood still.
+ * What this member no longer owns is released once the server is heard again.
+ */
+
+import type {ServiceName, Slice} from '../ids/types.js';
+import type {Event, SliceGrant} from '../loop/types.js';
+import type {ServicePlacement} from '../map/types.js';
+import {log} from '../ownership/effects.js';
+import type {OwnershipContext} from '../ownership/state.js';
+import {CALL_TIMEOUT_MS, MAX_CALLS_UNDER_WAY} from './calls.js';
+import {sliceKey, sliceKeysOf} from './keys.js';
+import {groupIntoGrants} from './logic.js';
+import type {SliceGrants, UnprovenEnd} from './types.js';
+
+/**
+ * Records slices whose grants ended without a proof.
+ *
+ * @param grants - State of the grants.
+ * @param range - The slices.
+ * @param range.service - Their service.
+ * @param range.first - The first of them.
+ * @param range.count - Their number.
+ */
+export function recordUnproven(
+  grants: SliceGrants,
+  range: {
+    readonly service: ServiceName;
+    readonly first: Slice;
+    readonly count: number;
+  },
+): void {
+  const {service, first, count} = range;
+  for (let slice = first; slice < first + count; slice++) {
+    const key = sliceKey(service, slice);
+    if (grants.unproven.has(key)) continue;
+    grants.unproven.set(key, {
+      service,
+      slice: slice,
+      releaseRound: null,
+      releasedAt: 0,
+    });
+  }
+}
+
+/**
+ * Records all slices of which the server may hold an unconfirmed grant, as this
+ * member is removed: its successor knows nothing of them.
+ *
+ * @param grants - State of the grants.
+ */
+export function recordAllUnproven(grants: SliceGrants): void {
+  for (const sent of grants.unconfirmed.values()) recordUnproven(grants, sent);
+}
+
+/**
+ * Asks the server to release unproven slices that this member doesn't own. They
+ * are asked for again until the server responds.
+ *
+ * @param context - Context of the current input.
+ */
+export function releaseUnproven(context: OwnershipContext): void {
+  const {state, at, effects} = context;
+  const {grants, announcement, releasesUnderWay} = state;
+  if (announcement?.checksGrants !== true) return;
+  for (const [service, slices] of releasable(context)) {
+    const asked: SliceGrant[] = [];
+    const round = grants.round + 1;
+    for (const grant of groupIntoGrants(service, slices)) {
+      if (releasesUnderWay.size >= MAX_CALLS_UNDER_WAY) break;
+      const {first, count, generation} = grant;
+      releasesUnderWay.set(sliceKey(service.name, first), at.monotonic);
+      for (const key of sliceKeysOf(service.name, grant)) {
+        const unproven = grants.unproven.get(key);
+        if (unproven === undefined) continue;
+        unproven.releaseRound = round;
+        unproven.releasedAt = at.monotonic;
+      }
+      const fields = {service: service.name, round, first, count, generation};
+      log(context, 'unprovenReleased', fields);
+      asked.push(grant);
+    }
+    if (asked.length === 0) return;
+    grants.round = round;
+    effects.push({
+      kind: 'releaseSlices',
+      service: service.name,
+      slices: service.slices,
+      grants: asked,
+      round,
+    });
+  }
+}
+
+/**
+ * Forgets unproven slices that the server has released.
+ *
+ * @param grants - State of the grants.
+ * @param event - The slices, and the number of the release.
+ */
+export function recordUnprovenReleased(
+  grants: SliceGrants,
+  event: Extract<Event, {kind: 'slicesReleased'}>,
+): void {
+  for (const key of sliceKeysOf(event.service, event.grant)) {
+    if (grants.unproven.get(key)?.releaseRound !== event.round) continue;
+    grants.unproven.delete(key);
+  }
+}
+
+/**
+ * Lists unproven slices to release now, and forgets those that this member
+ * owns: it grants them again, or releases them as they move.
+ */
+function releasable({
+  state,
+  at,
+}: OwnershipContext): Map<ServicePlacement, Slice[]> {
+  const {grants, map} = state;
+  const own = map.members.get(state.self)?.index;
+  const found = new Map<ServicePlacement, Slice[]>();
+  for (const [key, unproven] of grants.unproven) {
+    const service = map.services.get(unproven.service);
+    const isOwned =
+      service !== undefined && service.owner[unproven.slice] === own;
+    if (service === undefined || isOwned) {
+      grants.unproven.delete(key);
+    } else if (isDue(unproven, at.monotonic)) {
+      const slices = found.get(service) ?? [];
+      slices.push(unproven.slice);
+      found.set(service, slices);
+    }
+  }
+  for (const slices of found.values()) slices.sort((a, b) => a - b);
+  return found;
+}
+
+function isDue({releaseRound, releasedAt}: UnprovenEnd, now: number): boolean {
+  return releaseRound === null || now - releasedAt >= CALL_TIMEOUT_MS;
+}
--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -174,6 +174,10 @@
     'info',
     'The backend server has ended, and with it its holds of slices.',
   ),
+  unprovenReleased: step(
+    421,
+    'The backend server was asked to release slices of other members, since it did not respond to their grants.',
+  ),
   sourceFailed: event(
     513,
     'warn',
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -6,6 +6,7 @@
 
 import {groupIntoGrants, mayRequestRelease} from '../grants/logic.js';
 import {mayServerHold, recordRelease} from '../grants/holds.js';
+import {recordUnprovenReleased} from '../grants/unproven.js';
 import {MAX_CALLS_UNDER_WAY, dropOverdueCalls} from '../grants/calls.js';
 import {sliceKey} from '../grants/keys.js';
 import type {ServiceName, Slice} from '../ids/types.js';
@@ -158,6 +159,7 @@
     if (drain?.releaseRound === event.round) drain.handover = event.handover;
   }
   const kept = recordRelease(state.grants, event);
+  recordUnprovenReleased(state.grants, event);
   logReleaseAnswered(context, event, kept);
   state.releasesUnderWay.delete(sliceKey(event.service, first));
   requestHandBack(context);
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -71,6 +71,7 @@
 import {runDueTasks} from './due_tasks.js';
 import {checkInvariants} from './invariants.js';
 import {log, send, reportViolation} from './effects.js';
+import {recordAllUnproven} from '../grants/unproven.js';
 import {handleAnnouncement, handleServerGone} from './local_server.js';
 import type {OwnershipContext, OwnershipState} from './state.js';
 import type {WorkView} from './types.js';
@@ -447,6 +448,7 @@
   state.revokedMembers.clear();
   state.evictions.clear();
   state.drains.clear();
+  recordAllUnproven(state.grants);
   state.releasesUnderWay.clear();
   state.notAcceptingWorkSince = null;
   if (state.map.members.has(state.self)) {
--- a/packages/core/src/ownership/due_tasks.ts
+++ b/packages/core/src/ownership/due_tasks.ts
@@ -7,6 +7,7 @@
 import {confirmConfiguration} from '../configuration/watchers.js';
 import {mayServerHoldAny} from '../grants/holds.js';
 import {renewServerGrants} from '../grants/schedule.js';
+import {releaseUnproven} from '../grants/unproven.js';
 import {hostOf} from '../ids/logic.js';
 import type {MemberId} from '../ids/types.js';
 import {readLogIfDue} from '../log_replication/reader.js';
@@ -92,6 +93,7 @@
     advanceEvictions(context);
     trackDrains(context);
     requestHandBack(context);
+    releaseUnproven(context);
     trackWorkAcceptance(context);
     renewServerGrants(context);
     reportLoad(context);
