Emulator: the backend server checks slice grants; two holders are a violation

It refuses (409) a generation lower than one granted before, stops new work at a release, answers a release (POST /releases) once the work has ended, and ends work that outlasts its hold. By the command spoil it answers grants and releases late, repeats answers on kept connections, and carries grants out late without an answer.

Grants, releases and ends of holds are recorded by the monotonic clock of the machine. The ledger reports each time in which two servers hold a slice, with both histories.

--- a/packages/emulator/src/control/logic.ts
+++ b/packages/emulator/src/control/logic.ts
@@ -10,6 +10,7 @@
 
 /** Loopback address, on which the processes of the emulator listen. */
 export const LOOPBACK = '127.0.0.1';
+const NS_PER_MS = 1e6;
 
 /** Returns a random number in [0, 1). */
 export type Random = () => number;
@@ -30,6 +31,15 @@
   return () => uniformFloat64(generator);
 }
 
+/**
+ * Reads the monotonic clock that all processes of this machine share.
+ *
+ * @returns Milliseconds.
+ */
+export function monotonicNow(): number {
+  return Number(process.hrtime.bigint()) / NS_PER_MS;
+}
+
 /**
  * Reads a whole body as text.
  *
--- a/packages/emulator/src/deployment/cluster.ts
+++ b/packages/emulator/src/deployment/cluster.ts
@@ -14,7 +14,7 @@
 import {join} from 'node:path';
 
 import {get, post} from '../control/client.js';
-import {LOOPBACK, sleep} from '../control/logic.js';
+import {LOOPBACK, monotonicNow, sleep} from '../control/logic.js';
 import {StartError, startProcess, startEmulatorProcess} from './processes.js';
 import {reservePorts} from './ports.js';
 
@@ -155,9 +155,11 @@
   cluster: Cluster,
   host: Host,
 ): Promise<void> {
+  const monotonicMs = monotonicNow();
   host.server?.kill('SIGKILL');
   await host.server?.exited;
-  cluster.killedServers.push({host: host.plan.host, atMs: Date.now()});
+  const {host: name} = host.plan;
+  cluster.killedServers.push({host: name, atMs: Date.now(), monotonicMs});
   host.server = null;
 }
 
--- a/packages/emulator/src/ledger/logic.spec.ts
+++ b/packages/emulator/src/ledger/logic.spec.ts
@@ -164,8 +164,12 @@
   const [started] = run(1, 5);
   const next = run(50, 60, 'h2', 2, 'r2');
   const serverRecords = [started, ...next];
-  const early = verifyOutcomes([], serverRecords, [{host: 'h1', atMs: 40}]);
-  const late = verifyOutcomes([], serverRecords, [{host: 'h1', atMs: 55}]);
+  const early = verifyOutcomes([], serverRecords, [
+    {host: 'h1', atMs: 40, monotonicMs: 40},
+  ]);
+  const late = verifyOutcomes([], serverRecords, [
+    {host: 'h1', atMs: 55, monotonicMs: 55},
+  ]);
   t.deepEqual(
     [early, late].map(verdict => verdict.violations.length),
     [0, 1],
--- a/packages/emulator/src/ledger/logic.ts
+++ b/packages/emulator/src/ledger/logic.ts
@@ -4,6 +4,8 @@
 import type {CallRecord} from '../load/types.js';
 import type {ServerRecord, Run} from '../server/types.js';
 
+import type {EndedServer} from './holders.js';
+import {findSharedHolds} from './holders.js';
 import {longestUnserved} from '../load/logic.js';
 
 /** A run with its end; without one, it lasts until its server was killed. */
@@ -14,8 +16,7 @@
 }
 
 /** A backend server that was killed. */
-export interface KilledServer {
-  readonly host: string;
+export interface KilledServer extends EndedServer {
   /** Wall clock, in milliseconds. */
   readonly atMs: number;
 }
@@ -46,6 +47,7 @@
     ...records.flatMap(each => checkRecord(each, byRequest, tolerance)),
     ...checkRuns(byRequest),
     ...checkOwners(intervals),
+    ...checkHolders(serverRecords, killedServers),
     ...checkGenerations(intervals),
     ...checkServers(serverRecords, tolerance),
   ];
@@ -176,6 +178,22 @@
   return violations;
 }
 
+/** Checks that no two servers hold a slice at the same time. */
+function checkHolders(
+  serverRecords: readonly ServerRecord[],
+  killedServers: readonly KilledServer[],
+): Violation[] {
+  return findSharedHolds(serverRecords, killedServers).map(shared => {
+    const {service, slice, fromMs, untilMs, holders} = shared;
+    const lastsMs = (untilMs - fromMs).toFixed(1);
+    const lines = holders.map(
+      ({instance, history}) => `\n    ${instance}: ${history.join('; ')}`,
+    );
+    const detail = `${service}/${slice} for ${lastsMs} ms${lines.join('')}`;
+    return {kind: 'two-holders', detail};
+  });
+}
+
 /** Checks that no slice returns to an earlier generation. */
 function checkGenerations(intervals: readonly RunInterval[]): Violation[] {
   const newest = new Map<string, Run>();
--- a/packages/emulator/src/ledger/types.ts
+++ b/packages/emulator/src/ledger/types.ts
@@ -15,6 +15,8 @@
     | 'hung'
     /** Runs on one slice by two servers overlapped. */
     | 'two-servers'
+    /** Two servers held one slice at the same time. */
+    | 'two-holders'
     /** A run on a slice had an older generation than a run before it. */
     | 'generation-back'
     /** A server got more requests than its capacity. */
@@ -24,6 +26,22 @@
   readonly detail: string;
 }
 
+/** A time for which two servers held the same slice. */
+export interface SharedHold {
+  readonly service: string;
+  readonly slice: number;
+  /** Monotonic times, in milliseconds. */
+  readonly fromMs: number;
+  readonly untilMs: number;
+  /** The server that held it first, and the other one. */
+  readonly holders: ReadonlyArray<{
+    readonly host: string;
+    readonly instance: string;
+    /** Its latest grants, releases and ends, with times since `fromMs`. */
+    readonly history: readonly string[];
+  }>;
+}
+
 /** Result of checking callers' records against servers' records. */
 export interface Verdict {
   readonly requests: number;
--- a/packages/emulator/src/server/definition.ts
+++ b/packages/emulator/src/server/definition.ts
@@ -1,7 +1,7 @@
 /** @fileoverview Emulated backend server over HTTP that announces itself. */
 
 import type {IncomingRequest} from './logic.js';
-import type {ServerState} from './state.js';
+import type {ServerState, SliceWork} from './state.js';
 import type {
   RecordListener,
   RunEnd,
@@ -12,12 +12,13 @@
 import type {IncomingHttpHeaders, IncomingMessage} from 'node:http';
 import type {ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
-import {createServer} from 'node:http';
+import {STATUS_CODES, createServer} from 'node:http';
 
 import {startControlPort} from '../control/definition.js';
 import {
   checksum,
   listen,
+  monotonicNow,
   readText,
   seededRandom,
   sendJson,
@@ -34,11 +35,22 @@
   drawServiceTimeMs,
 } from './logic.js';
 import {ResponseFaults} from './faulty_responses.js';
+import type {GrantCall, SliceCall} from './holds.js';
+import {
+  beginRelease,
+  carryOutGrant,
+  endAllHolds,
+  endExpiredHolds,
+  endRelease,
+  startSliceWork,
+} from './holds.js';
 import {createServerState} from './state.js';
 import {SERVER_COMMANDS} from './types.js';
 
 /** Id of the attempt, in requests and responses. */
 const ATTEMPT_HEADER = 'x-jackdawfall-attempt';
+const NO_CONTENT = 204;
+const CONFLICT = 409;
 const MAX_BODY_BYTES = 8 * 1024 * 1024;
 /** Time that a health or load probe takes. */
 const PROBE_TIME_MS = 6;
@@ -48,6 +60,10 @@
 const MIN_RUN_MS = 1;
 /** Interval at which a server that reports `lagging` updates its load. */
 const LOAD_REPORT_LAG_MS = 2000;
+/** Interval at which ends of holds are recorded. */
+const HOLD_CHECK_INTERVAL_MS = 100;
+/** Token for the next owner of released slices. */
+const HANDOVER_HEADER = 'x-jackdawfall-handover';
 const IDEMPOTENT_METHODS = new Set(['GET', 'HEAD', 'PUT', 'DELETE']);
 
 /** Connections of the server. */
@@ -97,6 +113,8 @@
       port: options.controlPort,
       commands: SERVER_COMMANDS,
       execute: command => {
+        const restarts = command.kind === 'cold' && command.announced;
+        if (restarts) endAllHolds(state, monotonicNow());
         executeCommand(state, command, Date.now());
         if (command.kind === 'blackhole') silenceSockets(sockets, command.on);
       },
@@ -107,7 +125,13 @@
   const reportTimer = setInterval(() => {
     state.reportedRunning = state.running;
   }, LOAD_REPORT_LAG_MS);
-  signal.addEventListener('abort', () => clearInterval(reportTimer));
+  const holdTimer = setInterval(() => {
+    endExpiredHolds(state, monotonicNow());
+  }, HOLD_CHECK_INTERVAL_MS);
+  signal.addEventListener('abort', () => {
+    clearInterval(reportTimer);
+    clearInterval(holdTimer);
+  });
   void announcePeriodically(state, port, signal);
   return {port, controlPort};
 }
@@ -143,32 +167,58 @@
     sockets.opened.add(socket);
     await sleep(CONNECTION_SETUP_MS);
   }
-  if (name === 'POST /grants') storeGrants(state, body, response);
-  else if (name === 'GET /health') {
+  if (name === 'POST /grants') {
+    const call = JSON.parse(body) as GrantCall;
+    await handleGrant(state, sockets.faults, call, response);
+  } else if (name === 'POST /releases') {
+    const call = JSON.parse(body) as SliceCall;
+    await handleRelease(state, sockets.faults, call, response);
+  } else if (name === 'GET /health') {
     await respondToProbe(state, response, {ok: true});
   } else if (name === 'GET /load') {
     await respondToProbe(state, response, loadOf(state));
   } else await handleRequest(state, sockets, request, response, body);
 }
 
-function storeGrants(
+async function handleGrant(
   state: ServerState,
-  body: string,
+  faults: ResponseFaults,
+  call: GrantCall,
   response: ServerResponse,
-): void {
-  const grants = JSON.parse(body) as {
-    slices: number[];
-    generations: number[];
-    ttlMs: number;
-  };
-  const untilMs = performance.now() + grants.ttlMs;
-  grants.slices.forEach((slice, index) => {
-    const generation = grants.generations[index] ?? 0;
-    const current = state.grants.get(slice);
-    if (current !== undefined && current.generation > generation) return;
-    state.grants.set(slice, {generation, untilMs});
-  });
-  response.writeHead(204).end();
+): Promise<void> {
+  const arrivedMs = monotonicNow();
+  const delayMs = faults.grantDelayMs();
+  await sleep(delayMs);
+  const accepted = carryOutGrant(state, call, arrivedMs, monotonicNow());
+  if (delayMs > 0) return;
+  await answerCall(faults, response, accepted ? NO_CONTENT : CONFLICT);
+}
+
+async function handleRelease(
+  state: ServerState,
+  faults: ResponseFaults,
+  call: SliceCall,
+  response: ServerResponse,
+): Promise<void> {
+  const running = beginRelease(state, call, monotonicNow());
+  await Promise.all(running.map(work => work.ended));
+  endRelease(state, call, monotonicNow());
+  response.setHeader(HANDOVER_HEADER, `${state.instance}/${call.slices[0]}`);
+  await answerCall(faults, response, NO_CONTENT);
+}
+
+/** Answers a grant or release, late or after a copy of an earlier answer. */
+async function answerCall(
+  faults: ResponseFaults,
+  response: ServerResponse,
+  status: number,
+): Promise<void> {
+  const {socket} = response;
+  await sleep(faults.answerDelayMs());
+  if (response.destroyed || socket === null) return;
+  faults.repeatAnswer(socket);
+  faults.keepAnswer(socket, `${status} ${STATUS_CODES[status]}`);
+  response.writeHead(status).end();
 }
 
 async function respondToProbe(
@@ -203,9 +253,10 @@
   const now = Date.now();
   const {socket} = request;
   faults.repeatRefusal(socket);
+  faults.repeatAnswer(socket);
   response.setHeader(ATTEMPT_HEADER, incoming.attempt);
   const refusal =
-    findRefusal(state, incoming, now, performance.now()) ??
+    findRefusal(state, incoming, now, monotonicNow()) ??
     (faults.refuses() ? 'shedding' : null);
   if (refusal !== null) {
     addRecord(state, {
@@ -230,10 +281,14 @@
   const end = await waitForRun(state, incoming, response);
   finishRun(state, incoming, end);
   if (end === 'finished' && faults.spoil(response)) return;
-  if (end === 'finished') sendResponse(state, incoming, response, body);
-  else if (!response.destroyed) sendJson(response, 504, {reason: end});
+  if (end === 'finished') {
+    sendResponse(state, incoming, response, body);
+  } else if (!response.destroyed) {
+    sendJson(response, end === 'hold-ended' ? 500 : 504, {reason: end});
+  }
 }
 
+/** Waits for the end of a run, at most until its slice isn't held any more. */
 async function waitForRun(
   state: ServerState,
   incoming: IncomingRequest,
@@ -241,11 +296,31 @@
 ): Promise<RunEnd> {
   const timeMs = drawServiceTimeMs(state, Date.now());
   const leftMs = incoming.deadlineMs ?? Number.POSITIVE_INFINITY;
-  const stop = new AbortController();
-  response.once('close', () => stop.abort());
-  await sleep(Math.max(MIN_RUN_MS, Math.min(timeMs, leftMs)), stop.signal);
-  if (stop.signal.aborted) return 'cancelled';
-  return timeMs > leftMs ? 'deadline' : 'finished';
+  const endsAtMs = monotonicNow() + Math.min(timeMs, leftMs);
+  const cancel = new AbortController();
+  const restart = new AbortController();
+  const stop = AbortSignal.any([cancel.signal, restart.signal]);
+  response.once('close', () => cancel.abort());
+  const work = startSliceWork(state, incoming.slice, () => restart.abort());
+  try {
+    for (;;) {
+      const waitMs = Math.min(endsAtMs, holdEndOf(work)) - monotonicNow();
+      await sleep(Math.max(MIN_RUN_MS, waitMs), stop);
+      if (cancel.signal.aborted) return 'cancelled';
+      const now = monotonicNow();
+      if (restart.signal.aborted || now >= holdEndOf(work)) return 'hold-ended';
+      if (now >= endsAtMs) return timeMs > leftMs ? 'deadline' : 'finished';
+    }
+  } finally {
+    if (work !== null) {
+      state.sliceWork.delete(work);
+      work.finish();
+    }
+  }
+}
+
+function holdEndOf(work: SliceWork | null): number {
+  return work?.untilMs ?? Number.POSITIVE_INFINITY;
 }
 
 function finishRun(
--- a/packages/emulator/src/server/faulty_responses.ts
+++ b/packages/emulator/src/server/faulty_responses.ts
@@ -1,7 +1,8 @@
 /**
  * @fileoverview Faults of responses that a backend server injects: refusals
- * without need, late copies of refusals, invalid status lines and heads that
- * are cut. Seeded, for scenarios, soak and benches.
+ * without need, late copies of refusals, invalid status lines, heads that are
+ * cut, and late, repeated or missing answers to grants and releases. Seeded,
+ * for scenarios, soak and benches.
  */
 
 import type {ServerState} from './state.js';
@@ -16,6 +17,8 @@
 export class ResponseFaults {
   /** The latest refusal on each connection, as it was sent. */
   private readonly refusals = new WeakMap<Socket, string>();
+  /** The latest answer to a grant or release on each connection. */
+  private readonly answers = new WeakMap<Socket, string>();
 
   /** @param state - The server. */
   constructor(private readonly state: ServerState) {}
@@ -53,6 +56,44 @@
     socket.write(refusal);
   }
 
+  /** @returns Time by which to send an answer late, in milliseconds. */
+  answerDelayMs(): number {
+    return this.drawDelayMs(this.state.spoilt.lateAnswer);
+  }
+
+  /**
+   * @returns Time by which to carry out a grant late and without an answer, in
+   *     milliseconds; 0 to do neither.
+   */
+  grantDelayMs(): number {
+    return this.drawDelayMs(this.state.spoilt.lateGrant);
+  }
+
+  /**
+   * Keeps an answer to a grant or release for a late copy.
+   *
+   * @param socket - Its connection.
+   * @param status - Its status line.
+   */
+  keepAnswer(socket: Socket, status: string): void {
+    const head = `HTTP/1.1 ${status}\r\n`;
+    this.answers.set(socket, `${head}content-length: 0\r\n\r\n`);
+  }
+
+  /**
+   * Sends the latest answer to a grant or release on a connection once more,
+   * where the response to the next call is expected.
+   *
+   * @param socket - The connection, on which a call has arrived.
+   */
+  repeatAnswer(socket: Socket): void {
+    const answer = this.answers.get(socket);
+    if (answer === undefined) return;
+    if (!this.draw(this.state.spoilt.repeatAnswer)) return;
+    this.answers.delete(socket);
+    socket.write(answer);
+  }
+
   /**
    * Sends an invalid response in place of a valid one.
    *
@@ -73,6 +114,11 @@
     return false;
   }
 
+  private drawDelayMs(share: number): number {
+    const {random, spoilt} = this.state;
+    return this.draw(share) ? random() * spoilt.lateByMs : 0;
+  }
+
   private draw(share: number): boolean {
     return share > 0 && this.state.random() < share;
   }
--- a/packages/emulator/src/server/state.ts
+++ b/packages/emulator/src/server/state.ts
@@ -8,6 +8,8 @@
 } from './types.js';
 import type {Random} from '../control/logic.js';
 
+import {SPOILT_SHARES} from './types.js';
+
 /** The grant of one slice. */
 export interface Grant {
   generation: number;
@@ -15,6 +17,21 @@
   untilMs: number;
 }
 
+/** Work that runs on a slice. */
+export interface SliceWork {
+  readonly slice: number;
+  /** Monotonic time at which it ends, as the slice isn't held any more. */
+  untilMs: number;
+  /** Whether the slice was released, so that no later grant extends it. */
+  released: boolean;
+  /** Ends the work early. */
+  readonly end: () => void;
+  /** Resolves once the work has ended. */
+  readonly ended: Promise<void>;
+  /** Resolves `ended`. */
+  readonly finish: () => void;
+}
+
 /** State of one backend server. */
 export interface ServerState {
   readonly options: ServerOptions;
@@ -23,6 +40,10 @@
   readonly records: ServerRecord[];
   /** Grants by slice. */
   readonly grants: Map<number, Grant>;
+  /** The highest generation granted so far, by slice. */
+  readonly seenGenerations: Map<number, number>;
+  /** Work that runs, if the server checks grants. */
+  readonly sliceWork: Set<SliceWork>;
   instance: string;
   running: number;
   maxRunning: number;
@@ -86,6 +107,8 @@
     onRecord,
     records: [],
     grants: new Map(),
+    seenGenerations: new Map(),
+    sliceWork: new Set(),
     instance: newInstanceId(options.host),
     running: 0,
     maxRunning: 0,
@@ -103,7 +126,7 @@
     reports: 'true',
     reportedRunning: 0,
     announces: true,
-    spoilt: {refuse: 0, repeatRefusal: 0, invalidStatus: 0, cutHead: 0},
+    spoilt: SPOILT_SHARES.parse({}),
     connectionsOpened: 0,
   };
 }
--- a/packages/emulator/src/server/types.ts
+++ b/packages/emulator/src/server/types.ts
@@ -18,6 +18,13 @@
   invalidStatus: SHARE,
   /** Responses that end in the middle of their head. */
   cutHead: SHARE,
+  /** Answers to grants and releases that are sent up to `lateByMs` late. */
+  lateAnswer: SHARE,
+  /** Such answers that are sent again where the next response is expected. */
+  repeatAnswer: SHARE,
+  /** Grants that get no answer and are carried out up to `lateByMs` late. */
+  lateGrant: SHARE,
+  lateByMs: MILLISECONDS.default(1000),
 });
 
 /** Shares of spoilt responses. */
@@ -113,11 +120,46 @@
 }
 
 /** How a run ended. */
-export type RunEnd = 'finished' | 'cancelled' | 'deadline';
+export type RunEnd =
+  | 'finished'
+  | 'cancelled'
+  | 'deadline'
+  /** The server no longer held the slice. */
+  | 'hold-ended';
+
+/**
+ * What a backend server that checks grants records of the slices that it holds,
+ * in order. Times are by the monotonic clock that all processes of a machine
+ * share, in milliseconds.
+ */
+export type HoldRecord = {
+  readonly host: string;
+  readonly instance: string;
+  readonly service: string;
+  readonly slices: readonly number[];
+  readonly monotonicMs: number;
+} & (
+  | {
+      readonly kind: 'granted';
+      readonly generations: readonly number[];
+      /** When the server stops holding the slices. */
+      readonly untilMs: number;
+      /** Whether a higher generation was granted before, so it holds none. */
+      readonly refused: boolean;
+    }
+  /** A release arrived: no new work starts on the slices. */
+  | {readonly kind: 'released'; readonly generations: readonly number[]}
+  /** The server no longer holds the slices, and no work runs on them. */
+  | {
+      readonly kind: 'holdEnded';
+      readonly reason: 'released' | 'expired' | 'restarted';
+    }
+);
 
 /** What a backend server records, in order. */
 export type ServerRecord =
   | Run
+  | HoldRecord
   | {
       readonly kind: 'ended';
       readonly host: string;
