Daemon: the product's protocol releases slices; grants share no connection

Slices moved only once their grants had expired, since there was no call that releases them. POST /releases names one grant's slices and generations; it is answered once the work on them has ended, with an optional token for the next owner (x-jackdawfall-handover), which the next grant carries.

Grants and releases use connections of their own.

--- a/packages/daemon/src/runs/protocol.ts
+++ b/packages/daemon/src/runs/protocol.ts
@@ -1,18 +1,24 @@
 /** @fileoverview The built-in HTTP protocol for backend servers. */
 
-import type {Effect, Generation, Slice} from '@jackdawfall/core';
+import type {IncomingMessage} from 'node:http';
+
+import type {Effect, Generation, Slice, SliceGrant} from '@jackdawfall/core';
 
 import {toHeaderRecord} from '../http/headers.js';
-import type {ServerProtocol} from '../adapters/types.js';
+import type {ServerConnections, ServerProtocol} from '../adapters/types.js';
 import {limitResponse} from './excess_bytes.js';
 import {endOnceConnected, timeToLiveMs} from './grants.js';
 
 /** Id of the attempt; a server may return it to identify its response. */
 const ATTEMPT_HEADER = 'x-jackdawfall-attempt';
 const STATUS_UNAVAILABLE = 503;
+/** Token for the next owner of released slices. */
+const HANDOVER_HEADER = 'x-jackdawfall-handover';
 const GRANT_TIMEOUT_MS = 1000;
+/** Longer than for grants: a server first finishes its work on the slices. */
+const RELEASE_TIMEOUT_MS = 1200;
 
-/** Sends attempts and slice grants to backend servers. */
+/** Sends attempts, slice grants and releases to backend servers. */
 export const SERVER_PROTOCOL: ServerProtocol = {
   headersOf(dispatch, run) {
     const record = toHeaderRecord(dispatch.headers);
@@ -36,42 +42,95 @@
   },
   grant(server, effect, report) {
     const {service, until, grants} = effect;
-    const outgoing = server.open({
-      method: 'POST',
-      path: '/grants',
-      headers: {'content-type': 'application/json'},
-      signal: AbortSignal.timeout(GRANT_TIMEOUT_MS),
-    });
-    limitResponse(outgoing);
-    let reported = false;
+    const handovers = handoversOf(effect);
+    const body = (): string | null => {
+      const ttlMs = timeToLiveMs(until);
+      if (ttlMs === null) return null;
+      const slices = listSliceGrants(grants);
+      return JSON.stringify({service, ...slices, ttlMs, ...handovers});
+    };
     const reportAll = (confirmed: boolean): void => {
-      if (reported) return;
-      reported = true;
       for (const grant of grants) report(grant, confirmed);
     };
-    outgoing.on('response', incoming => {
-      // A late response to a request confirms no grants.
-      if (incoming.headers[ATTEMPT_HEADER] !== undefined) {
-        outgoing.destroy();
-        return;
-      }
-      incoming.resume();
-      reportAll((incoming.statusCode ?? 0) < 300);
-    });
-    // A grant that isn't confirmed is sent again with the next renewal.
-    outgoing.on('error', () => reportAll(false));
-    outgoing.on('close', () => reportAll(false));
-    endOnceConnected(outgoing, () => {
-      const ttlMs = timeToLiveMs(until);
-      if (ttlMs === null) return null;
-      return JSON.stringify({service, ...listSliceGrants(effect), ttlMs});
+    postCall(server, '/grants', GRANT_TIMEOUT_MS, body, {
+      done: () => reportAll(true),
+      // A grant that isn't confirmed is sent again with the next renewal.
+      failed: () => reportAll(false),
     });
   },
-  /** With this protocol, a server releases slices when their grants expire. */
-  release: () => undefined,
+  release(server, {service, grants}, released) {
+    for (const grant of grants) {
+      const body = () => JSON.stringify({service, ...listSliceGrants([grant])});
+      postCall(server, '/releases', RELEASE_TIMEOUT_MS, body, {
+        done: ({headers}) => {
+          const handover = headers[HANDOVER_HEADER];
+          released(grant, typeof handover === 'string' ? handover : null);
+        },
+        // The server holds the slices until their grants expire.
+        failed: () => undefined,
+      });
+    }
+  },
 };
 
-function listSliceGrants({grants}: Extract<Effect, {kind: 'grantSlices'}>): {
+/** What follows the end of a call; exactly one of the two is called. */
+interface CallEnd {
+  done(incoming: IncomingMessage): void;
+  failed(): void;
+}
+
+/**
+ * Sends a call on a connection of its own: nothing in a response tells which
+ * call it belongs to.
+ */
+function postCall(
+  server: ServerConnections,
+  path: string,
+  timeoutMs: number,
+  body: () => string | null,
+  end: CallEnd,
+): void {
+  const outgoing = server.openUnshared({
+    method: 'POST',
+    path,
+    headers: {'content-type': 'application/json'},
+    signal: AbortSignal.timeout(timeoutMs),
+  });
+  limitResponse(outgoing);
+  let ended = false;
+  const fail = (): void => {
+    if (!ended) end.failed();
+    ended = true;
+  };
+  outgoing.on('response', incoming => {
+    // The response belongs to a request.
+    if (incoming.headers[ATTEMPT_HEADER] !== undefined) {
+      outgoing.destroy();
+      return;
+    }
+    incoming.resume();
+    const {statusCode = 0} = incoming;
+    if (statusCode < 200 || statusCode >= 300) return fail();
+    if (!ended) end.done(incoming);
+    ended = true;
+  });
+  outgoing.on('error', fail);
+  outgoing.on('close', fail);
+  endOnceConnected(outgoing, body);
+}
+
+/** Lists the tokens from the last holders of the slices, if there are any. */
+function handoversOf({grants}: Extract<Effect, {kind: 'grantSlices'}>): {
+  handovers?: Array<string | null>;
+} {
+  if (grants.every(({handover}) => handover === null)) return {};
+  const handovers = grants.flatMap(({count, handover}) =>
+    Array<string | null>(count).fill(handover),
+  );
+  return {handovers};
+}
+
+function listSliceGrants(grants: readonly SliceGrant[]): {
   slices: Slice[];
   generations: Generation[];
 } {
