--- a/packages/emulator/src/ledger/holders.ts
+++ b/packages/emulator/src/ledger/holders.ts
@@ -1,6 +1,6 @@
 /** @fileoverview Checks that no two backend servers hold a slice at once. */
 
-import type {SharedHold} from './types.js';
+import type {HoldCounts, SharedHold} from './types.js';
 import type {HoldRecord, ServerRecord} from '../server/types.js';
 
 /** Number of records of each server in the history of a shared hold. */
@@ -48,10 +48,35 @@
   return shared.sort((a, b) => a.fromMs - b.fromMs);
 }
 
+/**
+ * Counts grants, releases and moves.
+ *
+ * @param serverRecords - Records of all backend servers.
+ * @returns The counts.
+ */
+export function countHolds(serverRecords: readonly ServerRecord[]): HoldCounts {
+  const histories = collectHistories(serverRecords, []);
+  const calls = holdRecordsOf(serverRecords);
+  const grants = calls.filter(({kind}) => kind === 'granted');
+  let moves = 0;
+  for (const {holds} of histories.values()) {
+    const ordered = [...holds].sort((a, b) => a.fromMs - b.fromMs);
+    moves += ordered.filter(
+      ({instance}, index) =>
+        index > 0 && instance !== ordered[index - 1]?.instance,
+    ).length;
+  }
+  return {
+    grants: grants.length,
+    refused: grants.filter(each => each.kind === 'granted' && each.refused)
+      .length,
+    releases: calls.filter(({kind}) => kind === 'released').length,
+    moves,
+  };
+}
+
 /** Lists the records of calls and holds among all records. */
-export function holdRecordsOf(
-  serverRecords: readonly ServerRecord[],
-): HoldRecord[] {
+function holdRecordsOf(serverRecords: readonly ServerRecord[]): HoldRecord[] {
   return serverRecords.filter(
     record =>
       record.kind === 'granted' ||
--- a/packages/emulator/src/ledger/logic.ts
+++ b/packages/emulator/src/ledger/logic.ts
@@ -5,7 +5,7 @@
 import type {ServerRecord, Run} from '../server/types.js';
 
 import type {EndedServer} from './holders.js';
-import {findSharedHolds} from './holders.js';
+import {countHolds, findSharedHolds} from './holders.js';
 import {longestUnserved} from '../load/logic.js';
 
 /** A run with its end; without one, it lasts until its server was killed. */
@@ -65,6 +65,7 @@
     runTwice: found('run-twice'),
     lost: found('lost'),
     overLimit: found('over-limit'),
+    holds: countHolds(serverRecords),
     longestUnservedMs: unserved.ms,
     longestUnservedKey: unserved.key,
     violations,
@@ -81,21 +82,48 @@
     const name = `${record.host}|${record.request}|${record.attempt}`;
     ends.set(name, {endMs: record.endMs, finished: record.end === 'finished'});
   }
+  const holdEnds = collectHoldEnds(serverRecords);
   return serverRecords.flatMap(run => {
     if (run.kind !== 'run') return [];
     const name = `${run.host}|${run.request}|${run.attempt}`;
-    const endMs = killTimeOf(run, killedServers);
+    const heldUntilMs = holdEnds.get(`${run.instance}|${run.slice}`);
+    const endMs = killTimeOf(run, killedServers, heldUntilMs);
     const end = ends.get(name) ?? {endMs, finished: false};
     return [{run, ...end}];
   });
 }
 
-/** Returns when the server of a run was killed; now if it was not. */
-function killTimeOf(run: Run, killedServers: readonly KilledServer[]): number {
+/** Collects the latest time until which each instance held each slice. */
+function collectHoldEnds(
+  serverRecords: readonly ServerRecord[],
+): Map<string, number> {
+  const ends = new Map<string, number>();
+  for (const record of serverRecords) {
+    if (record.kind !== 'granted' || record.refused) continue;
+    for (const slice of record.slices) {
+      const name = `${record.instance}|${slice}`;
+      ends.set(name, Math.max(ends.get(name) ?? 0, record.untilMs));
+    }
+  }
+  return ends;
+}
+
+/**
+ * Returns when the server of a run was killed; now if it was not. A server that
+ * had been stopped before ended the run, at the latest, with its hold.
+ */
+function killTimeOf(
+  run: Run,
+  killedServers: readonly KilledServer[],
+  heldUntilMs = Number.POSITIVE_INFINITY,
+): number {
   const later = killedServers.filter(
     killed => killed.host === run.host && killed.atMs >= run.startMs,
   );
-  return Math.min(Date.now(), ...later.map(killed => killed.atMs));
+  const ends = later.map(({atMs, monotonicMs}) =>
+    Math.min(atMs, atMs - monotonicMs + heldUntilMs),
+  );
+  return Math.min(Date.now(), ...ends);
 }
 
 function groupBy<Item>(
--- a/packages/emulator/src/ledger/types.ts
+++ b/packages/emulator/src/ledger/types.ts
@@ -42,6 +42,17 @@
   }>;
 }
 
+/** What backend servers that check grants recorded, in numbers. */
+export interface HoldCounts {
+  /** Calls that granted slices. */
+  readonly grants: number;
+  /** Such calls that were refused. */
+  readonly refused: number;
+  readonly releases: number;
+  /** Slices that went from one server to another. */
+  readonly moves: number;
+}
+
 /** Result of checking callers' records against servers' records. */
 export interface Verdict {
   readonly requests: number;
@@ -52,6 +63,7 @@
   readonly runTwice: number;
   readonly lost: number;
   readonly overLimit: number;
+  readonly holds: HoldCounts;
   readonly longestUnservedMs: number;
   readonly longestUnservedKey: string;
   readonly violations: readonly Violation[];
--- /dev/null
+++ b/packages/emulator/src/owners/logic.spec.ts
@@ -0,0 +1,77 @@
+/** @fileoverview Tests of random scenarios. */
+
+import type {Step} from '../scenario/types.js';
+
+import test from 'ava';
+
+import {STEP_SCHEMAS} from '../scenario/types.js';
+import {buildOwnersScenario} from './logic.js';
+
+const SEEDS = Array.from({length: 50}, (_, index) => index + 1);
+const SECONDS = 30;
+const HOSTS = 5;
+/** The step that ends what each step begins. */
+const ENDS: ReadonlyMap<string, string> = new Map([
+  ['freeze', 'wake'],
+  ['kill', 'restart'],
+]);
+
+test('the same seed gives the same scenario, another seed another one', t => {
+  const [first, again, other] = [1, 1, 2].map(seed =>
+    buildOwnersScenario(seed, SECONDS, HOSTS),
+  );
+  t.deepEqual(first, again);
+  t.notDeepEqual(first?.beside, other?.beside);
+});
+
+for (const [begin, end] of ENDS) {
+  test(`each ${begin} is followed by a ${end} of the same target`, t => {
+    const unended = sequences().flatMap(sequence =>
+      sequence.filter(({name, args}, index) => {
+        if (name !== begin) return false;
+        const later = sequence[index + 2];
+        const target = JSON.stringify(args);
+        return later?.name !== end || JSON.stringify(later.args) !== target;
+      }),
+    );
+    t.deepEqual(unended, []);
+  });
+}
+
+test('zones that are taken out come back', t => {
+  for (const sequence of sequences()) {
+    const changes = sequence.filter(step => step.name === 'zone');
+    t.not(changes.at(-1)?.args.out, true);
+  }
+});
+
+test('a sequence ends with the load', t => {
+  for (const sequence of sequences()) {
+    const waits = sequence.map(step => (step.name === 'wait' ? step.args : 0));
+    const totalMs = waits.reduce((sum, ms) => sum + ms, 0);
+    t.true(totalMs > 0 && totalMs < SECONDS * 1000);
+  }
+});
+
+test('every kind of disturbance occurs', t => {
+  const names = new Set(sequences().flatMap(all => all.map(({name}) => name)));
+  const expected = [
+    'freeze',
+    'kill',
+    'restart',
+    'spoil',
+    'stop',
+    'straggle',
+    'wait',
+    'wake',
+    'zone',
+  ];
+  t.deepEqual([...names].sort(), expected);
+  t.true(expected.every(name => Object.hasOwn(STEP_SCHEMAS, name)));
+});
+
+function sequences(): ReadonlyArray<readonly Step[]> {
+  return SEEDS.flatMap(
+    seed => buildOwnersScenario(seed, SECONDS, HOSTS).beside ?? [],
+  );
+}
--- a/packages/emulator/src/scenario/runner.ts
+++ b/packages/emulator/src/scenario/runner.ts
@@ -2,6 +2,8 @@
 
 import type {ScenarioRun} from './state.js';
 import type {ScenarioResult, Scenario, Step} from './types.js';
+import {writeFileSync} from 'node:fs';
+import {join} from 'node:path';
 
 import {sleep} from '../control/logic.js';
 import {checkExpectation, verifyRun, callRecordsOf} from './expectations.js';
@@ -57,6 +59,7 @@
   } finally {
     run.faults.push(...failedProcesses(run));
     ending.abort();
+    writeServerRecords(run);
   }
   return {
     name: scenario.name,
@@ -68,6 +71,13 @@
   };
 }
 
+/** Writes the records of backend servers beside the logs of the daemons. */
+function writeServerRecords({cluster, logFolder}: ScenarioRun): void {
+  if (cluster === null || logFolder === undefined) return;
+  const lines = cluster.serverRecords.map(record => JSON.stringify(record));
+  writeFileSync(join(logFolder, 'servers.jsonl'), lines.join('\n'));
+}
+
 /** Lists processes that exited with an error, such as a violated invariant. */
 function failedProcesses(run: ScenarioRun): string[] {
   const hosts = [...(run.cluster?.hosts.values() ?? [])];
@@ -117,10 +127,15 @@
     case 'start':
       return steps.start(run, step.args);
     case 'load':
-      return steps.load(run, step.args);
+      steps.load(run, step.args);
+      for (const sequence of run.scenario.beside ?? []) {
+        run.beside.push(runSequence(run, sequence));
+      }
+      return;
     case 'wait':
       return sleep(step.args, run.signal);
     case 'finish':
+      await Promise.all(run.beside);
       await Promise.all(run.loads.map(load => load.finished));
       return;
     case 'kill':
@@ -156,6 +171,22 @@
   }
 }
 
+/** Runs steps beside others; one that fails doesn't end the sequence. */
+async function runSequence(
+  run: ScenarioRun,
+  sequence: readonly Step[],
+): Promise<void> {
+  for (const [index, step] of sequence.entries()) {
+    if (run.signal.aborted) return;
+    try {
+      await runStep(run, step, index);
+    } catch (error) {
+      const target = JSON.stringify(step.args);
+      run.faults.push(`${step.name} ${target}: ${String(error)}`);
+    }
+  }
+}
+
 function checkDeferred(run: ScenarioRun): void {
   for (const {step, check} of run.deferred) {
     const fault = check();
--- a/packages/emulator/src/scenario/state.ts
+++ b/packages/emulator/src/scenario/state.ts
@@ -20,6 +20,8 @@
   /** Folder for the logs of the daemons, if they are kept. */
   readonly logFolder?: string;
   readonly loads: Load[];
+  /** Sequences that run beside the steps. */
+  readonly beside: Array<Promise<void>>;
   readonly deferred: DeferredExpectation[];
   /** What has failed so far. */
   readonly faults: string[];
@@ -61,6 +63,7 @@
     signal,
     logFolder,
     loads: [],
+    beside: [],
     deferred: [],
     faults: [],
     noWorkPeriodEnds: [],
--- a/packages/emulator/src/scenario/steps.ts
+++ b/packages/emulator/src/scenario/steps.ts
@@ -22,10 +22,13 @@
   loadRoutesOf,
   waitUntilServed,
 } from '../deployment/operations.js';
+import {sleep} from '../control/logic.js';
 import {startLoad} from '../load/definition.js';
 
 const START_TIMEOUT_MS = 20_000;
 const LEAVE_GRACE_MS = 5000;
+const ZONE_TIMEOUT_MS = 10_000;
+const RETRY_INTERVAL_MS = 100;
 const MAX_REQUESTS = 200_000;
 const BODY_BYTES = 200;
 const WARM_UP_KEYS = 40;
@@ -127,9 +130,11 @@
   signal: 'SIGSTOP' | 'SIGCONT',
 ): void {
   const host = requireHost(run, nameOf(args));
-  host.daemon?.kill(signal);
-  host.frozen = signal === 'SIGSTOP';
-  if ('host' in args) host.server?.kill(signal);
+  if (!('server' in args)) {
+    host.daemon?.kill(signal);
+    host.frozen = signal === 'SIGSTOP';
+  }
+  if (!('daemon' in args)) host.server?.kill(signal);
 }
 
 /** Starts processes again on their host. */
@@ -235,19 +240,27 @@
   run.configuration = configuration + 1;
 }
 
-/** Takes an availability zone out, or back in. */
+/**
+ * Takes an availability zone out, or back in; tries again without a reply, as
+ * the daemon may be killed.
+ */
 export async function zone(
   run: ScenarioRun,
   args: StepArguments<'zone'>,
 ): Promise<void> {
-  const [host] = liveHosts(requireCluster(run));
-  const result = await sendCommand(host, {
-    kind: 'zone',
-    zone: args.name,
-    out: args.out,
-    by: 'scenario',
-  });
-  if (result.kind !== 'ok') throw new ExpectationError(describeResult(result));
+  const {name, out} = args;
+  const untilMs = performance.now() + ZONE_TIMEOUT_MS;
+  for (let count = 0; !run.signal.aborted; count++) {
+    const live = liveHosts(requireCluster(run));
+    const host = live[count % live.length];
+    const command = {kind: 'zone', zone: name, out, by: 'scenario'} as const;
+    const result = await sendCommand(host, command);
+    if (result.kind === 'ok') return;
+    if (result.kind === 'rejected' || performance.now() > untilMs) {
+      throw new ExpectationError(describeResult(result));
+    }
+    await sleep(RETRY_INTERVAL_MS, run.signal);
+  }
 }
 
 /** Begins a planned stop of a daemon or a backend server. */
--- a/packages/emulator/src/scenario/types.ts
+++ b/packages/emulator/src/scenario/types.ts
@@ -108,8 +108,8 @@
   /** Waits until every load has ended. */
   finish: z.literal('load'),
   kill: z.union([DAEMON_TARGET, SERVER_TARGET, HOST_TARGET]),
-  freeze: z.union([DAEMON_TARGET, HOST_TARGET]),
-  wake: z.union([DAEMON_TARGET, HOST_TARGET]),
+  freeze: z.union([DAEMON_TARGET, SERVER_TARGET, HOST_TARGET]),
+  wake: z.union([DAEMON_TARGET, SERVER_TARGET, HOST_TARGET]),
   restart: z.union([DAEMON_TARGET, SERVER_TARGET, HOST_TARGET]),
   /**
    * Partitions the daemon `from` from the daemons `to`. `ways` is the direction
@@ -183,6 +183,8 @@
   readonly timeoutMs: number;
   readonly allow: {readonly hung: boolean; readonly relapse: number};
   readonly steps: readonly Step[];
+  /** Sequences of steps that begin with the load, beside the other steps. */
+  readonly beside?: ReadonlyArray<readonly Step[]>;
 }
 
 /** One fault of a file, with its path. */
--- a/packages/emulator/src/server/definition.ts
+++ b/packages/emulator/src/server/definition.ts
@@ -278,8 +278,8 @@
     return;
   }
   startRun(state, incoming, now);
-  const end = await waitForRun(state, incoming, response);
-  finishRun(state, incoming, end);
+  const {end, lateByMs} = await waitForRun(state, incoming, response);
+  finishRun(state, incoming, end, Date.now() - lateByMs);
   if (end === 'finished' && faults.spoil(response)) return;
   if (end === 'finished') {
     sendResponse(state, incoming, response, body);
@@ -288,12 +288,15 @@
   }
 }
 
-/** Waits for the end of a run, at most until its slice isn't held any more. */
+/**
+ * Waits for the end of a run, at most until its slice isn't held any more. A
+ * process that was stopped meanwhile notices that end late.
+ */
 async function waitForRun(
   state: ServerState,
   incoming: IncomingRequest,
   response: ServerResponse,
-): Promise<RunEnd> {
+): Promise<{end: RunEnd; lateByMs: number}> {
   const timeMs = drawServiceTimeMs(state, Date.now());
   const leftMs = incoming.deadlineMs ?? Number.POSITIVE_INFINITY;
   const endsAtMs = monotonicNow() + Math.min(timeMs, leftMs);
@@ -306,10 +309,14 @@
     for (;;) {
       const waitMs = Math.min(endsAtMs, holdEndOf(work)) - monotonicNow();
       await sleep(Math.max(MIN_RUN_MS, waitMs), stop);
-      if (cancel.signal.aborted) return 'cancelled';
       const now = monotonicNow();
-      if (restart.signal.aborted || now >= holdEndOf(work)) return 'hold-ended';
-      if (now >= endsAtMs) return timeMs > leftMs ? 'deadline' : 'finished';
+      const lateByMs = Math.max(0, now - holdEndOf(work));
+      if (cancel.signal.aborted) return {end: 'cancelled', lateByMs};
+      if (restart.signal.aborted || lateByMs > 0) {
+        return {end: 'hold-ended', lateByMs};
+      }
+      if (now < endsAtMs) continue;
+      return {end: timeMs > leftMs ? 'deadline' : 'finished', lateByMs};
     }
   } finally {
     if (work !== null) {
@@ -327,6 +334,7 @@
   state: ServerState,
   incoming: IncomingRequest,
   end: RunEnd,
+  endMs: number,
 ): void {
   state.running--;
   if (end === 'finished') {
@@ -338,7 +346,7 @@
     host: state.options.host,
     request: incoming.request,
     attempt: incoming.attempt,
-    endMs: Date.now(),
+    endMs,
     end,
   });
 }
