Daemon: a grant is written once the backend server asks for it

A server that was stopped had grants waiting in its socket. When it ran again it carried them out, counted their time from then, and held slices that had been given to another server. The product's protocol now sends grants and releases with Expect: 100-continue, and writes the body, with the time that is left, when the server asks for it.

--- a/packages/daemon/src/runs/protocol.spec.ts
+++ b/packages/daemon/src/runs/protocol.spec.ts
@@ -2,7 +2,8 @@
 
 import type {IncomingMessage, ServerResponse} from 'node:http';
 import {createServer} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo, Server as NetServer, Socket} from 'node:net';
+import {createServer as createNetServer} from 'node:net';
 
 import type {
   Address,
@@ -27,6 +28,8 @@
 const LEASE_MS = 5000;
 /** Time in which a report that is not expected would arrive. */
 const SETTLE_MS = 50;
+/** Timers may fire this early. */
+const TIMER_ERROR_MS = 2;
 const GRANTS: SliceGrant[] = [
   grantOf(2, 2, 5, null),
   grantOf(7, 1, 6, 'token-7'),
@@ -151,6 +154,44 @@
   t.is(new Set(calls.map(({socket}) => socket)).size, calls.length);
 });
 
+// A stopped server carried out grants that waited in its socket when it ran
+// again, up to 1.5 s after its slices were given to another server.
+test('a server that reads no call has no grant waiting', async t => {
+  let received = '';
+  const server = createNetServer(socket => {
+    socket.on('data', bytes => (received += bytes.toString()));
+    socket.on('error', () => undefined);
+  });
+  const {pool} = await listen(t, server);
+  const reports: boolean[] = [];
+  SERVER_PROTOCOL.grant(pool, grantEffect(), (_, confirmed) => {
+    reports.push(confirmed);
+  });
+  await waitUntil(() => reports.length === GRANTS.length);
+  t.deepEqual(reports, [false, false]);
+  t.true(received.includes('POST /grants'));
+  t.false(received.includes('ttlMs'));
+});
+
+test('the time of a grant counts from when the server asks for it', async t => {
+  const delayMs = 300;
+  const calls: Call[] = [];
+  const server = createServer();
+  server.on('checkContinue', (request, response: ServerResponse) => {
+    setTimeout(() => {
+      response.writeContinue();
+      void readCall(request).then(call => {
+        calls.push(call);
+        response.writeHead(204).end();
+      });
+    }, delayMs);
+  });
+  const {pool} = await listen(t, server);
+  SERVER_PROTOCOL.grant(pool, grantEffect(), () => undefined);
+  await waitUntil(() => calls.length === 1);
+  t.true(Number(calls[0]?.body.ttlMs) <= LEASE_MS - delayMs + TIMER_ERROR_MS);
+});
+
 function grantOf(
   first: number,
   count: number,
@@ -191,11 +232,9 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> => {
-    const {socket, url: path = ''} = request;
-    const parts: Buffer[] = [];
-    for await (const part of request) parts.push(part as Buffer);
-    const text = Buffer.concat(parts).toString();
-    calls.push({path, body: JSON.parse(text) as Call['body'], socket});
+    const call = await readCall(request);
+    const {socket} = call;
+    calls.push(call);
     const count = (countBySocket.get(socket) ?? 0) + 1;
     countBySocket.set(socket, count);
     answer(response, count);
@@ -206,6 +245,21 @@
   server.on('connection', socket => {
     socket.on('close', () => closed++);
   });
+  const {pool} = await listen(t, server);
+  return {pool, calls, closed: () => closed};
+}
+
+async function readCall(request: IncomingMessage): Promise<Call> {
+  const {socket, url: path = ''} = request;
+  const parts: Buffer[] = [];
+  for await (const part of request) parts.push(part as Buffer);
+  const text = Buffer.concat(parts).toString();
+  return {path, body: JSON.parse(text) as Call['body'], socket};
+}
+
+async function listen(t: ExecutionContext, server: NetServer) {
+  const sockets = new Set<Socket>();
+  server.on('connection', (socket: Socket) => sockets.add(socket));
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
   const {port} = server.address() as AddressInfo;
   const pool = new ServerConnectionPool({
@@ -215,7 +269,7 @@
   t.teardown(() => {
     pool.destroy();
     server.close();
-    server.closeAllConnections();
+    for (const socket of sockets) socket.destroy();
   });
-  return {pool, calls, closed: () => closed};
+  return {pool};
 }
--- a/packages/daemon/src/runs/protocol.ts
+++ b/packages/daemon/src/runs/protocol.ts
@@ -7,7 +7,7 @@
 import {toHeaderRecord} from '../http/headers.js';
 import type {ServerConnections, ServerProtocol} from '../adapters/types.js';
 import {limitResponse} from './excess_bytes.js';
-import {endOnceConnected, timeToLiveMs} from './grants.js';
+import {timeToLiveMs} from './grants.js';
 
 /** Id of the attempt; a server may return it to identify its response. */
 const ATTEMPT_HEADER = 'x-jackdawfall-attempt';
@@ -81,7 +81,8 @@
 
 /**
  * Sends a call on a connection of its own: nothing in a response tells which
- * call it belongs to.
+ * call it belongs to. The body is written once the server asks for it: a server
+ * that stands still would read it later, and hold slices that it lost meanwhile.
  */
 function postCall(
   server: ServerConnections,
@@ -93,7 +94,7 @@
   const outgoing = server.openUnshared({
     method: 'POST',
     path,
-    headers: {'content-type': 'application/json'},
+    headers: {'content-type': 'application/json', expect: '100-continue'},
     signal: AbortSignal.timeout(timeoutMs),
   });
   limitResponse(outgoing);
@@ -103,8 +104,9 @@
     ended = true;
   };
   outgoing.on('response', incoming => {
-    // The response belongs to a request.
-    if (incoming.headers[ATTEMPT_HEADER] !== undefined) {
+    // The response belongs to a request, or refuses to read the call.
+    const isForeign = incoming.headers[ATTEMPT_HEADER] !== undefined;
+    if (isForeign || !outgoing.writableEnded) {
       outgoing.destroy();
       return;
     }
@@ -116,7 +118,12 @@
   });
   outgoing.on('error', fail);
   outgoing.on('close', fail);
-  endOnceConnected(outgoing, body);
+  outgoing.flushHeaders();
+  outgoing.once('continue', () => {
+    const text = body();
+    if (text !== null) outgoing.end(text);
+    else outgoing.destroy(new Error('the lease has run out'));
+  });
 }
 
 /** Lists the tokens from the last holders of the slices, if there are any. */
