--- a/packages/emulator/src/server/definition.ts
+++ b/packages/emulator/src/server/definition.ts
@@ -163,13 +163,14 @@
   if (sockets.silent.has(socket)) return;
   const name = `${request.method} ${request.url}`;
   const body = await readText(request, MAX_BODY_BYTES);
+  const arrivedMs = monotonicNow();
   if (!sockets.opened.has(socket)) {
     sockets.opened.add(socket);
     await sleep(CONNECTION_SETUP_MS);
   }
   if (name === 'POST /grants') {
     const call = JSON.parse(body) as GrantCall;
-    await handleGrant(state, sockets.faults, call, response);
+    await handleGrant(state, sockets.faults, call, arrivedMs, response);
   } else if (name === 'POST /releases') {
     const call = JSON.parse(body) as SliceCall;
     await handleRelease(state, sockets.faults, call, response);
@@ -184,9 +185,9 @@
   state: ServerState,
   faults: ResponseFaults,
   call: GrantCall,
+  arrivedMs: number,
   response: ServerResponse,
 ): Promise<void> {
-  const arrivedMs = monotonicNow();
   const delayMs = faults.grantDelayMs();
   await sleep(delayMs);
   const accepted = carryOutGrant(state, call, arrivedMs, monotonicNow());
