--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -16,4 +16,9 @@
 export {runProcess} from './process/logic.js';
 export {ServerConnectionPool} from './runs/connections.js';
 export {limitResponse} from './runs/excess_bytes.js';
-export {endOnceConnected, timeToLiveMs} from './runs/grants.js';
+export {
+  ASKING_HEADERS,
+  BodySender,
+  endOnceConnected,
+  timeToLiveMs,
+} from './runs/grants.js';
--- a/packages/daemon/src/runs/connections.ts
+++ b/packages/daemon/src/runs/connections.ts
@@ -108,6 +108,8 @@
    * @returns False if another process may receive it.
    */
   reachesProcess(outgoing: ClientRequest): boolean {
+    // Only servers that check grants hold slices that the next process may not.
+    if (!this.announcement.checksGrants) return true;
     return this.watch.reaches(outgoing.socket);
   }
 
--- a/packages/daemon/src/runs/grants.ts
+++ b/packages/daemon/src/runs/grants.ts
@@ -1,6 +1,7 @@
 /**
- * @fileoverview Computes the time to live of a slice grant when it is
- * written, since waiting for a connection uses up part of the lease.
+ * @fileoverview Writes calls for slice grants and releases. The time to live of a
+ * grant is computed when it is written, since waiting for a connection uses up
+ * part of the lease.
  */
 
 import type {ClientRequest} from 'node:http';
@@ -8,11 +9,15 @@
 import {timeLeftMs} from '@jackdawfall/core';
 import type {Instant} from '@jackdawfall/core';
 
+import type {ServerConnections} from '../adapters/types.js';
 import {readClocks} from '../loop/logic.js';
 
 /** Shorter grants are not sent: they would expire before they can be used. */
 const MIN_TTL_MS = 20;
 
+/** Headers of a request whose body is written once the server asks for it. */
+export const ASKING_HEADERS = {expect: '100-continue'} as const;
+
 /** A request was aborted before anything of it was written. */
 class NotWrittenError extends Error {
   override readonly name = 'NotWrittenError';
@@ -51,3 +56,52 @@
     else socket.once('connect', () => void setImmediate(writeBody));
   });
 }
+
+/**
+ * Writes the bodies of calls once the server asks for them by 100 (Continue). A
+ * server that stands still then finds no grant as it continues. HTTP lets a
+ * server ignore the expectation, so one that has never asked may get the body
+ * after some time.
+ */
+export class BodySender {
+  private readonly asking = new WeakSet<ServerConnections>();
+
+  /**
+   * @param askTimeoutMs - Time after which a server that has never asked gets the
+   *     body, or null if every server asks.
+   */
+  constructor(private readonly askTimeoutMs: number | null) {}
+
+  /**
+   * Sends the body of a request with `ASKING_HEADERS` once the server asks.
+   *
+   * @param server - Connections to the server.
+   * @param outgoing - A request of which nothing has been written.
+   * @param body - Creates the body; if it returns null, the request is aborted.
+   */
+  sendWhenAsked(
+    server: ServerConnections,
+    outgoing: ClientRequest,
+    body: () => string | null,
+  ): void {
+    const write = (): void => {
+      if (outgoing.destroyed || outgoing.writableEnded) return;
+      const text = body();
+      if (text !== null) outgoing.end(text);
+      else outgoing.destroy(new NotWrittenError('nothing was written'));
+    };
+    outgoing.flushHeaders();
+    outgoing.once('continue', () => {
+      this.asking.add(server);
+      write();
+    });
+    const {askTimeoutMs} = this;
+    if (askTimeoutMs === null || this.asking.has(server)) return;
+    outgoing.once('socket', socket => {
+      socket.once('connect', () => {
+        const late = setTimeout(write, askTimeoutMs);
+        outgoing.once('close', () => clearTimeout(late));
+      });
+    });
+  }
+}
--- a/packages/emulator/src/ledger/types.ts
+++ b/packages/emulator/src/ledger/types.ts
@@ -15,6 +15,8 @@
     | 'hung'
     /** Runs on one slice by two servers overlapped. */
     | 'two-servers'
+    /** Two servers held one slice at the same time. */
+    | 'two-holders'
     /** A run on a slice had an older generation than a run before it. */
     | 'generation-back'
     /** A server got more requests than its capacity. */
@@ -24,6 +26,33 @@
   readonly detail: string;
 }
 
+/** A time for which two servers held the same slice. */
+export interface SharedHold {
+  readonly service: string;
+  readonly slice: number;
+  /** Monotonic times, in milliseconds. */
+  readonly fromMs: number;
+  readonly untilMs: number;
+  /** The server that held it first, and the other one. */
+  readonly holders: ReadonlyArray<{
+    readonly host: string;
+    readonly instance: string;
+    /** Its latest grants, releases and ends, with times since `fromMs`. */
+    readonly history: readonly string[];
+  }>;
+}
+
+/** What backend servers that check grants recorded, in numbers. */
+export interface HoldCounts {
+  /** Calls that granted slices. */
+  readonly grants: number;
+  /** Such calls that were refused. */
+  readonly refused: number;
+  readonly releases: number;
+  /** Slices that went from one server to another. */
+  readonly moves: number;
+}
+
 /** Result of checking callers' records against servers' records. */
 export interface Verdict {
   readonly requests: number;
@@ -34,6 +63,7 @@
   readonly runTwice: number;
   readonly lost: number;
   readonly overLimit: number;
+  readonly holds: HoldCounts;
   readonly longestUnservedMs: number;
   readonly longestUnservedKey: string;
   readonly violations: readonly Violation[];
