A rejoining grantor remembers the leases of its earlier id

A member could be evicted, and its slices given to others, while it held a valid lease: two servers could be granted the same keys for up to 2 s.

Cause: a daemon that learns of its own removal forgets which members it watched. Its links keep the earlier member id until it has joined again, so a request to revoke a member that was meant for the removed grantor still reaches it, and it replied "revoked" at once. The evicting member counts the reply as the removed grantor's; for a grantor that is known to be removed it would have waited for lease time plus margin.

The end of the latest lease granted under earlier ids is kept, and nothing is revoked before it. A grantor that had granted no lease revokes as before.

--- a/packages/core/src/leases/grantor.ts
+++ b/packages/core/src/leases/grantor.ts
@@ -59,6 +59,21 @@
   });
 }
 
+/**
+ * Forgets the members that this one watched or revoked, since it was removed
+ * and joins under a new id. The leases that it granted stay valid, and members
+ * that don't know of its removal yet may still ask it to revoke them.
+ *
+ * @param state - State of ownership.
+ */
+export function forgetWatchedMembers(state: OwnershipState): void {
+  for (const {leaseExpiresAt} of state.watchedMembers.values()) {
+    state.formerLeasesUntil = Math.max(state.formerLeasesUntil, leaseExpiresAt);
+  }
+  state.watchedMembers.clear();
+  state.revokedMembers.clear();
+}
+
 /**
  * Revokes a member once the last lease granted to it has expired: this daemon
  * never grants that incarnation a lease again.
@@ -75,6 +90,7 @@
 ): boolean {
   const watched = state.watchedMembers.get(member);
   if (watched !== undefined && now < watched.leaseExpiresAt) return false;
+  if (now < state.formerLeasesUntil) return false;
   state.revokedMembers.add(member);
   return true;
 }
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -26,6 +26,7 @@
   handleAppendReply,
 } from '../log_replication/writer.js';
 import {
+  forgetWatchedMembers,
   handleCleared,
   revokeMember,
   markUnresponsive,
@@ -468,8 +469,7 @@
   state.lease = createLeaseState();
   state.proposals.joinRequestedAt = null;
   state.proposals.newcomers.length = 0;
-  state.watchedMembers.clear();
-  state.revokedMembers.clear();
+  forgetWatchedMembers(state);
   state.evictions.clear();
   state.drains.clear();
   state.releasesUnderWay.clear();
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -209,6 +209,11 @@
   watchedMembers: Map<MemberId, WatchedMember>;
   /** Members to which this one promised never to grant a lease again. */
   revokedMembers: Set<MemberId>;
+  /**
+   * Monotonic time until which a lease may be valid that this process granted
+   * under an earlier member id, margin included.
+   */
+  formerLeasesUntil: number;
   evictions: Map<MemberId, Eviction>;
   /** What the local backend server announces, or null. */
   announcement: Announcement | null;
@@ -320,6 +325,7 @@
     lease: createLeaseState(),
     watchedMembers: new Map(),
     revokedMembers: new Set(),
+    formerLeasesUntil: 0,
     evictions: new Map(),
     announcement: null,
     pendingCommands: [],
