A response isn't continued over the next link

Callers got a success with a part of the body missing: the server's "first,second,third" arrived as "first,third", status 200. With a content-length the caller would have waited for the rest on a connection whose next response it would have read as that rest.

Cause: when the link between two daemons is lost, what is under way on it is lost too. The executing daemon goes on sending the response over the next link, and the origin appended what arrived there to what it had before, in the front end as well as in the reducer (the end of the response made the attempt complete). Only the reply to the origin's inquiry has the response sent again from its start; it came too late.

Evidence: lost_link.spec.ts, both cases, over real links and a real caller's connection, failed before this change ("first,third" with 200). No figure on how often it happens.

After the loss of a link, an attempt counts as interrupted: the rest and the end of its response are ignored until its head arrives again, which is where each replay starts. A response whose head had not been sent before the loss is relayed as before.

--- a/packages/core/src/routing/dispatch.ts
+++ b/packages/core/src/routing/dispatch.ts
@@ -141,6 +141,7 @@
     progress: 'sent',
     nextInquiryAt: Infinity,
     inquiring: false,
+    interrupted: false,
   };
   pending.attemptsSent += 1;
   pending.attempts.set(attempt.id, attempt);
--- a/packages/core/src/routing/inquiries.ts
+++ b/packages/core/src/routing/inquiries.ts
@@ -26,6 +26,7 @@
   for (const id of [...outstanding.keys()]) {
     const attempt = state.attempts.get(id);
     if (attempt === undefined || attempt.progress === 'complete') continue;
+    attempt.interrupted = true;
     if (attempt.inquiring) {
       scheduleInquiry(context, attempt);
       continue;
--- a/packages/core/src/routing/responses.ts
+++ b/packages/core/src/routing/responses.ts
@@ -20,6 +20,7 @@
  */
 export function handleHead(context: RoutingContext, attempt: Attempt): void {
   const {state, effects, now} = context;
+  attempt.interrupted = false;
   const pending = state.requests.get(attempt.request);
   if (pending === undefined || pending.relayedAttempt !== null) return;
   const {request, service} = pending.accepted;
@@ -41,7 +42,8 @@
 }
 
 /**
- * Handles the end of a response: all of its bytes have arrived here.
+ * Handles the end of a response: all of its bytes have arrived here, unless
+ * its link was lost since its head arrived.
  *
  * @param context - Context of the current input.
  * @param attempt - The attempt.
@@ -53,7 +55,7 @@
   end: Extract<RequestMessage, {kind: 'end'}>,
 ): void {
   const {state, now} = context;
-  if (attempt.progress !== 'relaying') return;
+  if (attempt.progress !== 'relaying' || attempt.interrupted) return;
   attempt.progress = 'complete';
   attempt.inquiring = false;
   recordEnded(state.selection, attempt.to, attempt.id);
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -44,6 +44,11 @@
   nextInquiryAt: number;
   /** True after its link was lost, until the peer reports what became of it. */
   inquiring: boolean;
+  /**
+   * True after its link was lost, until the peer sends the response from its
+   * start: what arrives before that isn't the whole response.
+   */
+  interrupted: boolean;
 }
 
 /** One request from a caller that has no complete response yet. */
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -232,6 +232,18 @@
     }
   }
 
+  /**
+   * Handles the loss of the link with a member. Responses that are under way
+   * from it may lack a part, until it sends them again from their start.
+   *
+   * @param peer - The member.
+   */
+  handleLinkLost(peer: MemberId): void {
+    for (const response of this.responses.values()) {
+      if (response.from === peer) response.interrupted = true;
+    }
+  }
+
   /**
    * Starts to relay the response of an attempt to the caller.
    *
--- a/packages/daemon/src/callers/responses.ts
+++ b/packages/daemon/src/callers/responses.ts
@@ -57,6 +57,7 @@
     response.chunks.length = 0;
     response.received = 0;
     response.ended = false;
+    response.interrupted = false;
   }
 
   /**
@@ -71,6 +72,7 @@
     bytes: Uint8Array,
     pending: PendingRequest | null,
   ): void {
+    if (response.interrupted) return;
     const start = response.received;
     response.received += bytes.length;
     const skipped = Math.min(
@@ -90,6 +92,7 @@
    * @param pending - The request if this response was chosen for it, or null.
    */
   end(response: IncomingResponse, pending: PendingRequest | null): void {
+    if (response.interrupted) return;
     response.ended = true;
     if (pending !== null) this.flush(response, pending);
   }
--- a/packages/daemon/src/callers/state.ts
+++ b/packages/daemon/src/callers/state.ts
@@ -26,6 +26,7 @@
     head: null,
     chunks: [],
     ended: false,
+    interrupted: false,
     received: 0,
     delivered: 0,
     creditOwed: 0,
--- a/packages/daemon/src/callers/types.ts
+++ b/packages/daemon/src/callers/types.ts
@@ -52,6 +52,11 @@
    */
   readonly chunks: Uint8Array[];
   ended: boolean;
+  /**
+   * Whether the link was lost since the last head, so that a part may be
+   * missing. What arrives before the next head is ignored.
+   */
+  interrupted: boolean;
   /** Number of body bytes received since the last head. */
   received: number;
   /** Number of body bytes written to the caller. */
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -375,6 +375,7 @@
     this.options.metrics.count('linksLost');
     this.log('linkLost', {peer, reason});
     this.outbox.failQueue(peer);
+    this.callers.handleLinkLost(peer);
     this.loop.emit({kind: 'linkLost', peer});
   }
 
--- /dev/null
+++ b/packages/daemon/src/runtime/lost_link.spec.ts
@@ -0,0 +1,266 @@
+/**
+ * @fileoverview Tests of responses that are under way between two daemons when
+ * their link is lost. The origin of the request is a daemon; the executing one
+ * is played by the test.
+ */
+
+import {once} from 'node:events';
+import {request} from 'node:http';
+import type {IncomingMessage} from 'node:http';
+import type {AddressInfo} from 'node:net';
+
+import {
+  createDaemon,
+  makeMemberId,
+  mergeTuning,
+  parseWorkspace,
+} from '@jackdawfall/core';
+import type {
+  Address,
+  AttemptId,
+  Change,
+  LoggedEntry,
+  MemberId,
+  Message,
+} from '@jackdawfall/core';
+import {Links} from '@jackdawfall/wire';
+import test from 'ava';
+import type {ExecutionContext} from 'ava';
+
+import {CALLER_PROTOCOL} from '../callers/protocol.js';
+import {createMetrics} from '../metrics/logic.js';
+import {SERVER_PROTOCOL} from '../runs/protocol.js';
+import type {Settings} from '../settings/types.js';
+import {waitUntil} from '../testing/runs.js';
+import {DaemonRuntime} from './logic.js';
+
+const ORIGIN = makeMemberId('a' as never, '1');
+const PEER = makeMemberId('b' as never, '1');
+const IP = '127.0.0.1';
+const TUNING = mergeTuning({});
+const OUTSTANDING = 0;
+/** The whole body of the backend server's response, in parts. */
+const PARTS = ['first,', 'second,', 'third'];
+const WHOLE = PARTS.join('');
+
+const DOCUMENT = JSON.stringify({
+  name: 'w',
+  version: 1,
+  zones: ['z'],
+  services: [{name: 'records', division: {kind: 'shared'}, upstreams: 1}],
+  routes: [
+    {
+      method: 'GET',
+      path: '/records/{id}',
+      service: 'records',
+      idempotent: true,
+      priority: 'interactive',
+      timeoutMs: 2000,
+    },
+  ],
+  limits: {
+    maxBodyBytes: 100,
+    maxKeyBytes: 10,
+    retryShare: 0.1,
+    maxMovingSlices: 1,
+    drainMs: 100,
+  },
+});
+
+interface Case {
+  readonly name: string;
+  /** What the peer says became of the attempt. */
+  readonly fate: 'running' | 'forgotten';
+  /** Parts that it sends again after that, from the start. */
+  readonly replayed: readonly string[];
+  /** Status and body that the caller gets; null if the body doesn't matter. */
+  readonly status: number;
+  readonly body: string | null;
+}
+
+const CASES: readonly Case[] = [
+  {
+    name: 'a response that is sent again is relayed from its start',
+    fate: 'running',
+    replayed: PARTS,
+    status: 200,
+    body: WHOLE,
+  },
+  {
+    name: 'a response that is not sent again is not relayed',
+    fate: 'forgotten',
+    replayed: [],
+    status: 502,
+    body: null,
+  },
+];
+
+// What arrived over the next link was appended to what had arrived before: the
+// caller got a success without the part that was lost with the link.
+for (const {name, fate, replayed, status, body} of CASES) {
+  test(`after the loss of a link, ${name}`, async t => {
+    const received: Message[] = [];
+    const first = createPeer(t, received);
+    const peerPort = await first.links.listen();
+    const {address, callers} = await startOrigin(t);
+    first.links.send(ORIGIN, address, entriesFor(peerPort));
+    await waitUntil(() => received.some(each => each.kind === 'pull'));
+    const response = get(callers);
+    await waitUntil(() => attemptsIn(received).length > 0);
+    const [attempt] = attemptsIn(received);
+    first.links.send(ORIGIN, address, headOf(attempt));
+    first.links.send(ORIGIN, address, dataOf(attempt, PARTS[0]));
+    await waitUntil(() => first.links.bufferedBytes(ORIGIN) === 0);
+    first.stop();
+    const next = createPeer(t, received);
+    next.links.send(ORIGIN, address, dataOf(attempt, PARTS[2]));
+    next.links.send(ORIGIN, address, endOf(attempt));
+    await waitUntil(() => received.some(each => each.kind === 'inquire'));
+    next.links.send(ORIGIN, address, {kind: 'fate', attempt, state: fate});
+    if (replayed.length > 0) {
+      next.links.send(ORIGIN, address, headOf(attempt));
+      for (const part of replayed) {
+        next.links.send(ORIGIN, address, dataOf(attempt, part));
+      }
+      next.links.send(ORIGIN, address, endOf(attempt));
+    }
+    const actual = await response;
+    t.is(actual.status, status);
+    if (body !== null) t.is(actual.body, body);
+  });
+}
+
+/** Creates the links of the peer, which record the messages. */
+function createPeer(t: ExecutionContext, received: Message[]) {
+  const abort = new AbortController();
+  t.teardown(() => abort.abort());
+  const links = new Links({
+    self: {
+      member: PEER,
+      address: `${IP}:1` as Address,
+      workspace: 'w' as never,
+    },
+    listen: {ip: IP, port: 0},
+    tuning: TUNING.links,
+    signal: abort.signal,
+    on: {
+      message: (_, message) => void received.push(message),
+      opened: () => undefined,
+      lost: () => undefined,
+    },
+  });
+  return {links, stop: () => abort.abort()};
+}
+
+/** Starts a daemon whose store is out of reach. */
+async function startOrigin(t: ExecutionContext) {
+  const abort = new AbortController();
+  const endpoint = {ip: IP, port: 0};
+  const identity = {workspace: 'w', host: 'a', zone: 'z'} as never as Pick<
+    Settings,
+    'workspace' | 'host' | 'zone'
+  >;
+  const runtime = new DaemonRuntime({
+    settings: {
+      ...identity,
+      callers: endpoint,
+      links: endpoint,
+      operators: endpoint,
+      linkAddress: `${IP}:1` as Address,
+      platform: {addresses: []},
+      tuning: TUNING,
+    },
+    adapters: {
+      store: {call: () => Promise.resolve({kind: 'refused', detail: ''})},
+      callers: CALLER_PROTOCOL,
+      servers: SERVER_PROTOCOL,
+      start: () => Promise.resolve(),
+    },
+    daemon: createDaemon({
+      ...identity,
+      address: `${IP}:1` as Address,
+      incarnation: '1',
+      tuning: TUNING,
+    }),
+    member: ORIGIN,
+    logger: {log: () => undefined, setContext: () => undefined},
+    metrics: createMetrics(),
+    random: () => 0.5,
+    onLeft: () => undefined,
+    onInvariantViolation: (invariant, detail) =>
+      t.fail(`${invariant}: ${detail}`),
+    signal: abort.signal,
+  });
+  const {server} = runtime.callers;
+  server.listen(0, IP);
+  await once(server, 'listening');
+  const port = await runtime.links.listen();
+  runtime.start();
+  t.teardown(() => {
+    abort.abort();
+    server.close();
+    server.closeAllConnections();
+  });
+  const callers = (server.address() as AddressInfo).port;
+  return {address: `${IP}:${port}` as Address, callers};
+}
+
+/** Entries by which both daemons are members, and the peer has a server. */
+function entriesFor(peerPort: number): Message {
+  const parsed = parseWorkspace(DOCUMENT);
+  if (parsed.kind === 'invalid') throw new Error('invalid document');
+  const document = JSON.stringify(parsed.workspace);
+  const changes: Change[] = [
+    {kind: 'configured', number: 1, document},
+    joined(PEER, peerPort),
+    {
+      kind: 'offered',
+      member: PEER,
+      service: 'records' as never,
+      instance: 'server' as never,
+      slots: 4,
+      leaving: false,
+    },
+    joined(ORIGIN, 1),
+  ];
+  const entries = changes.map((change, index): LoggedEntry => {
+    const version = (index + 1) as LoggedEntry['version'];
+    const text = JSON.stringify({version, writeId: '', by: '', at: 0, change});
+    return {version, revision: version, text};
+  });
+  const {version} = entries[entries.length - 1];
+  return {kind: 'entries', entries, version};
+}
+
+function joined(member: MemberId, port: number): Change {
+  const address = `${IP}:${port}` as Address;
+  const common = {zone: 'z' as never, operators: null, replaces: null};
+  return {kind: 'joined', member, address, ...common};
+}
+
+function attemptsIn(received: readonly Message[]): AttemptId[] {
+  return received.flatMap(each =>
+    each.kind === 'dispatch' ? [each.attempt] : [],
+  );
+}
+
+function headOf(attempt: AttemptId): Message {
+  return {kind: 'head', attempt, status: 200, headers: []};
+}
+
+function dataOf(attempt: AttemptId, part: string): Message {
+  return {kind: 'data', attempt, bytes: Buffer.from(part)};
+}
+
+function endOf(attempt: AttemptId): Message {
+  return {kind: 'end', attempt, outstanding: OUTSTANDING};
+}
+
+async function get(port: number): Promise<{status: number; body: string}> {
+  const outgoing = request({host: IP, port, path: '/records/1', agent: false});
+  outgoing.end();
+  const [incoming] = (await once(outgoing, 'response')) as [IncomingMessage];
+  let body = '';
+  for await (const bytes of incoming) body += String(bytes);
+  return {status: incoming.statusCode ?? 0, body};
+}
