A daemon removed before it knew of its join takes a new member id

A member id was used twice. Members refuse a lease to an id that was removed, so such a member held none but by writes of its row; and as the first removal's time is kept, members to which it granted leases would be evicted without any wait when it ended again, while they may dispatch (by reading; two servers could then be granted the same keys).

Cause: another member had committed that the daemon joins, and it was evicted before it learnt of either.

--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -377,7 +377,10 @@
     state.logWriter.append = null;
   }
   const isListed = state.map.members.has(state.self);
-  if (state.phase !== 'joining' && !isListed) handleOwnRemoval(context);
+  // Another member may have committed that this one joins.
+  const wasRemoved =
+    state.phase === 'joining' ? state.map.ended.has(state.self) : !isListed;
+  if (wasRemoved) handleOwnRemoval(context);
   if (state.phase === 'joining' && isListed) {
     state.phase = 'joined';
     readOwnRow(context);
--- a/packages/core/src/ownership/joined_by_snapshot.spec.ts
+++ b/packages/core/src/ownership/joined_by_snapshot.spec.ts
@@ -7,7 +7,7 @@
 
 import type {MemberId, Version} from '../ids/types.js';
 import type {Change} from '../log/types.js';
-import type {Effect, Event} from '../loop/types.js';
+import type {Event} from '../loop/types.js';
 import {applyEntry} from '../map/logic.js';
 import {createMap} from '../map/state.js';
 import {mergeTuning} from '../settings/logic.js';
@@ -62,15 +62,15 @@
   return serializeMap(map);
 }
 
-/** Replies of a store whose log was trimmed up to the snapshot. */
-function replyOf(request: StoreCall): StoreReply {
-  const version = HISTORY.length as Version;
+/** Replies of a store whose log was trimmed up to a snapshot. */
+function replyOf(request: StoreCall, changes: readonly Change[]): StoreReply {
+  const version = changes.length as Version;
   const pointer = {version, object: 'snapshot', trimmedTo: version};
   switch (request.kind) {
     case 'commit':
       return {kind: 'committed', revision: 100};
     case 'getObject':
-      return {kind: 'object', body: snapshotOf(HISTORY)};
+      return {kind: 'object', body: snapshotOf(changes)};
     case 'putObject':
       return {kind: 'stored'};
     case 'read': {
@@ -84,8 +84,14 @@
   }
 }
 
-/** Returns when the daemon first released slices, after its start; or null. */
-function timeOfRelease(): number | null {
+/**
+ * Lets a daemon start from a snapshot, and returns the first effect that
+ * matches, with the time since its start; or null.
+ */
+function waitForEffect(
+  changes: readonly Change[],
+  matches: (text: string) => boolean,
+): {text: string; afterMs: number} | null {
   const state = createOwnershipState({
     workspace: 'w' as never,
     host: 'a' as never,
@@ -110,10 +116,11 @@
       const at = {monotonic: now, wall: now};
       const input = {at, random: 0.5, event};
       const effects = OWNERSHIP.reduce(state, input, {work});
-      if (effects.some(releasesSlices)) return now - START_MS;
+      const text = effects.map(each => JSON.stringify(each)).find(matches);
+      if (text !== undefined) return {text, afterMs: now - START_MS};
       for (const effect of effects) {
         if (effect.kind !== 'callStore') continue;
-        const reply = replyOf(effect.request);
+        const reply = replyOf(effect.request, changes);
         events.push({kind: 'storeReplied', call: effect.call, reply});
       }
     }
@@ -121,14 +128,24 @@
   return null;
 }
 
-function releasesSlices(effect: Effect): boolean {
-  return JSON.stringify(effect).includes('"kind\\":\\"released\\"');
+/** Matches effects that commit a change, or ask another member to. */
+function commits(kind: Change['kind']): (text: string) => boolean {
+  return text => text.includes(`"kind\\":\\"${kind}\\"`);
 }
 
 // Such a daemon released the slices at once: their next owner granted them
 // while the server held them under grants of the predecessor.
 test('a successor that joins by a snapshot waits for the grants of its predecessor', t => {
-  const releasedAt = timeOfRelease();
+  const released = waitForEffect(HISTORY, commits('released'));
+  const releasedAt = released?.afterMs ?? null;
   t.true((releasedAt ?? 0) >= LEASE_MS + MARGIN_MS, `${releasedAt} ms`);
   t.true((releasedAt ?? Infinity) <= LEASE_MS + MARGIN_MS + 2 * TICK_MS);
 });
+
+// It joined again under the id: no grantor gives a lease to a removed member,
+// and those that it granted leases were evicted while these were valid.
+test('a daemon that was joined and removed does not join under the same id again', t => {
+  const changes: Change[] = [...HISTORY, {kind: 'ended', members: [SELF]}];
+  const joins = waitForEffect(changes, commits('joined'));
+  t.true(joins?.text.includes(`member\\":\\"${SELF}.2\\"`), joins?.text);
+});
