The randomised run's links keep the id of a removed member

In a process, links keep the earlier member id from the member's removal until it has joined under its next one: requests meant for the earlier member still reach the process, and what it sends counts as the earlier member's. In the randomised run the id changed at once, so that it met no fault of that time.

--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -525,7 +525,7 @@
     this.traffic.messages += 1;
     this.traffic.bytes += this.settings.sizeOf?.(message) ?? 0;
     const host = Number(hostOf(to).slice(1));
-    const from = node.self;
+    const from = node.linkId;
     const path = `${node.host}>${host}`;
     if ((this.cuts.get(path) ?? 0) > this.now) return;
     const delay =
@@ -535,7 +535,7 @@
     const at = Math.max(freeAt, this.now + delay);
     this.linkFreeAt.set(link, at);
     this.queue.add(at, () => {
-      const target = this.nodes.find(n => n.alive && n.self === to);
+      const target = this.nodes.find(n => n.alive && n.linkId === to);
       if (target === undefined) return;
       this.deliver(target, {kind: 'messageReceived', from, message});
     });
--- a/packages/emulator/src/soak/node.ts
+++ b/packages/emulator/src/soak/node.ts
@@ -34,6 +34,11 @@
   alive = true;
   serverUp = true;
   instance = 1;
+  /**
+   * Member id under which its links are open. They keep the id of a removed
+   * member until the process has joined under the next one.
+   */
+  linkId: MemberId;
   /** Simulated time at which the newest run on the backend server started. */
   lastWorkAt = 0;
   /** Real time spent in the reducer, in milliseconds. */
@@ -56,6 +61,7 @@
     wallOffset: number,
   ) {
     this.ownershipView = createOwnershipView(state);
+    this.linkId = state.self;
     this.clockSetAt = now;
     this.monotonic = 1000 + host;
     this.wallOffset = wallOffset;
@@ -132,6 +138,9 @@
     const startedAt = performance.now();
     const effects = OWNERSHIP.reduce(this.state, input, dependencies);
     this.reduceMs += performance.now() - startedAt;
+    if (event.kind === 'ticked') {
+      this.linkId = this.ownershipView.self ?? this.linkId;
+    }
     return effects;
   }
 
