The body of a request isn't continued over the next link

A server was sent a request with a part of its body missing: of "first,second,third", the chunked body "first,third" arrived as complete.

Cause: when the link between two daemons is lost, what is under way on it is lost too. The origin goes on sending the body over the next link as credit arrives, and the executing daemon appended it to what it had.

Evidence: lost_link.spec.ts, "after the loss of a link, the body of a request is not continued", over real links and a real server's socket, failed before this change: the server read "first,third". It concerns bodies that don't fit into the dispatch and have no content-length.

An attempt whose link is lost before the end of its body can't be completed: its run is ended, and it fails as one that may have run, or as not run if it hadn't started.

--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -38,6 +38,8 @@
 import {ServerConnectionPool} from './connections.js';
 import type {ReceivedAttempt, Run, ResponseStream} from './types.js';
 
+const BODY_LOST = 'the link was lost before the end of the body';
+
 /** Dependencies of the executor. */
 export interface RunExecutorContext {
   emit(event: Event): void;
@@ -124,6 +126,21 @@
     }
   }
 
+  /**
+   * Handles the loss of the link with another daemon. Its attempts whose bodies
+   * haven't ended are not run: a part of the body may have been lost.
+   *
+   * @param peer - The daemon.
+   */
+  handleLinkLost(peer: MemberId): void {
+    for (const received of this.attempts.values()) {
+      if (received.bodyEnded || originOf(received.attempt) !== peer) continue;
+      received.bodyLost = true;
+      const {run} = received;
+      if (run?.finished === false) run.outgoing.destroy(new Error(BODY_LOST));
+    }
+  }
+
   /**
    * Starts to run an attempt at the backend server.
    *
@@ -151,6 +168,10 @@
   ): void {
     if (!received.startScheduled) return;
     received.startScheduled = false;
+    if (received.bodyLost) {
+      this.reportFailed(effect.attempt, 'not-run', BODY_LOST);
+      return;
+    }
     const {announcement, connections} = this;
     if (announcement === null || connections === null) {
       this.reportFailed(effect.attempt, 'not-run', 'no backend server');
@@ -306,6 +327,7 @@
       dispatch,
       bodyChunks: dispatch.body.length > 0 ? [dispatch.body] : [],
       bodyEnded: dispatch.bodyEnds,
+      bodyLost: false,
       startScheduled: false,
       run: null,
       streams: [],
@@ -321,6 +343,7 @@
   ): void {
     const received = this.attempts.get(attempt);
     if (received === undefined || originOf(attempt) !== from) return;
+    if (received.bodyLost) return;
     received.bodyChunks.push(bytes);
     received.bodyEnded = ends;
     this.writeBody(received);
--- a/packages/daemon/src/runs/types.ts
+++ b/packages/daemon/src/runs/types.ts
@@ -17,6 +17,11 @@
   /** Chunks of the request body not yet written to the backend server. */
   readonly bodyChunks: Uint8Array[];
   bodyEnded: boolean;
+  /**
+   * Whether the link with its origin was lost before the end of its body, of
+   * which a part may be missing.
+   */
+  bodyLost: boolean;
   /** Whether a run is scheduled but hasn't started. */
   startScheduled: boolean;
   run: Run | null;
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -376,6 +376,7 @@
     this.log('linkLost', {peer, reason});
     this.outbox.failQueue(peer);
     this.callers.handleLinkLost(peer);
+    this.executor.handleLinkLost(peer);
     this.loop.emit({kind: 'linkLost', peer});
   }
 
--- a/packages/daemon/src/runtime/lost_link.spec.ts
+++ b/packages/daemon/src/runtime/lost_link.spec.ts
@@ -1,13 +1,13 @@
 /**
- * @fileoverview Tests of responses that are under way between two daemons when
- * their link is lost. The origin of the request is a daemon; the executing one
- * is played by the test.
+ * @fileoverview Tests of requests and responses that are under way between two
+ * daemons when their link is lost. One of the two is played by the test.
  */
 
 import {once} from 'node:events';
-import {request} from 'node:http';
+import {createServer, request} from 'node:http';
 import type {IncomingMessage} from 'node:http';
 import type {AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 
 import {
   createDaemon,
@@ -17,6 +17,7 @@
 } from '@jackdawfall/core';
 import type {
   Address,
+  Announcement,
   AttemptId,
   Change,
   LoggedEntry,
@@ -34,11 +35,12 @@
 import {waitUntil} from '../testing/runs.js';
 import {DaemonRuntime} from './logic.js';
 
-const ORIGIN = makeMemberId('a' as never, '1');
+const DAEMON = makeMemberId('a' as never, '1');
 const PEER = makeMemberId('b' as never, '1');
 const IP = '127.0.0.1';
-const TUNING = mergeTuning({});
+const TUNING = mergeTuning({leases: {coversShared: false}});
 const OUTSTANDING = 0;
+const SETTLE_MS = 300;
 /** The whole body of the backend server's response, in parts. */
 const PARTS = ['first,', 'second,', 'third'];
 const WHOLE = PARTS.join('');
@@ -55,7 +57,7 @@
       service: 'records',
       idempotent: true,
       priority: 'interactive',
-      timeoutMs: 2000,
+      timeoutMs: 20_000,
     },
   ],
   limits: {
@@ -102,27 +104,27 @@
     const received: Message[] = [];
     const first = createPeer(t, received);
     const peerPort = await first.links.listen();
-    const {address, callers} = await startOrigin(t);
-    first.links.send(ORIGIN, address, entriesFor(peerPort));
+    const {address, callers} = await startDaemon(t);
+    first.links.send(DAEMON, address, entriesFor(peerPort, PEER));
     await waitUntil(() => received.some(each => each.kind === 'pull'));
     const response = get(callers);
     await waitUntil(() => attemptsIn(received).length > 0);
     const [attempt] = attemptsIn(received);
-    first.links.send(ORIGIN, address, headOf(attempt));
-    first.links.send(ORIGIN, address, dataOf(attempt, PARTS[0]));
-    await waitUntil(() => first.links.bufferedBytes(ORIGIN) === 0);
+    first.links.send(DAEMON, address, headOf(attempt));
+    first.links.send(DAEMON, address, dataOf(attempt, PARTS[0]));
+    await waitUntil(() => first.links.bufferedBytes(DAEMON) === 0);
     first.stop();
     const next = createPeer(t, received);
-    next.links.send(ORIGIN, address, dataOf(attempt, PARTS[2]));
-    next.links.send(ORIGIN, address, endOf(attempt));
+    next.links.send(DAEMON, address, dataOf(attempt, PARTS[2]));
+    next.links.send(DAEMON, address, endOf(attempt));
     await waitUntil(() => received.some(each => each.kind === 'inquire'));
-    next.links.send(ORIGIN, address, {kind: 'fate', attempt, state: fate});
+    next.links.send(DAEMON, address, {kind: 'fate', attempt, state: fate});
     if (replayed.length > 0) {
-      next.links.send(ORIGIN, address, headOf(attempt));
+      next.links.send(DAEMON, address, headOf(attempt));
       for (const part of replayed) {
-        next.links.send(ORIGIN, address, dataOf(attempt, part));
+        next.links.send(DAEMON, address, dataOf(attempt, part));
       }
-      next.links.send(ORIGIN, address, endOf(attempt));
+      next.links.send(DAEMON, address, endOf(attempt));
     }
     const actual = await response;
     t.is(actual.status, status);
@@ -130,6 +132,83 @@
   });
 }
 
+// The server was sent the request without the part that was lost with the link.
+test('after the loss of a link, the body of a request is not continued', async t => {
+  const bodies: string[] = [];
+  const server = createServer((incoming, outgoing) => {
+    let body = '';
+    incoming.on('error', () => undefined);
+    incoming.on('data', bytes => (body += String(bytes)));
+    incoming.on('end', () => {
+      bodies.push(body);
+      outgoing.end();
+    });
+  });
+  server.listen(0, IP);
+  await once(server, 'listening');
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const received: Message[] = [];
+  const first = createPeer(t, received);
+  const peerPort = await first.links.listen();
+  const {runtime, address} = await startDaemon(t);
+  const {port} = server.address() as AddressInfo;
+  runtime.announce(announcementOf(port));
+  const attempt = `${PEER}/1` as AttemptId;
+  first.links.send(DAEMON, address, entriesFor(peerPort, DAEMON));
+  first.links.send(DAEMON, address, dispatchOf(attempt, PARTS[0]));
+  // Credit for the first part: it was written to the server.
+  await waitUntil(() => received.some(each => each.kind === 'credit'));
+  first.stop();
+  const next = createPeer(t, received);
+  const bytes = Buffer.from(PARTS[2]);
+  next.links.send(DAEMON, address, {kind: 'body', attempt, bytes, ends: true});
+  await waitUntil(() => received.some(each => each.kind === 'failed'));
+  await sleep(SETTLE_MS);
+  t.deepEqual(bodies, []);
+  const failed = received.find(each => each.kind === 'failed');
+  t.is(failed?.run, 'unknown');
+});
+
+function announcementOf(port: number): Announcement {
+  return {
+    instance: 'server' as never,
+    service: 'records' as never,
+    address: `${IP}:${port}` as Address,
+    slots: 4,
+    connections: 4,
+    checksGrants: false,
+    leaving: false,
+    coldStart: null,
+  };
+}
+
+/** The dispatch of a request whose body has further parts. */
+function dispatchOf(attempt: AttemptId, part: string): Message {
+  return {
+    kind: 'dispatch',
+    attempt,
+    to: DAEMON,
+    request: 'r' as never,
+    service: 'records' as never,
+    slice: null,
+    method: 'POST',
+    path: '/records/1',
+    headers: [],
+    idempotent: false,
+    priority: 'interactive',
+    idempotencyKey: null,
+    budgetMs: 20_000,
+    urgency: 0,
+    objectiveMs: 0,
+    version: 0 as never,
+    body: Buffer.from(part),
+    bodyEnds: false,
+  };
+}
+
 /** Creates the links of the peer, which record the messages. */
 function createPeer(t: ExecutionContext, received: Message[]) {
   const abort = new AbortController();
@@ -153,7 +232,7 @@
 }
 
 /** Starts a daemon whose store is out of reach. */
-async function startOrigin(t: ExecutionContext) {
+async function startDaemon(t: ExecutionContext) {
   const abort = new AbortController();
   const endpoint = {ip: IP, port: 0};
   const identity = {workspace: 'w', host: 'a', zone: 'z'} as never as Pick<
@@ -182,7 +261,7 @@
       incarnation: '1',
       tuning: TUNING,
     }),
-    member: ORIGIN,
+    member: DAEMON,
     logger: {log: () => undefined, setContext: () => undefined},
     metrics: createMetrics(),
     random: () => 0.5,
@@ -202,26 +281,26 @@
     server.closeAllConnections();
   });
   const callers = (server.address() as AddressInfo).port;
-  return {address: `${IP}:${port}` as Address, callers};
+  return {runtime, address: `${IP}:${port}` as Address, callers};
 }
 
-/** Entries by which both daemons are members, and the peer has a server. */
-function entriesFor(peerPort: number): Message {
+/** Entries by which both daemons are members, and one has a server. */
+function entriesFor(peerPort: number, serving: MemberId): Message {
   const parsed = parseWorkspace(DOCUMENT);
   if (parsed.kind === 'invalid') throw new Error('invalid document');
   const document = JSON.stringify(parsed.workspace);
   const changes: Change[] = [
     {kind: 'configured', number: 1, document},
     joined(PEER, peerPort),
+    joined(DAEMON, 1),
     {
       kind: 'offered',
-      member: PEER,
+      member: serving,
       service: 'records' as never,
       instance: 'server' as never,
       slots: 4,
       leaving: false,
     },
-    joined(ORIGIN, 1),
   ];
   const entries = changes.map((change, index): LoggedEntry => {
     const version = (index + 1) as LoggedEntry['version'];
