A daemon that joined under a new id relays the responses of its own runs

A caller whose request ran at the server of its own daemon waited until the deadline and got 504, though the server had answered, when the daemon was removed and joined again while the request ran.

Cause: an attempt keeps the member id under which it began, also as the recipient of its response. After the daemon took its next id, messages to the earlier one were for an unknown member and were dropped; no link is lost between a daemon and itself, so that nothing asked what became of the attempt.

Evidence: lost_link.spec.ts, "a daemon that joins under a new id relays the response of its own run", got 504 before this change and gets the server's response now.

The runtime keeps its earlier member ids, and delivers messages to them itself.

--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -70,6 +70,8 @@
     (result: CommandResult) => void
   >();
   private self: MemberId;
+  /** Earlier member ids of this process. Its own attempts keep them. */
+  private readonly formerIds = new Set<MemberId>();
   private configuration: CompiledConfiguration | null = null;
   private announcement: Announcement | null = null;
   private announcedMs = 0;
@@ -322,7 +324,7 @@
    */
   private sendFromReducer(effect: Extract<Effect, {kind: 'send'}>): void {
     const {to, address, message} = effect;
-    if (to === this.self) this.receive(to, message);
+    if (this.isOwn(to)) this.receive(to, message);
     else if (address !== null) this.links.send(to, address, message);
     else if (this.links.isOpen(to)) this.outbox.send(to, null, message);
   }
@@ -333,7 +335,7 @@
    * member; a dispatch that can't be sent is reported to the reducer.
    */
   private transmit(to: MemberId, message: Message): void {
-    if (to === this.self) {
+    if (this.isOwn(to)) {
       this.receive(to, message);
       return;
     }
@@ -341,6 +343,11 @@
     this.outbox.send(to, ownershipView.addressOf(to), message);
   }
 
+  /** Returns whether a member is this process, now or before a removal. */
+  private isOwn(member: MemberId): boolean {
+    return member === this.self || this.formerIds.has(member);
+  }
+
   private receive(from: MemberId, message: Message): void {
     for (const receiver of receiversOf(message)) {
       this.pass(receiver, from, message);
@@ -428,6 +435,7 @@
     this.checkAnnouncementAge();
     const {self} = this.options.daemon.ownershipView;
     if (self === null || self === this.self) return;
+    this.formerIds.add(this.self);
     this.self = self;
     this.links.setMemberId(self);
     this.options.logger.setContext({member: self});
--- a/packages/daemon/src/runtime/lost_link.spec.ts
+++ b/packages/daemon/src/runtime/lost_link.spec.ts
@@ -5,7 +5,7 @@
 
 import {once} from 'node:events';
 import {createServer, request} from 'node:http';
-import type {IncomingMessage} from 'node:http';
+import type {IncomingMessage, ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
@@ -172,6 +172,43 @@
   t.is(failed?.run, 'unknown');
 });
 
+// The response was sent to the earlier member id: nobody got it, and the caller
+// waited until its deadline.
+test('a daemon that joins under a new id relays the response of its own run', async t => {
+  const responses: ServerResponse[] = [];
+  const server = createServer((_, outgoing) => void responses.push(outgoing));
+  server.listen(0, IP);
+  await once(server, 'listening');
+  t.teardown(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+  const received: Message[] = [];
+  const peer = createPeer(t, received);
+  const peerPort = await peer.links.listen();
+  const {runtime, address, callers} = await startDaemon(t);
+  const ticker = setInterval(() => runtime.tick(), TUNING.loop.tickMs);
+  t.teardown(() => clearInterval(ticker));
+  const {port} = server.address() as AddressInfo;
+  runtime.announce(announcementOf(port));
+  const before = entriesFor(peerPort, DAEMON);
+  peer.links.send(DAEMON, address, before);
+  await waitUntil(() => received.some(each => each.kind === 'pull'));
+  const response = get(callers);
+  await waitUntil(() => responses.length > 0);
+  peer.links.send(
+    DAEMON,
+    address,
+    entriesAfter(before.version, [
+      {kind: 'ended', members: [DAEMON]},
+      joined(makeMemberId('a' as never, '1.2'), 1),
+    ]),
+  );
+  await sleep(SETTLE_MS);
+  responses[0].end(WHOLE);
+  t.deepEqual(await response, {status: 200, body: WHOLE});
+});
+
 function announcementOf(port: number): Announcement {
   return {
     instance: 'server' as never,
@@ -285,7 +322,7 @@
 }
 
 /** Entries by which both daemons are members, and one has a server. */
-function entriesFor(peerPort: number, serving: MemberId): Message {
+function entriesFor(peerPort: number, serving: MemberId) {
   const parsed = parseWorkspace(DOCUMENT);
   if (parsed.kind === 'invalid') throw new Error('invalid document');
   const document = JSON.stringify(parsed.workspace);
@@ -302,13 +339,17 @@
       leaving: false,
     },
   ];
+  return entriesAfter(0, changes);
+}
+
+function entriesAfter(after: number, changes: readonly Change[]) {
   const entries = changes.map((change, index): LoggedEntry => {
-    const version = (index + 1) as LoggedEntry['version'];
+    const version = (after + index + 1) as LoggedEntry['version'];
     const text = JSON.stringify({version, writeId: '', by: '', at: 0, change});
     return {version, revision: version, text};
   });
   const {version} = entries[entries.length - 1];
-  return {kind: 'entries', entries, version};
+  return {kind: 'entries', entries, version} as const;
 }
 
 function joined(member: MemberId, port: number): Change {
