--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -25,6 +25,7 @@
   handleAppendReply,
 } from '../log_replication/writer.js';
 import {
+  forgetWatchedMembers,
   handleCleared,
   revokeMember,
   markUnresponsive,
@@ -352,7 +353,10 @@
     state.logWriter.append = null;
   }
   const isListed = state.map.members.has(state.self);
-  if (state.phase !== 'joining' && !isListed) handleOwnRemoval(context);
+  // Another member may have committed that this one joins.
+  const wasRemoved =
+    state.phase === 'joining' ? state.map.ended.has(state.self) : !isListed;
+  if (wasRemoved) handleOwnRemoval(context);
   if (state.phase === 'joining' && isListed) {
     state.phase = 'joined';
     readOwnRow(context);
@@ -444,8 +448,7 @@
   state.lease = createLeaseState();
   state.proposals.joinRequestedAt = null;
   state.proposals.newcomers.length = 0;
-  state.watchedMembers.clear();
-  state.revokedMembers.clear();
+  forgetWatchedMembers(state);
   state.evictions.clear();
   state.drains.clear();
   recordAllUnproven(state.grants);
