An exhaustive model check of slice grants over fakes

The real reducer of ownership, a model server (fences, holds from arrival by a clock that is 2% slow, grants carried out late without a response, releases answered once work has ended), a wire that delays, reorders, drops and repeats, and an oracle of when another server may hold a slice. Depth-first searches of growing depth find the shortest history with two holders; npm run bench -- grants searches two steps deeper.

--- a/packages/emulator/src/bench/definitions.ts
+++ b/packages/emulator/src/bench/definitions.ts
@@ -1,6 +1,7 @@
 /** @fileoverview All benches, in the order in which they run. */
 
 import {disseminationBench} from '../dissemination/definition.js';
+import {grantsBench} from '../grants_model/definition.js';
 import {balanceBench} from '../soak/benches/balance.js';
 import {churnBench} from '../soak/benches/churn.js';
 import {controlBench} from '../soak/benches/control.js';
@@ -24,6 +25,7 @@
   churnBench,
   balanceBench,
   controlBench,
+  grantsBench,
   tailBench,
   tailProcessesBench,
   overloadBench,
--- /dev/null
+++ b/packages/emulator/src/grants_model/definition.ts
@@ -0,0 +1,33 @@
+/** @fileoverview The grants bench: the model check of slice grants, deeper. */
+
+import {setImmediate} from 'node:timers/promises';
+
+import {printProgress} from '../bench/progress.js';
+import type {Bench, Measurements} from '../bench/types.js';
+import {CASES} from './cases.js';
+import {search} from './search.js';
+import {formatFinding} from './view.js';
+
+/** Number of steps beyond the depth of the tests. */
+const FURTHER_STEPS = 2;
+
+/** The search of all histories of slice grants up to a depth. */
+export const grantsBench: Bench = {
+  name: 'grants',
+  text: 'histories of slice grants, searched for two holders of a slice',
+  run: searchAll,
+};
+
+async function searchAll(signal: AbortSignal): Promise<Measurements> {
+  const figures: Record<string, Measurements> = {};
+  for (const {name, bounds} of CASES) {
+    printProgress(`  ${name}`);
+    await setImmediate();
+    const deeper = {...bounds, depth: bounds.depth + FURTHER_STEPS};
+    const {finding, depth, tried} = search(deeper, signal);
+    const history =
+      finding === null ? null : formatFinding(finding, deeper).split('\n');
+    figures[name] = {depth, steps: tried, history};
+  }
+  return figures;
+}
--- /dev/null
+++ b/packages/emulator/src/grants_model/server.ts
@@ -0,0 +1,99 @@
+/**
+ * @fileoverview The server of the model. It checks fencing tokens and counts a
+ * hold from the arrival of the call, by a slow clock. It answers a release once
+ * the work on its slices has ended.
+ */
+
+import type {SliceGrant} from '@jackdawfall/core';
+
+import type {HeldSlice, ServerCall, World} from './types.js';
+
+/** Factor by which grants last longer, because the server's clock is slow. */
+const SLOW_CLOCK_FACTOR = 1.02;
+
+/**
+ * Creates the slices of a server that holds none.
+ *
+ * @param slices - Their number.
+ * @returns The slices.
+ */
+export function createHeldSlices(slices: number): HeldSlice[] {
+  return Array.from({length: slices}, () => ({
+    generation: 0,
+    until: 0,
+    releasedBy: null,
+  }));
+}
+
+/**
+ * Lets the server carry out a call that has arrived. A release stops new work
+ * on its slices, which are held until the work has ended.
+ *
+ * @param world - The world.
+ * @param call - The call.
+ */
+export function carryOut(world: World, call: ServerCall): void {
+  call.done = true;
+  const {generation} = call.grant;
+  if (call.ttlMs === null) {
+    for (const held of slicesOf(world, call.grant)) {
+      if (held.generation <= generation) held.releasedBy ??= call.number;
+    }
+    return;
+  }
+  call.refused = !passesFence(world, call);
+  if (call.refused) return;
+  const until = holdEnd(call, call.arrivedAt ?? world.now);
+  for (const held of slicesOf(world, call.grant)) {
+    const isRenewal = held.generation === generation && !held.releasedBy;
+    held.until = isRenewal ? Math.max(held.until, until) : until;
+    held.generation = generation;
+    held.releasedBy = null;
+  }
+}
+
+/**
+ * Ends the work for which a release waits.
+ *
+ * @param world - The world.
+ * @param call - The release.
+ */
+export function endWork(world: World, call: ServerCall): void {
+  for (const held of slicesOf(world, call.grant)) {
+    if (held.releasedBy !== call.number) continue;
+    held.releasedBy = null;
+    held.until = 0;
+  }
+}
+
+/**
+ * Returns whether the server would take a grant.
+ *
+ * @param world - The world.
+ * @param call - The call for the grant.
+ * @returns False if it has seen a higher fencing token on one of its slices.
+ */
+export function passesFence(world: World, call: ServerCall): boolean {
+  const {grant} = call;
+  return slicesOf(world, grant).every(
+    held => held.generation <= grant.generation,
+  );
+}
+
+/**
+ * Computes when the hold of a grant ends.
+ *
+ * @param call - The call for the grant.
+ * @param arrivedAt - Time of its arrival.
+ * @returns The time.
+ */
+export function holdEnd(call: ServerCall, arrivedAt: number): number {
+  return arrivedAt + (call.ttlMs ?? 0) * SLOW_CLOCK_FACTOR;
+}
+
+function slicesOf(
+  {held}: World,
+  {first, count}: SliceGrant,
+): readonly HeldSlice[] {
+  return held.slice(first, first + count);
+}
