Model of slice grants: releases are committed as soon as they are proposed

The daemon under test ranked first, so it collected its own proposals for 50 ms before it committed them, which hid holds that outlast a release by less.

--- a/packages/emulator/src/grants_model/daemon.ts
+++ b/packages/emulator/src/grants_model/daemon.ts
@@ -31,7 +31,8 @@
 export const SLICES = 2;
 /** Interval at which the lease is extended. */
 const RENEW_MS = 500;
-const HOST = 'a' as never;
+/** All others rank before its members, so one of them commits its releases. */
+const HOST = 'e' as never;
 const SERVICE = 'finder' as never;
 /** The member that moves are made to, and its stand-in after its removal. */
 export const TARGETS = ['b#1', 'c#1'] as MemberId[];
