Model of slice grants: refusals after the end of a process, and misdirected calls

A refused connection now ends holds only after the process that announced itself has ended; that it is taken so while the process goes on is a step of its own, and so is a call that reaches the next instance on the same address.

--- a/packages/emulator/src/grants_model/logic.ts
+++ b/packages/emulator/src/grants_model/logic.ts
@@ -101,6 +101,12 @@
   switch (kind) {
     case 'exchange':
       return call.awaited && mayArrive(world, call);
+    case 'misdirect':
+      return (
+        call.awaited &&
+        call.arrivedAt === null &&
+        call.instance !== announcementOf(world.instance).instance
+      );
     case 'arrive':
       return mayArrive(world, call);
     case 'defer':
@@ -124,6 +130,8 @@
  * @returns Whether it is on its way.
  */
 export function mayArrive(world: World, call: ServerCall): boolean {
+  const {instance} = announcementOf(world.instance);
+  if (call.instance !== instance) return false;
   return call.arrivedAt === null && world.now <= call.arrivesBy;
 }
 
@@ -132,6 +140,8 @@
   const service = [...daemon.map.services.values()][0];
   const isMoving = service.moves.has(0 as never);
   const {announcement, map, self} = daemon;
+  const {instance} = announcementOf(world.instance);
+  const isAnnounced = announcement?.instance === instance;
   const isAwaited = map.members.get(self)?.awaited === true;
   const mayMove = running && !isAwaited && owns(world, 0) && !isMoving;
   switch (kind) {
@@ -146,12 +156,13 @@
     case 'restart':
       return world.instance === 1;
     case 'refuse':
+      return running && announcement !== null && !isAnnounced;
+    case 'presumeEnded':
+      return running && isAnnounced;
     case 'silence':
       return running && announcement !== null;
-    case 'announce': {
-      const {instance} = announcementOf(world.instance);
-      return running && announcement?.instance !== instance;
-    }
+    case 'announce':
+      return running && !isAnnounced;
     case 'replace':
       return running && renewsLease && world.process === 1;
     case 'stopRenewals':
@@ -187,6 +198,7 @@
 function performOnCall(world: World, kind: CallStep, call: ServerCall): void {
   switch (kind) {
     case 'exchange':
+    case 'misdirect':
       call.arrivedAt = world.now;
       carryOut(world, call);
       respond(world, call);
@@ -255,6 +267,7 @@
       }
       return;
     case 'refuse':
+    case 'presumeEnded':
       loseServer(world, true);
       return;
     case 'silence':
@@ -338,13 +351,14 @@
 }
 
 function createCall(
-  {now, maxDelayMs}: World,
+  {now, maxDelayMs, daemon}: World,
   number: number,
   effect: ServerEffect,
   grant: ServerEffect['grants'][number],
 ): ServerCall {
   const state = {arrivedAt: null, done: false, refused: false, awaited: true};
-  const common = {number, grant, sentAt: now, ...state};
+  const instance = daemon.announcement?.instance ?? null;
+  const common = {number, grant, instance, sentAt: now, ...state};
   if (effect.kind === 'releaseSlices') {
     const success = {...effect, grant, handover: null};
     return {
--- a/packages/emulator/src/grants_model/types.ts
+++ b/packages/emulator/src/grants_model/types.ts
@@ -3,6 +3,7 @@
 import type {
   Effect,
   Event,
+  InstanceId,
   LoggedEntry,
   OwnershipState,
   SliceGrant,
@@ -12,6 +13,8 @@
 export interface ServerCall {
   readonly number: number;
   readonly grant: SliceGrant;
+  /** Instance that it is sent to, or null. */
+  readonly instance: InstanceId | null;
   readonly sentAt: number;
   /** Time after which the daemon gives it up. */
   readonly timeoutMs: number;
@@ -78,9 +81,18 @@
  * - `repeat`: a copy of an earlier response on the same connection stands for
  *   the response to a grant.
  * - `fail`: the daemon sees a grant fail, which may still arrive.
+ * - `misdirect`: it reaches another instance than it was sent to, and is carried
+ *   out and answered.
  */
 export type CallStep =
-  'exchange' | 'arrive' | 'defer' | 'carryOut' | 'respond' | 'repeat' | 'fail';
+  | 'exchange'
+  | 'arrive'
+  | 'defer'
+  | 'carryOut'
+  | 'respond'
+  | 'repeat'
+  | 'fail'
+  | 'misdirect';
 
 /**
  * What else may happen.
@@ -89,7 +101,10 @@
  * - `cancel`: the target of the move is removed.
  * - `return`: the slice that moved away comes back.
  * - `restart`: the server's process ends, and another instance starts.
- * - `refuse`: a connection to the server is refused.
+ * - `refuse`: a connection is refused, since the process that announced itself
+ *   has ended.
+ * - `presumeEnded`: a refused connection is taken for the end of the process,
+ *   which goes on.
  * - `silence`: the server's announcement expires.
  * - `announce`: the server announces itself.
  * - `replace`: the daemon is killed, and its successor on the host joins.
@@ -104,6 +119,7 @@
   | 'return'
   | 'restart'
   | 'refuse'
+  | 'presumeEnded'
   | 'silence'
   | 'announce'
   | 'replace'
