Model of slice grants: the response to a release ends earlier releases' work too

A server answers once the work that runs on the slices has ended, whichever release stopped it; the model waited for the response to the first one and found a holder that wasn't (move, release, cancel, grant not written, move, release answered).

--- a/packages/emulator/src/grants_model/server.ts
+++ b/packages/emulator/src/grants_model/server.ts
@@ -37,7 +37,8 @@
   const {generation} = call.grant;
   if (call.ttlMs === null) {
     for (const held of slicesOf(world, call.grant)) {
-      if (held.generation <= generation) held.releasedBy ??= call.number;
+      if (held.generation > generation) continue;
+      held.releasedBy = Math.max(held.releasedBy ?? 0, call.number);
     }
     return;
   }
@@ -53,14 +54,14 @@
 }
 
 /**
- * Ends the work for which a release waits.
+ * Ends the work for which a release waits, and with it any earlier release.
  *
  * @param world - The world.
  * @param call - The release.
  */
 export function endWork(world: World, call: ServerCall): void {
   for (const held of slicesOf(world, call.grant)) {
-    if (held.releasedBy !== call.number) continue;
+    if (held.releasedBy === null || held.releasedBy > call.number) continue;
     held.releasedBy = null;
     held.until = 0;
   }
--- a/packages/emulator/src/grants_model/types.ts
+++ b/packages/emulator/src/grants_model/types.ts
@@ -41,7 +41,7 @@
   generation: number;
   /** Time at which the hold ends; 0 if there is none. */
   until: number;
-  /** Number of the release that waits for work on the slice, or null. */
+  /** Number of the last release that waits for work on the slice, or null. */
   releasedBy: number | null;
 }
 
