Model of slice grants: any release since the latest grant ends the work

The response to one release says that the work on its slices has ended; none begins after the first release that follows a grant, in whichever order releases arrive.

--- a/packages/emulator/src/grants_model/server.ts
+++ b/packages/emulator/src/grants_model/server.ts
@@ -21,7 +21,7 @@
   return Array.from({length: slices}, () => ({
     generation: 0,
     until: 0,
-    releasedBy: null,
+    releasedBy: [],
   }));
 }
 
@@ -37,8 +37,7 @@
   const {generation} = call.grant;
   if (call.ttlMs === null) {
     for (const held of slicesOf(world, call.grant)) {
-      if (held.generation > generation) continue;
-      held.releasedBy = Math.max(held.releasedBy ?? 0, call.number);
+      if (held.generation <= generation) held.releasedBy.push(call.number);
     }
     return;
   }
@@ -46,23 +45,25 @@
   if (call.refused) return;
   const until = holdEnd(call, call.arrivedAt ?? world.now);
   for (const held of slicesOf(world, call.grant)) {
-    const isRenewal = held.generation === generation && !held.releasedBy;
+    const isRenewal =
+      held.generation === generation && held.releasedBy.length === 0;
     held.until = isRenewal ? Math.max(held.until, until) : until;
     held.generation = generation;
-    held.releasedBy = null;
+    held.releasedBy = [];
   }
 }
 
 /**
- * Ends the work for which a release waits, and with it any earlier release.
+ * Ends the work for which a release waits. No other work has begun since the
+ * first release after the latest grant.
  *
  * @param world - The world.
  * @param call - The release.
  */
 export function endWork(world: World, call: ServerCall): void {
   for (const held of slicesOf(world, call.grant)) {
-    if (held.releasedBy === null || held.releasedBy > call.number) continue;
-    held.releasedBy = null;
+    if (!held.releasedBy.includes(call.number)) continue;
+    held.releasedBy = [];
     held.until = 0;
   }
 }
--- a/packages/emulator/src/grants_model/types.ts
+++ b/packages/emulator/src/grants_model/types.ts
@@ -41,8 +41,8 @@
   generation: number;
   /** Time at which the hold ends; 0 if there is none. */
   until: number;
-  /** Number of the last release that waits for work on the slice, or null. */
-  releasedBy: number | null;
+  /** Numbers of the releases since the grant, which wait for the work to end. */
+  releasedBy: number[];
 }
 
 /** State of one daemon, its server, the calls between them and the oracle. */
