Model of slice grants: the invariant is checked at every tick

It was checked at the end of each step only, and holds that outlast a release by less than a wait went unseen.

--- a/packages/emulator/src/grants_model/copies.ts
+++ b/packages/emulator/src/grants_model/copies.ts
@@ -8,6 +8,7 @@
  */
 const IGNORED = new Set([
   'balance',
+  'bounds',
   'configuration',
   'ended',
   'evictions',
@@ -37,6 +38,7 @@
 /** Names of properties whose values are replaced and never change in place. */
 const SHARED = new Set([
   'announcement',
+  'bounds',
   'configuration',
   'failure',
   'grant',
--- a/packages/emulator/src/grants_model/server.ts
+++ b/packages/emulator/src/grants_model/server.ts
@@ -6,8 +6,11 @@
 
 import type {SliceGrant} from '@jackdawfall/core';
 
+import {announcementOf} from './daemon.js';
 import type {HeldSlice, ServerCall, World} from './types.js';
 
+/** Time of the first step. */
+export const START_MS = 100_000;
 /** Factor by which grants last longer, because the server's clock is slow. */
 const SLOW_CLOCK_FACTOR = 1.02;
 
@@ -68,6 +71,19 @@
   }
 }
 
+/**
+ * Returns whether a call may still arrive.
+ *
+ * @param world - The world.
+ * @param call - The call.
+ * @returns Whether it is on its way.
+ */
+export function mayArrive(world: World, call: ServerCall): boolean {
+  const {instance} = announcementOf(world.instance);
+  if (call.instance !== instance) return false;
+  return call.arrivedAt === null && world.now <= call.arrivesBy;
+}
+
 /**
  * Returns whether the server would take a grant.
  *
