--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -359,6 +359,7 @@
   if (wasRemoved) handleOwnRemoval(context);
   if (state.phase === 'joining' && isListed) {
     state.phase = 'joined';
+    recordJoined(context, true);
     readOwnRow(context);
   }
 }
