Unanswered grants of slices that move away later are released too

The specs passed since the harness commits at once.

'an unanswered grant is released if its slice moves away later' failed before. An entry now stays until the server confirms a later grant or the release. Also tested: what a removed member does, and the clock's share in endOfHold.

--- a/packages/core/src/grants/holds.ts
+++ b/packages/core/src/grants/holds.ts
@@ -42,6 +42,7 @@
     const knownUntil = grants.holds.get(key)?.until ?? 0;
     const until = Math.max(knownUntil, end);
     grants.holds.set(key, {until, confirmedAfter});
+    grants.unproven.delete(key);
   }
 }
 
--- a/packages/core/src/grants/releases.spec.ts
+++ b/packages/core/src/grants/releases.spec.ts
@@ -15,6 +15,8 @@
   joined,
   offered,
 } from '../testing/harness.js';
+import {endOfHold} from './holds.js';
+import type {UnconfirmedGrant} from './types.js';
 
 const OTHER = 'b#1' as MemberId;
 const THIRD = 'c#1' as MemberId;
@@ -192,3 +194,25 @@
   harness.handle(answerTo(release, ''));
   t.deepEqual(askedWithin(harness, 2 * LEASE_MS), []);
 });
+
+// A slice that still belonged to the member as its grant expired was forgotten.
+test('an unanswered grant is released if its slice moves away later', t => {
+  const harness = new OwnershipHarness(HISTORY, true);
+  t.deepEqual(askedWithin(harness, 2 * LEASE_MS), []);
+  const effects = harness.receiveEntries([moving(OTHER), released()]);
+  t.deepEqual([...askedIn(effects), ...askedIn(harness.tick())], [SLICE]);
+});
+
+test('a member that was removed releases what has no response', t => {
+  const harness = new OwnershipHarness(HISTORY, true);
+  harness.receiveEntries([{kind: 'ended', members: [SELF]}]);
+  harness.handle({
+    kind: 'announcementReceived',
+    announcement: harness.announcementOf(SELF),
+  });
+  t.true(askedWithin(harness, LEASE_MS).includes(SLICE));
+});
+
+test('a hold counts from the response, by a clock that is 2% slow', t => {
+  t.is(endOfHold({ttlMs: 1000} as UnconfirmedGrant, 500), 1520);
+});
--- a/packages/core/src/grants/unproven.ts
+++ b/packages/core/src/grants/unproven.ts
@@ -109,10 +109,7 @@
   }
 }
 
-/**
- * Lists unproven slices to release now, and forgets those that this member
- * owns: it grants them again, or releases them as they move.
- */
+/** Lists unproven slices that belong to other members and are due for release. */
 function releasable({
   state,
   at,
@@ -122,11 +119,9 @@
   const found = new Map<ServicePlacement, Slice[]>();
   for (const [key, unproven] of grants.unproven) {
     const service = map.services.get(unproven.service);
-    const isOwned =
-      service !== undefined && service.owner[unproven.slice] === own;
-    if (service === undefined || isOwned) {
-      grants.unproven.delete(key);
-    } else if (isDue(unproven, at.monotonic)) {
+    if (service === undefined) grants.unproven.delete(key);
+    else if (service.owner[unproven.slice] === own) continue;
+    else if (isDue(unproven, at.monotonic)) {
       const slices = found.get(service) ?? [];
       slices.push(unproven.slice);
       found.set(service, slices);
