--- a/packages/daemon/src/runs/connections.ts
+++ b/packages/daemon/src/runs/connections.ts
@@ -8,11 +8,14 @@
 import {Socket, connect} from 'node:net';
 import type {Duplex} from 'node:stream';
 
+import {MAX_CALLS_UNDER_WAY} from '@jackdawfall/core';
 import type {Announcement} from '@jackdawfall/core';
 
 import {ProcessWatch} from './process_watch.js';
 
 const IDLE_TIMEOUT_MS = 30_000;
+/** Connections without requests; there are two while one is replaced. */
+const ANCHORS = 2;
 
 /** Reports each connection that is being opened. */
 class TrackingAgent extends Agent {
@@ -64,7 +67,7 @@
    *     its process is known to be alive nevertheless.
    */
   constructor(
-    private readonly announcement: Announcement,
+    private announcement: Announcement,
     onRefused: (isAlive: boolean) => void = () => undefined,
   ) {
     const [host, port] = announcement.address.split(':');
@@ -74,9 +77,11 @@
       connect: () => connect(this.port, this.host),
       onRefused,
     });
-    this.agent = this.createAgent(announcement.connections);
-    this.unsharedAgent = new TrackingAgent({keepAlive: false}, socket =>
-      this.watch.track(socket),
+    this.agent = this.createAgent(this.sharedLimit);
+    const maxSockets = Math.max(1, reservedIn(announcement) - ANCHORS);
+    this.unsharedAgent = new TrackingAgent(
+      {keepAlive: false, maxSockets},
+      socket => this.watch.track(socket),
     );
   }
 
@@ -87,19 +92,34 @@
    * @returns False if the server needs another pool.
    */
   serves(announcement: Announcement): boolean {
-    const {address, instance, connections} = this.announcement;
+    const {address, instance} = this.announcement;
     return (
-      address === announcement.address &&
-      instance === announcement.instance &&
-      connections === announcement.connections
+      address === announcement.address && instance === announcement.instance
     );
   }
 
+  /**
+   * Changes the limit of connections, if it is another one.
+   *
+   * @param connections - The new limit.
+   */
+  resize(connections: number): void {
+    if (connections === this.announcement.connections) return;
+    this.announcement = {...this.announcement, connections};
+    this.useNewConnections();
+  }
+
   /** Records that the server's process has just announced itself. */
   confirmProcess(): void {
     this.watch.confirm();
   }
 
+  /** @returns Whether a call may reach the process that announced itself. */
+  mayReachProcess(): boolean {
+    const {watch, announcement} = this;
+    return !announcement.checksGrants || watch.isAlive || watch.isOpening;
+  }
+
   /**
    * Returns whether a request goes to the process that announced itself. A
    * successor at the same address may take its connection meanwhile.
@@ -129,15 +149,16 @@
   }
 
   /**
-   * Starts a request on a connection of its own, which closes afterwards and
-   * isn't counted.
+   * Starts a request on a connection of its own, which closes afterwards.
    *
    * @param options - Method, path, headers and signal.
    * @returns The outgoing request, of which nothing has been written.
    */
   openUnshared(options: RequestOptions): ClientRequest {
     const {host, port, unsharedAgent: agent} = this;
-    return request({...options, host, port, agent});
+    const outgoing = request({...options, host, port, agent});
+    outgoing.shouldKeepAlive = false;
+    return outgoing;
   }
 
   /**
@@ -149,13 +170,17 @@
     oldAgent.maxFreeSockets = 0;
     for (const socket of socketsOf(oldAgent.freeSockets)) socket.destroy();
     const busy = socketsOf(oldAgent.sockets).length;
-    const remaining = this.announcement.connections - busy;
+    const remaining = this.sharedLimit - busy;
     this.agent = this.createAgent(Math.max(1, remaining));
   }
 
-  /** Ends its use for a server that is replaced or lost, but no request. */
+  /**
+   * Ends its use for a server that is replaced: requests go on, but calls on
+   * connections of their own are aborted, since the next one must not get them.
+   */
   retire(): void {
     this.useNewConnections();
+    this.unsharedAgent.destroy();
     this.watch.close();
   }
 
@@ -166,6 +191,12 @@
     this.watch.close();
   }
 
+  /** Limit of the connections that requests share. */
+  private get sharedLimit(): number {
+    const {announcement} = this;
+    return Math.max(1, announcement.connections - reservedIn(announcement));
+  }
+
   private createAgent(maxSockets: number): Agent {
     return new IdleGuardAgent(
       {
@@ -174,11 +205,21 @@
         timeout: IDLE_TIMEOUT_MS,
         scheduling: 'lifo',
       },
-      socket => this.watch.track(socket),
+      socket => this.watch.watchRefusal(socket),
     );
   }
 }
 
+/**
+ * Returns how many connections are kept free of requests, for calls about slices
+ * and for knowing whether the server's process is alive.
+ */
+function reservedIn({checksGrants, connections}: Announcement): number {
+  if (!checksGrants) return 0;
+  const most = 2 * MAX_CALLS_UNDER_WAY + ANCHORS;
+  return Math.min(most, Math.max(2, Math.floor(connections / 2)));
+}
+
 function socketsOf(socketsByName: NodeJS.ReadOnlyDict<Socket[]>): Socket[] {
   return Object.values(socketsByName).flatMap(sockets => sockets ?? []);
 }
--- a/packages/daemon/src/runs/grants.ts
+++ b/packages/daemon/src/runs/grants.ts
@@ -7,9 +7,9 @@
 import type {ClientRequest} from 'node:http';
 
 import {timeLeftMs} from '@jackdawfall/core';
-import type {Instant} from '@jackdawfall/core';
+import type {Effect, Event, Instant, SliceGrant} from '@jackdawfall/core';
 
-import type {ServerConnections} from '../adapters/types.js';
+import type {GrantOutcome, ServerConnections} from '../adapters/types.js';
 import {readClocks} from '../loop/logic.js';
 
 /** Shorter grants are not sent: they would expire before they can be used. */
@@ -34,6 +34,27 @@
   return remainingMs < MIN_TTL_MS ? null : remainingMs;
 }
 
+/**
+ * Builds the event that reports a grant.
+ *
+ * @param effect - The effect that sent it.
+ * @param grant - The grant.
+ * @param outcome - What became of it.
+ * @returns The event.
+ */
+export function toGrantEvent(
+  effect: Extract<Effect, {kind: 'grantSlices'}>,
+  grant: SliceGrant,
+  outcome: GrantOutcome,
+): Event {
+  const {service, round} = effect;
+  if (outcome === 'confirmed') {
+    return {kind: 'slicesGranted', service, grant, round};
+  }
+  const written = outcome === 'unconfirmed';
+  return {kind: 'sliceGrantFailed', grant, written, round};
+}
+
 /**
  * Sends a request whose body is created once its connection is open and the ends
  * of earlier connections to the server are known.
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -36,6 +36,7 @@
 import type {KeptResponseLimits} from './kept.js';
 import {endsAtConnectionClose, waitForCleanClose} from './connection_close.js';
 import {ServerConnectionPool} from './connections.js';
+import {toGrantEvent} from './grants.js';
 import type {ReceivedAttempt, Run, ResponseStream} from './types.js';
 
 const BODY_LOST = 'the link was lost before the end of the body';
@@ -88,8 +89,8 @@
   }
 
   /**
-   * Sets the backend server. Its connections are replaced unless its address,
-   * instance and connection limit are unchanged.
+   * Sets the backend server. Its connections are replaced unless its address
+   * and instance are unchanged.
    *
    * @param announcement - The server's announcement, or null if there is none now.
    */
@@ -106,6 +107,7 @@
         this.context.onServerUnreachable(announcement, isAlive),
       );
     }
+    this.connections.resize(announcement.connections);
     if (announcement.checksGrants) this.connections.confirmProcess();
   }
 
@@ -287,19 +289,16 @@
    */
   grantSlices(effect: Extract<Effect, {kind: 'grantSlices'}>): void {
     if (this.connections === null) return;
-    const {service, round} = effect;
     const server = this.announcement;
     const report = (grant: SliceGrant, outcome: GrantOutcome): void => {
       if (this.announcement?.instance !== server?.instance) return;
-      const confirmed = outcome === 'confirmed';
-      const written = outcome !== 'not-written';
-      this.context.emit(
-        confirmed
-          ? {kind: 'slicesGranted', service, grant, round}
-          : {kind: 'sliceGrantFailed', grant, written, round},
-      );
+      this.context.emit(toGrantEvent(effect, grant, outcome));
     };
-    this.context.protocol.grant(this.connections, effect, report);
+    if (this.connections.mayReachProcess()) {
+      this.context.protocol.grant(this.connections, effect, report);
+    } else {
+      for (const grant of effect.grants) report(grant, 'not-written');
+    }
   }
 
   /**
@@ -310,10 +309,12 @@
   releaseSlices(effect: Extract<Effect, {kind: 'releaseSlices'}>): void {
     if (this.connections === null) return;
     const {service, round} = effect;
+    const server = this.announcement;
     this.context.protocol.release(
       this.connections,
       effect,
       (grant, handover) => {
+        if (this.announcement?.instance !== server?.instance) return;
         this.context.emit({
           kind: 'slicesReleased',
           service,
--- a/packages/daemon/src/runs/next_instance.spec.ts
+++ b/packages/daemon/src/runs/next_instance.spec.ts
@@ -95,7 +95,9 @@
     monotonic: performance.now() + LEASE_MS,
     wall: Date.now() + LEASE_MS,
   };
-  executor.grantSlices({kind: 'grantSlices', ...COMMON, round: 1, until});
+  const timeoutMs = LEASE_MS;
+  const call = {...COMMON, round: 1, until, timeoutMs};
+  executor.grantSlices({kind: 'grantSlices', ...call});
 }
 
 function releaseSlices(executor: RunExecutor): void {
--- a/packages/daemon/src/runs/process_watch.ts
+++ b/packages/daemon/src/runs/process_watch.ts
@@ -1,8 +1,8 @@
 /**
  * @fileoverview Knows which connections lead to the process that announced
- * itself. The connections of a process end with it, so while one that was opened
- * in its life is open, it is alive, and new connections to its address reach it
- * and not a successor.
+ * itself. The connections of a process end with it, so while an idle one that was
+ * opened in its life is open, it is alive, and new connections to its address
+ * reach it and not a successor.
  */
 
 import type {Socket} from 'node:net';
@@ -24,7 +24,7 @@
 
 /** Watches the process of a backend server by the connections to it. */
 export class ProcessWatch {
-  /** Open connections that lead to the announced process. */
+  /** Connections that lead to the announced process and haven't ended. */
   private readonly verified = new Set<Socket>();
   /** Connection without requests, so that one is always open. */
   private anchor: Socket | null = null;
@@ -47,8 +47,7 @@
     this.anchorOpenedMs = performance.now();
     this.own.add(anchor);
     anchor.unref().resume();
-    this.follow(anchor, this.verified.size === 0);
-    anchor.once('connect', () => previous?.destroy());
+    this.follow(anchor, !this.isAlive, () => previous?.destroy());
     anchor.once('close', () => {
       this.own.delete(anchor);
       if (this.anchor === anchor) this.anchor = null;
@@ -56,12 +55,25 @@
   }
 
   /**
-   * Follows a connection that is being opened.
+   * Follows a connection that is being opened. It proves nothing about others,
+   * since its end isn't read while a response waits for its receiver.
    *
    * @param socket - The connection.
    */
   track(socket: Socket): void {
-    this.follow(socket, false);
+    this.follow(socket, false, () => undefined);
+  }
+
+  /**
+   * Reports a connection that is refused.
+   *
+   * @param socket - A connection that is being opened.
+   */
+  watchRefusal(socket: Socket): void {
+    socket.once('error', (error: NodeJS.ErrnoException) => {
+      if (error.code !== 'ECONNREFUSED') return;
+      setImmediate(() => this.options.onRefused(this.isAlive));
+    });
   }
 
   /**
@@ -71,7 +83,17 @@
    * @returns False if it may lead to a successor.
    */
   reaches(socket: Socket | null): boolean {
-    return socket !== null && this.verified.has(socket);
+    return socket !== null && !socket.destroyed && this.verified.has(socket);
+  }
+
+  /** @returns Whether that may be known as soon as a connection opens. */
+  get isOpening(): boolean {
+    return this.anchor?.connecting === true;
+  }
+
+  /** @returns Whether the process is known to be alive. */
+  get isAlive(): boolean {
+    return [...this.own].some(socket => this.reaches(socket));
   }
 
   /** Closes the watch's own connections. */
@@ -79,20 +101,22 @@
     for (const socket of this.own) socket.destroy();
   }
 
-  private follow(socket: Socket, wasJustAnnounced: boolean): void {
+  private follow(
+    socket: Socket,
+    wasJustAnnounced: boolean,
+    onVerified: () => void,
+  ): void {
     const forget = (): void => void this.verified.delete(socket);
     socket.once('connect', () => {
       // The ends of earlier connections that are known by now come first.
       setImmediate(() => {
-        const isReached = wasJustAnnounced || this.verified.size > 0;
-        if (isReached && !socket.destroyed) this.verified.add(socket);
+        if (!wasJustAnnounced && !this.isAlive) return;
+        this.verified.add(socket);
+        onVerified();
       });
     });
     socket.once('end', forget);
     socket.once('close', forget);
-    socket.once('error', (error: NodeJS.ErrnoException) => {
-      if (error.code !== 'ECONNREFUSED') return;
-      setImmediate(() => this.options.onRefused(this.verified.size > 0));
-    });
+    this.watchRefusal(socket);
   }
 }
--- a/packages/daemon/src/runs/protocol.ts
+++ b/packages/daemon/src/runs/protocol.ts
@@ -67,7 +67,10 @@
   },
   release(server, {service, grants}, released) {
     for (const grant of grants) {
-      const body = () => JSON.stringify({service, ...listSliceGrants([grant])});
+      const body = (outgoing: ClientRequest) =>
+        server.reachesProcess(outgoing)
+          ? JSON.stringify({service, ...listSliceGrants([grant])})
+          : null;
       postCall(server, '/releases', RELEASE_TIMEOUT_MS, body, {
         done: ({headers}) => {
           const handover = headers[HANDOVER_HEADER];
