Grants share kept connections of their own

Grants now use kept connections that no attempts use. What tells a copy of an earlier response is that it arrives before the body of the call was written, which waits for 100 (Continue) and for what came along with it: 'a late response to an earlier grant confirms no grant' still holds. The product's own protocol keeps a connection for each.

--- a/packages/daemon/src/adapters/types.ts
+++ b/packages/daemon/src/adapters/types.ts
@@ -91,6 +91,8 @@
 export interface ServerConnections {
   /** Uses a kept connection if there is an idle one. */
   open(options: RequestOptions): ClientRequest;
+  /** Uses a kept connection that no attempts use, if there is an idle one. */
+  openCall(options: RequestOptions): ClientRequest;
   /** Uses a connection of its own, which no other request shares. */
   openUnshared(options: RequestOptions): ClientRequest;
   /**
--- a/packages/daemon/src/runs/connections.ts
+++ b/packages/daemon/src/runs/connections.ts
@@ -56,6 +56,7 @@
 /** A connection pool that stays within the limit announced by the server. */
 export class ServerConnectionPool {
   private agent: Agent;
+  private readonly callAgent: Agent;
   private readonly unsharedAgent: Agent;
   private readonly host: string;
   private readonly port: number;
@@ -78,10 +79,14 @@
       onRefused,
     });
     this.agent = this.createAgent(this.sharedLimit);
-    const maxSockets = Math.max(1, reservedIn(announcement) - ANCHORS);
+    const callLimit = Math.ceil((reservedIn(announcement) - ANCHORS) / 2);
+    const maxSockets = Math.max(1, callLimit);
+    const track = (socket: Socket): void => this.watch.track(socket);
+    const kept = {keepAlive: true, maxSockets, timeout: IDLE_TIMEOUT_MS};
+    this.callAgent = new IdleGuardAgent({...kept, scheduling: 'lifo'}, track);
     this.unsharedAgent = new TrackingAgent(
       {keepAlive: false, maxSockets},
-      socket => this.watch.track(socket),
+      track,
     );
   }
 
@@ -148,6 +153,17 @@
     });
   }
 
+  /**
+   * Starts a request on a kept connection that no attempts use.
+   *
+   * @param options - Method, path, headers and signal.
+   * @returns The outgoing request, of which nothing has been written.
+   */
+  openCall(options: RequestOptions): ClientRequest {
+    const {host, port, callAgent: agent} = this;
+    return request({...options, host, port, agent});
+  }
+
   /**
    * Starts a request on a connection of its own, which closes afterwards.
    *
@@ -175,11 +191,12 @@
   }
 
   /**
-   * Ends its use for a server that is replaced: requests go on, but calls on
-   * connections of their own are aborted, since the next one must not get them.
+   * Ends its use for a server that is replaced: attempts go on, but calls are
+   * aborted, since the next one must not get them.
    */
   retire(): void {
     this.useNewConnections();
+    this.callAgent.destroy();
     this.unsharedAgent.destroy();
     this.watch.close();
   }
@@ -187,6 +204,7 @@
   /** Closes all connections, including those in use. */
   destroy(): void {
     this.agent.destroy();
+    this.callAgent.destroy();
     this.unsharedAgent.destroy();
     this.watch.close();
   }
--- a/packages/daemon/src/runs/grants.ts
+++ b/packages/daemon/src/runs/grants.ts
@@ -114,15 +114,18 @@
     outgoing.flushHeaders();
     outgoing.once('continue', () => {
       this.asking.add(server);
-      write();
+      // A response that came along belongs to an earlier request.
+      setImmediate(write);
     });
     const {askTimeoutMs} = this;
     if (askTimeoutMs === null || this.asking.has(server)) return;
+    const writeLate = (): void => {
+      const late = setTimeout(write, askTimeoutMs);
+      outgoing.once('close', () => clearTimeout(late));
+    };
     outgoing.once('socket', socket => {
-      socket.once('connect', () => {
-        const late = setTimeout(write, askTimeoutMs);
-        outgoing.once('close', () => clearTimeout(late));
-      });
+      if (socket.connecting) socket.once('connect', writeLate);
+      else writeLate();
     });
   }
 }
--- a/packages/daemon/src/runs/next_instance.spec.ts
+++ b/packages/daemon/src/runs/next_instance.spec.ts
@@ -57,7 +57,7 @@
   const server = createServer((incoming, outgoing) => {
     calls.push(incoming.url);
     incoming.resume();
-    outgoing.end();
+    incoming.once('end', () => outgoing.end());
   });
   await new Promise<void>(resolve =>
     server.listen(0, '127.0.0.1', () => resolve()),
