A server that stands still before its first call gets no grant either

Cause: a server that had never asked for a body got it after 100 ms, also while it stood still.

Why it works: only a server that has announced itself twice since its first call, so that it runs, counts as one that ignores the expectation.

--- a/packages/daemon/src/adapters/types.ts
+++ b/packages/daemon/src/adapters/types.ts
@@ -95,6 +95,8 @@
   openCall(options: RequestOptions): ClientRequest;
   /** Uses a connection of its own, which no other request shares. */
   openUnshared(options: RequestOptions): ClientRequest;
+  /** Number of times that the process has announced itself. */
+  readonly announcements: number;
   /**
    * Whether the open connection of a request leads to the process that announced
    * itself, and not to a successor at its address.
--- a/packages/daemon/src/runs/connections.ts
+++ b/packages/daemon/src/runs/connections.ts
@@ -55,6 +55,7 @@
 
 /** A connection pool that stays within the limit announced by the server. */
 export class ServerConnectionPool {
+  announcements = 0;
   private agent: Agent;
   private readonly callAgent: Agent;
   private readonly unsharedAgent: Agent;
@@ -116,6 +117,7 @@
 
   /** Records that the server's process has just announced itself. */
   confirmProcess(): void {
+    this.announcements += 1;
     this.watch.confirm();
   }
 
--- a/packages/daemon/src/runs/grants.ts
+++ b/packages/daemon/src/runs/grants.ts
@@ -78,17 +78,25 @@
   });
 }
 
+/**
+ * Announcements after a call that was given up which show that the server runs:
+ * one may have been on its way before.
+ */
+const ANNOUNCEMENTS_OF_RUNNING = 2;
+
 /**
  * Writes the bodies of calls once the server asks for them by 100 (Continue). A
  * server that stands still then finds no grant as it continues. HTTP lets a
- * server ignore the expectation, so one that has never asked may get the body
- * after some time.
+ * server ignore the expectation: one that has never asked, but announced itself
+ * since it was first called, may get the body after some time.
  */
 export class BodySender {
   private readonly asking = new WeakSet<ServerConnections>();
+  /** Announcements at the first call to each server. */
+  private readonly announced = new WeakMap<ServerConnections, number>();
 
   /**
-   * @param askTimeoutMs - Time after which a server that has never asked gets the
+   * @param askTimeoutMs - Time after which a server that doesn't ask gets the
    *     body, or null if every server asks.
    */
   constructor(private readonly askTimeoutMs: number | null) {}
@@ -118,7 +126,7 @@
       setImmediate(write);
     });
     const {askTimeoutMs} = this;
-    if (askTimeoutMs === null || this.asking.has(server)) return;
+    if (askTimeoutMs === null || !this.ignoresExpectation(server)) return;
     const writeLate = (): void => {
       const late = setTimeout(write, askTimeoutMs);
       outgoing.once('close', () => clearTimeout(late));
@@ -128,4 +136,12 @@
       else writeLate();
     });
   }
+
+  private ignoresExpectation(server: ServerConnections): boolean {
+    if (this.asking.has(server)) return false;
+    const {announcements} = server;
+    const before = this.announced.get(server) ?? announcements;
+    this.announced.set(server, before);
+    return announcements - before >= ANNOUNCEMENTS_OF_RUNNING;
+  }
 }
