Releases are sent in one place

requestHandBack and releaseUnproven built the same effect; sendReleases does. The idle connection of a process watch is called that. No change in behaviour.

--- a/packages/core/src/grants/unproven.ts
+++ b/packages/core/src/grants/unproven.ts
@@ -5,13 +5,12 @@
  */
 
 import type {ServiceName, Slice} from '../ids/types.js';
-import type {Event, SliceGrant} from '../loop/types.js';
+import type {Event} from '../loop/types.js';
 import type {ServicePlacement} from '../map/types.js';
-import {log} from '../ownership/effects.js';
 import type {OwnershipContext} from '../ownership/state.js';
-import {CALL_TIMEOUT_MS, MAX_CALLS_UNDER_WAY} from './calls.js';
+import {CALL_TIMEOUT_MS} from './calls.js';
 import {sliceKey, sliceKeysOf} from './keys.js';
-import {groupIntoGrants} from './logic.js';
+import {sendReleases} from './releases.js';
 import type {SliceGrants, UnprovenEnd} from './types.js';
 
 /**
@@ -61,34 +60,14 @@
  * @param context - Context of the current input.
  */
 export function releaseUnproven(context: OwnershipContext): void {
-  const {state, at, effects} = context;
-  const {grants, announcement, releasesUnderWay} = state;
+  const {grants, announcement} = context.state;
   if (announcement?.checksGrants !== true) return;
   for (const [service, slices] of releasable(context)) {
-    const asked: SliceGrant[] = [];
-    const round = grants.round + 1;
-    for (const grant of groupIntoGrants(service, slices)) {
-      if (releasesUnderWay.size >= MAX_CALLS_UNDER_WAY) break;
-      const {first, count, generation} = grant;
-      releasesUnderWay.set(sliceKey(service.name, first), at.monotonic);
-      for (const key of sliceKeysOf(service.name, grant)) {
-        const unproven = grants.unproven.get(key);
-        if (unproven === undefined) continue;
-        unproven.releaseRound = round;
-        unproven.releasedAt = at.monotonic;
-      }
-      const fields = {service: service.name, round, first, count, generation};
-      log(context, 'unprovenReleased', fields);
-      asked.push(grant);
-    }
-    if (asked.length === 0) return;
-    grants.round = round;
-    effects.push({
-      kind: 'releaseSlices',
-      service: service.name,
-      slices: service.slices,
-      grants: asked,
-      round,
+    sendReleases(context, service, slices, 'unprovenReleased', (key, round) => {
+      const unproven = grants.unproven.get(key);
+      if (unproven === undefined) return;
+      unproven.releaseRound = round;
+      unproven.releasedAt = context.at.monotonic;
     });
   }
 }
--- a/packages/core/src/moves/logic.ts
+++ b/packages/core/src/moves/logic.ts
@@ -4,15 +4,16 @@
  * holds it by a slice grant (R6).
  */
 
-import {groupIntoGrants, mayRequestRelease} from '../grants/logic.js';
+import {mayRequestRelease} from '../grants/logic.js';
+import {sendReleases} from '../grants/releases.js';
 import {mayServerHold, recordRelease} from '../grants/holds.js';
 import {recordUnprovenReleased} from '../grants/unproven.js';
-import {MAX_CALLS_UNDER_WAY, dropOverdueCalls} from '../grants/calls.js';
+import {dropOverdueCalls} from '../grants/calls.js';
 import {sliceKey} from '../grants/keys.js';
 import type {ServiceName, Slice} from '../ids/types.js';
 import {MAX_LIST_CHARACTERS} from '../log/logic.js';
 import type {Handover, Release} from '../log/types.js';
-import type {Event, SliceGrant} from '../loop/types.js';
+import type {Event} from '../loop/types.js';
 import type {ServicePlacement} from '../map/types.js';
 import {log} from '../ownership/effects.js';
 import type {
@@ -87,35 +88,13 @@
  * @param context - Context of the current input.
  */
 export function requestHandBack(context: OwnershipContext): void {
-  const {state, effects} = context;
+  const {state} = context;
   if (state.announcement?.checksGrants !== true) return;
   dropOverdueCalls(state.releasesUnderWay, context.at.monotonic);
   for (const [service, slices] of releasableSlices(context)) {
-    const {name} = service;
-    const grants: SliceGrant[] = [];
-    const round = state.grants.round + 1;
-    for (const grant of groupIntoGrants(service, slices)) {
-      if (state.releasesUnderWay.size >= MAX_CALLS_UNDER_WAY) break;
-      const {first, count} = grant;
-      state.releasesUnderWay.set(sliceKey(name, first), context.at.monotonic);
-      for (let slice = first; slice < first + count; slice++) {
-        const drain = state.drains.get(sliceKey(name, slice));
-        if (drain !== undefined) drain.releaseRound = round;
-      }
-      grants.push(grant);
-    }
-    if (grants.length === 0) return;
-    state.grants.round = round;
-    for (const {first, count, generation} of grants) {
-      const fields = {service: name, round, first, count, generation};
-      log(context, 'releaseSent', fields);
-    }
-    effects.push({
-      kind: 'releaseSlices',
-      service: name,
-      slices: service.slices,
-      grants,
-      round,
+    sendReleases(context, service, slices, 'releaseSent', (key, round) => {
+      const drain = state.drains.get(key);
+      if (drain !== undefined) drain.releaseRound = round;
     });
   }
 }
--- a/packages/daemon/src/runs/connections.ts
+++ b/packages/daemon/src/runs/connections.ts
@@ -15,7 +15,7 @@
 
 const IDLE_TIMEOUT_MS = 30_000;
 /** Connections without requests; there are two while one is replaced. */
-const ANCHORS = 2;
+const IDLE_CONNECTIONS = 2;
 
 /** Reports each connection that is being opened. */
 class TrackingAgent extends Agent {
@@ -80,7 +80,9 @@
       onRefused,
     });
     this.agent = this.createAgent(this.sharedLimit);
-    const callLimit = Math.ceil((reservedIn(announcement) - ANCHORS) / 2);
+    const callLimit = Math.ceil(
+      (reservedIn(announcement) - IDLE_CONNECTIONS) / 2,
+    );
     const maxSockets = Math.max(1, callLimit);
     const track = (socket: Socket): void => this.watch.track(socket);
     const kept = {keepAlive: true, maxSockets, timeout: IDLE_TIMEOUT_MS};
@@ -236,7 +238,7 @@
  */
 function reservedIn({checksGrants, connections}: Announcement): number {
   if (!checksGrants) return 0;
-  const most = 2 * MAX_CALLS_UNDER_WAY + ANCHORS;
+  const most = 2 * MAX_CALLS_UNDER_WAY + IDLE_CONNECTIONS;
   return Math.min(most, Math.max(2, Math.floor(connections / 2)));
 }
 
--- a/packages/daemon/src/runs/process_watch.ts
+++ b/packages/daemon/src/runs/process_watch.ts
@@ -8,7 +8,7 @@
 import type {Socket} from 'node:net';
 
 /** Age after which the idle connection is replaced, before it times out. */
-const ANCHOR_MAX_AGE_MS = 4000;
+const IDLE_MAX_AGE_MS = 4000;
 
 /** What a watch needs from the pool. */
 export interface ProcessWatchOptions {
@@ -27,8 +27,8 @@
   /** Connections that lead to the announced process and haven't ended. */
   private readonly verified = new Set<Socket>();
   /** Connection without requests, so that one is always open. */
-  private anchor: Socket | null = null;
-  private anchorOpenedMs = 0;
+  private idle: Socket | null = null;
+  private idleOpenedMs = 0;
   /** All connections that the watch opened and that aren't closed. */
   private readonly own = new Set<Socket>();
 
@@ -37,20 +37,20 @@
 
   /** Records that the process has announced itself, so it was just alive. */
   confirm(): void {
-    const previous = this.anchor;
-    const ageMs = performance.now() - this.anchorOpenedMs;
+    const previous = this.idle;
+    const ageMs = performance.now() - this.idleOpenedMs;
     const isUsable =
       previous !== null && (previous.connecting || this.reaches(previous));
-    if (isUsable && ageMs < ANCHOR_MAX_AGE_MS) return;
-    const anchor = this.options.connect();
-    this.anchor = anchor;
-    this.anchorOpenedMs = performance.now();
-    this.own.add(anchor);
-    anchor.unref().resume();
-    this.follow(anchor, !this.isAlive, () => previous?.destroy());
-    anchor.once('close', () => {
-      this.own.delete(anchor);
-      if (this.anchor === anchor) this.anchor = null;
+    if (isUsable && ageMs < IDLE_MAX_AGE_MS) return;
+    const idle = this.options.connect();
+    this.idle = idle;
+    this.idleOpenedMs = performance.now();
+    this.own.add(idle);
+    idle.unref().resume();
+    this.follow(idle, !this.isAlive, () => previous?.destroy());
+    idle.once('close', () => {
+      this.own.delete(idle);
+      if (this.idle === idle) this.idle = null;
     });
   }
 
@@ -88,7 +88,7 @@
 
   /** @returns Whether that may be known as soon as a connection opens. */
   get isOpening(): boolean {
-    return this.anchor?.connecting === true;
+    return this.idle?.connecting === true;
   }
 
   /** @returns Whether the process is known to be alive. */
