A grant of which nothing was written is sent again after 250 ms

It was due at once, so that a server that stands still, or whose process isn't known to be alive, got eight calls a tick and a log line for each.

--- a/packages/core/src/grants/schedule.spec.ts
+++ b/packages/core/src/grants/schedule.spec.ts
@@ -154,3 +154,30 @@
   t.is(harness.heldSlices(), 0);
   t.true(most > 0 && most <= MAX_UNDER_WAY, `${most} under way`);
 });
+
+// A grant that waited out its interval left a restarted server without work.
+test('a grant of which nothing was written is sent again soon, not at once', t => {
+  const harness = new OwnershipHarness(
+    [
+      joined(SELF, null),
+      CONFIGURED,
+      offered(SELF),
+      {
+        kind: 'placed',
+        service: FINDER,
+        slices: 2,
+        runs: [{first: 0 as Slice, count: 2, owner: SELF, standby: null}],
+      },
+    ],
+    true,
+  );
+  const [{round, grants}] = callsIn(harness.initialEffects);
+  const failed = {kind: 'sliceGrantFailed', written: false} as const;
+  harness.handle({...failed, grant: grants[0], round});
+  const sent: number[] = [];
+  for (let waited = 0; waited <= 4 * TICK_MS; waited += TICK_MS) {
+    if (callsIn(harness.tick()).length > 0) sent.push(waited);
+    harness.now += TICK_MS;
+  }
+  t.deepEqual(sent, [3 * TICK_MS]);
+});
--- a/packages/core/src/grants/schedule.ts
+++ b/packages/core/src/grants/schedule.ts
@@ -25,6 +25,8 @@
 const RENEW_INTERVAL_SHARE = 1 / 3;
 /** Share of a grant's time after which it is renewed at the latest. */
 const RENEW_LEFT_SHARE = 1 / 2;
+/** Time after which a grant of which nothing was written is sent again. */
+const RETRY_MS = 250;
 /**
  * Remaining time, as a share of the lease, below which the renewal of a
  * confirmed grant goes before grants of other slices.
@@ -79,22 +81,26 @@
 ): void {
   const {grants} = context.state;
   if (event.kind === 'slicesGranted') recordConfirmation(context, event);
-  else if (!event.written) forgetGrant(grants, event);
+  else if (!event.written) forgetGrant(context, event);
   if (!grants.underWay.delete(grantKey(event.round, event.grant))) return;
   if (grants.queue.length === 0) return;
   const source = grantSourceOf(context);
   if (source !== null) sendQueued(context, source);
 }
 
-/** Forgets a grant of which nothing was written; it is due again at once. */
+/** Forgets a grant of which nothing was written; it is due again soon. */
 function forgetGrant(
-  grants: SliceGrants,
+  {state, at}: OwnershipContext,
   {round, grant}: Extract<Event, {kind: 'sliceGrantFailed'}>,
 ): void {
+  const {grants} = state;
   const sent = takeUnconfirmed(grants, round, grant);
   if (sent === undefined) return;
   for (const key of sliceKeysOf(sent.service, sent)) {
-    grants.schedule.delete(key);
+    const scheduled = grants.schedule.get(key);
+    if (scheduled === undefined) continue;
+    const renewAt = Math.min(scheduled.renewAt, at.monotonic + RETRY_MS);
+    grants.schedule.set(key, {...scheduled, renewAt});
   }
 }
 
