The relay finds the process that opened a connection among rows with the same port

Cause: /proc/net/tcp was searched for the source port alone, so a closed connection (inode 0), or one from the same port elsewhere, was taken for the one that was opened.

Evidence: two of the four rows of peers.spec.ts give another inode by the former search.

Why it works: both ports have to match.

--- a/packages/emulator/src/relay/definition.ts
+++ b/packages/emulator/src/relay/definition.ts
@@ -8,6 +8,7 @@
 import {startControlPort} from '../control/definition.js';
 import {LOOPBACK, listen} from '../control/logic.js';
 import {findPeer} from './peers.js';
+import type {ConnectionPorts} from './peers.js';
 import {RELAY_COMMANDS} from './types.js';
 
 /** One relayed connection: a client's socket and one to the target. */
@@ -83,13 +84,15 @@
 
 /** A connection may have been opened before the names of peers are known. */
 function identifyPeer(relay: Relay, connection: RelayedConnection): void {
-  const {remotePort} = connection.clientSocket;
-  if (remotePort === undefined) return;
-  connection.peer ??= findPeer(remotePort, relay.pids);
+  connection.peer ??= findPeer(portsOf(connection.clientSocket), relay.pids);
+}
+
+function portsOf({remotePort = 0, localPort = 0}: Socket): ConnectionPorts {
+  return {source: remotePort, destination: localPort};
 }
 
 function openConnection(relay: Relay, clientSocket: Socket): void {
-  const peer = findPeer(clientSocket.remotePort ?? 0, relay.pids);
+  const peer = findPeer(portsOf(clientSocket), relay.pids);
   relay.ledger.opened++;
   if (ruleOf(relay, peer).kind === 'cut') {
     relay.ledger.reset++;
