--- a/packages/core/src/leases/logic.ts
+++ b/packages/core/src/leases/logic.ts
@@ -6,8 +6,10 @@
 import {isRuleEnabled} from '../ownership/state.js';
 import type {LeaseState, CurrentLease} from './types.js';
 
-/** End of the lease if there is none. */
-const NO_INSTANT: Instant = {monotonic: 0, wall: 0};
+const NO_LEASE: CurrentLease = {
+  source: 'none',
+  until: {monotonic: 0, wall: 0},
+};
 
 /**
  * Returns the lease that is valid at an instant. A granted lease runs from the
@@ -20,13 +22,8 @@
  * @returns The source and end of the lease; source `none` if there is none.
  */
 export function currentLease(state: OwnershipState, at: Instant): CurrentLease {
-  const {leaseMs} = state.settings.tuning.leases;
   const granted = grantedLease(state, at);
-  if (granted.source !== 'none') return granted;
-  const {rowLeaseStart} = state.lease;
-  if (rowLeaseStart === null) return granted;
-  if (!isUnexpired(rowLeaseStart, at, leaseMs)) return granted;
-  return {source: 'touch', until: expiryOf(rowLeaseStart, leaseMs)};
+  return granted.source === 'none' ? rowLease(state, at) : granted;
 }
 
 /**
@@ -41,21 +38,28 @@
   state: OwnershipState,
   at: Instant,
 ): Instant | null {
-  const {leaseMs} = state.settings.tuning.leases;
-  const {source, until} = currentLease(state, at);
-  if (source === 'none') return null;
-  const {rowLeaseStart} = state.lease;
-  if (rowLeaseStart === null) return until;
-  if (!isUnexpired(rowLeaseStart, at, leaseMs)) return until;
-  const written = expiryOf(rowLeaseStart, leaseMs);
-  return laterOf({source, until}, {source, until: written}).until;
+  const latest = laterOf(grantedLease(state, at), rowLease(state, at));
+  return latest.source === 'none' ? null : latest.until;
+}
+
+/** Returns the lease from the latest confirmed write of the row (R8). */
+function rowLease(
+  {lease, settings}: OwnershipState,
+  at: Instant,
+): CurrentLease {
+  const {leaseMs} = settings.tuning.leases;
+  const {rowLeaseStart} = lease;
+  const isValid =
+    rowLeaseStart !== null && isUnexpired(rowLeaseStart, at, leaseMs);
+  if (!isValid) return NO_LEASE;
+  return {source: 'touch', until: expiryOf(rowLeaseStart, leaseMs)};
 }
 
 /** Returns the valid lease from a grantor that ends last. */
 function grantedLease(state: OwnershipState, at: Instant): CurrentLease {
   const {lease} = state;
   const {leaseMs} = state.settings.tuning.leases;
-  let best: CurrentLease = {source: 'none', until: NO_INSTANT};
+  let best = NO_LEASE;
   for (const grantor of certainGrantors(state)) {
     const sent = lease.grantedRenewals.get(grantor);
     if (sent === undefined || !isUnexpired(sent, at, leaseMs)) continue;
