--- a/packages/daemon/src/runs/connections.ts
+++ b/packages/daemon/src/runs/connections.ts
@@ -85,8 +85,7 @@
     );
     const maxSockets = Math.max(1, callLimit);
     const track = (socket: Socket): void => this.watch.track(socket);
-    const kept = {keepAlive: true, maxSockets, timeout: IDLE_TIMEOUT_MS};
-    this.callAgent = new IdleGuardAgent({...kept, scheduling: 'lifo'}, track);
+    this.callAgent = createKeptAgent(maxSockets, track);
     this.unsharedAgent = new TrackingAgent(
       {keepAlive: false, maxSockets},
       track,
@@ -220,18 +219,28 @@
   }
 
   private createAgent(maxSockets: number): Agent {
-    return new IdleGuardAgent(
-      {
-        keepAlive: true,
-        maxSockets,
-        timeout: IDLE_TIMEOUT_MS,
-        scheduling: 'lifo',
-      },
-      socket => this.watch.watchRefusal(socket),
+    return createKeptAgent(maxSockets, socket =>
+      this.watch.watchRefusal(socket),
     );
   }
 }
 
+/** Creates an agent that uses the connection again that was idle last. */
+function createKeptAgent(
+  maxSockets: number,
+  onOpening: (socket: Socket) => void,
+): Agent {
+  return new IdleGuardAgent(
+    {
+      keepAlive: true,
+      maxSockets,
+      timeout: IDLE_TIMEOUT_MS,
+      scheduling: 'lifo',
+    },
+    onOpening,
+  );
+}
+
 /**
  * Returns how many connections are kept free of requests, for calls about slices
  * and for knowing whether the server's process is alive.
--- a/packages/daemon/src/runs/grants.ts
+++ b/packages/daemon/src/runs/grants.ts
@@ -66,18 +66,21 @@
   outgoing: ClientRequest,
   body: () => string | null,
 ): void {
-  const writeBody = (): void => {
-    if (outgoing.destroyed) return;
-    const text = body();
-    if (text !== null) outgoing.end(text);
-    else outgoing.destroy(new NotWrittenError('nothing was written'));
-  };
+  const writeBody = (): void => endOrAbort(outgoing, body);
   outgoing.once('socket', socket => {
     if (!socket.connecting) writeBody();
     else socket.once('connect', () => void setImmediate(writeBody));
   });
 }
 
+/** Ends a request with its body, or aborts it if there is none any more. */
+function endOrAbort(outgoing: ClientRequest, body: () => string | null): void {
+  if (outgoing.destroyed || outgoing.writableEnded) return;
+  const text = body();
+  if (text !== null) outgoing.end(text);
+  else outgoing.destroy(new NotWrittenError('nothing was written'));
+}
+
 /**
  * Announcements after a call that was given up which show that the server runs:
  * one may have been on its way before.
@@ -113,12 +116,7 @@
     outgoing: ClientRequest,
     body: () => string | null,
   ): void {
-    const write = (): void => {
-      if (outgoing.destroyed || outgoing.writableEnded) return;
-      const text = body();
-      if (text !== null) outgoing.end(text);
-      else outgoing.destroy(new NotWrittenError('nothing was written'));
-    };
+    const write = (): void => endOrAbort(outgoing, body);
     outgoing.flushHeaders();
     outgoing.once('continue', () => {
       this.asking.add(server);
