Holds of slices: simpler checks; line 419 says only what is known

mayServerHoldAny built a set of keys only to compare its size with 0. recordUnproven takes the grant that its callers have. Expired grants don't show that the server no longer holds the slices (line 421 exists since it may).

--- a/packages/core/src/grants/holds.ts
+++ b/packages/core/src/grants/holds.ts
@@ -105,7 +105,8 @@
  */
 export function mayServerHoldAny(grants: SliceGrants, now: number): boolean {
   if (now < grants.predecessorGrantsUntil) return true;
-  return countHeldSlices(grants, now) > 0;
+  const ends = [...grants.holds.values(), ...grants.unconfirmed.values()];
+  return ends.some(({until}) => now < until);
 }
 
 /**
--- a/packages/core/src/grants/unproven.ts
+++ b/packages/core/src/grants/unproven.ts
@@ -4,42 +4,31 @@
  * What this member no longer owns is released once the server is heard again.
  */
 
-import type {ServiceName, Slice} from '../ids/types.js';
+import type {Slice} from '../ids/types.js';
 import type {Event} from '../loop/types.js';
 import type {ServicePlacement} from '../map/types.js';
 import type {OwnershipContext} from '../ownership/state.js';
 import {CALL_TIMEOUT_MS} from './calls.js';
 import {sliceKey, sliceKeysOf} from './keys.js';
 import {sendReleases} from './releases.js';
-import type {SliceGrants, UnprovenEnd} from './types.js';
+import type {SliceGrants, UnconfirmedGrant, UnprovenEnd} from './types.js';
 
 /**
- * Records slices whose grants ended without a proof.
+ * Records the slices of a grant that ended without a proof.
  *
  * @param grants - State of the grants.
- * @param range - The slices.
- * @param range.service - Their service.
- * @param range.first - The first of them.
- * @param range.count - Their number.
+ * @param sent - The grant.
  */
 export function recordUnproven(
   grants: SliceGrants,
-  range: {
-    readonly service: ServiceName;
-    readonly first: Slice;
-    readonly count: number;
-  },
+  sent: UnconfirmedGrant,
 ): void {
-  const {service, first, count} = range;
+  const {service, first, count} = sent;
   for (let slice = first; slice < first + count; slice++) {
     const key = sliceKey(service, slice);
     if (grants.unproven.has(key)) continue;
-    grants.unproven.set(key, {
-      service,
-      slice: slice,
-      releaseRound: null,
-      releasedAt: 0,
-    });
+    const unproven = {service, slice, releaseRound: null, releasedAt: 0};
+    grants.unproven.set(key, unproven);
   }
 }
 
--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -167,7 +167,7 @@
   ),
   holdsExpired: step(
     419,
-    'Unconfirmed grants expired; the backend server no longer holds the slices.',
+    'Unconfirmed grants expired; their slices no longer count as held.',
   ),
   holdsCleared: event(
     420,
