--- a/packages/core/src/errors/logic.ts
+++ b/packages/core/src/errors/logic.ts
@@ -8,11 +8,13 @@
  */
 export const ERROR_RESPONSES: Readonly<Record<ErrorKind, ErrorKindInfo>> = {
   'bad-request': response(400, 'The request could not be understood.'),
+  unauthenticated: response(401, 'No tenant holds this API key.'),
   'unknown-service': response(404, 'No service matches this method and path.'),
   'key-missing': response(400, 'The request carries no key.'),
   'key-too-long': response(400, 'The key is longer than allowed.'),
   'body-too-large': response(413, 'The body is larger than allowed.'),
   'header-too-large': response(431, 'The headers are larger than allowed.'),
+  'quota-exceeded': response(429, 'The quota of the tenant is used up.', true),
   'no-owner': response(503, 'No server owns this key at the moment.', true),
   'no-server': response(503, 'No server offers this service now.', true),
   overloaded: response(503, 'Every suitable server is busy.', true),
--- a/packages/core/src/errors/types.ts
+++ b/packages/core/src/errors/types.ts
@@ -9,11 +9,13 @@
 /** Every kind of error that a caller can receive. */
 export type ErrorKind =
   | 'bad-request'
+  | 'unauthenticated'
   | 'unknown-service'
   | 'key-missing'
   | 'key-too-long'
   | 'body-too-large'
   | 'header-too-large'
+  | 'quota-exceeded'
   | 'no-owner'
   | 'no-server'
   | 'overloaded'
--- a/packages/core/src/ids/types.ts
+++ b/packages/core/src/ids/types.ts
@@ -13,6 +13,9 @@
 /** Name of a service inside a workspace, for example `finder`. */
 export type ServiceName = string & {readonly brand: 'ServiceName'};
 
+/** Name of a tenant: a customer whose callers share API keys and a quota. */
+export type TenantName = string & {readonly brand: 'TenantName'};
+
 /** Name of an availability zone. */
 export type ZoneName = string & {readonly brand: 'ZoneName'};
 
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -16,6 +16,7 @@
   RequestId,
   ServiceName,
   Slice,
+  TenantName,
   Version,
   ZoneName,
 } from '../ids/types.js';
@@ -93,6 +94,10 @@
   /** Maximum number of attempts of the request, or null for the default. */
   readonly maxAttempts: number | null;
   readonly idempotencyKey: string | null;
+  /** The tenant that sent it, or null if it carried no API key. */
+  readonly tenant: TenantName | null;
+  /** Order among waiting requests; lower values go first. */
+  readonly urgency: number;
 }
 
 /** A command of an operator, sent to any daemon. */
--- a/packages/core/src/routing/failures.ts
+++ b/packages/core/src/routing/failures.ts
@@ -142,6 +142,8 @@
       if (pending.accepted.slice !== null) return 'fail';
       return pending.mayHaveRun ? 'retry' : 'redirect';
     case 'bad-request':
+    case 'unauthenticated':
+    case 'quota-exceeded':
     case 'unknown-service':
     case 'key-missing':
     case 'key-too-long':
--- a/packages/core/src/settings/defaults.ts
+++ b/packages/core/src/settings/defaults.ts
@@ -106,6 +106,20 @@
     /** Maximum delay between two tries. */
     maxBackoffMs: 5000,
   },
+  tenants: {
+    /**
+     * Time after which an API key that a configuration removed is accepted by no
+     * daemon, even if it can't learn of it; 0 if daemons may accept it until they
+     * do.
+     */
+    revokeMs: 0,
+    /** Length of any time window in which a quota holds. */
+    quotaWindowMs: 5000,
+    /** Share of a quota by which a window may exceed it. */
+    quotaOverrun: 0.1,
+    /** Requests by which a window may exceed a quota besides. */
+    quotaSlack: 20,
+  },
   announcements: {
     /** Time without an announcement after which a server counts as lost. */
     ttlMs: 2000,
--- a/packages/core/src/testing/origin.ts
+++ b/packages/core/src/testing/origin.ts
@@ -49,6 +49,8 @@
       objectiveMs: 0,
       maxAttempts: null,
       idempotencyKey: null,
+      tenant: null,
+      urgency: 0,
       ...changes,
     };
     return this.feed({kind: 'requestAccepted', accepted});
--- a/packages/core/src/workspace/schema.ts
+++ b/packages/core/src/workspace/schema.ts
@@ -4,7 +4,12 @@
 
 import {parseDocument} from '../validation/logic.js';
 import type {ValidationFault} from '../validation/types.js';
-import type {ServiceName, WorkspaceName, ZoneName} from '../ids/types.js';
+import type {
+  ServiceName,
+  TenantName,
+  WorkspaceName,
+  ZoneName,
+} from '../ids/types.js';
 import type {Workspace} from './types.js';
 
 /** Maximum number of slices of a service. */
@@ -32,6 +37,7 @@
 const workspaceName = nameText.transform(text => text as WorkspaceName);
 const serviceName = nameText.transform(text => text as ServiceName);
 const zoneName = nameText.transform(text => text as ZoneName);
+const tenantName = nameText.transform(text => text as TenantName);
 
 const keySource = z.discriminatedUnion('from', [
   z.strictObject({
@@ -82,6 +88,7 @@
   objectiveMs: z.number().min(0).default(0),
   urgency: z.int().min(0).default(0),
   maxAttempts: z.int().min(1).nullable().default(null),
+  public: z.boolean().exactOptional(),
 });
 
 const limits = z.strictObject({
@@ -91,6 +98,17 @@
   maxMovingSlices: z.int().min(1).max(MAX_SLICES),
   drainMs: z.int().min(0).max(MAX_DRAIN_MS),
   idleMs: z.number().min(1).default(DEFAULT_IDLE_MS),
+  headerTimeoutMs: z.number().min(1).exactOptional(),
+});
+
+const tenant = z.strictObject({
+  name: tenantName,
+  keyDigests: z.array(
+    z.string().regex(/^[0-9a-f]{64}$/, 'must be a SHA-256 digest in hex'),
+  ),
+  urgency: z.int().min(0).nullable().default(null),
+  ratePerSecond: z.number().min(0).default(0),
+  burst: z.number().min(0).default(0),
 });
 
 const documentShape = z.strictObject({
@@ -100,6 +118,8 @@
   services: z.array(service).min(1).max(256),
   routes: z.array(route).min(1).max(1024),
   limits,
+  tenants: z.array(tenant).max(10_000).exactOptional(),
+  scheduling: z.enum(['count', 'cost']).exactOptional(),
 });
 
 type Document = z.output<typeof documentShape>;
@@ -145,10 +165,27 @@
       'services',
     ),
     ...findRepeats(document.routes.map(routePattern), 'routes'),
+    ...findTenantFaults(document.tenants ?? []),
     ...document.routes.flatMap((_, index) => findRouteFaults(document, index)),
   ];
 }
 
+/** Names and keys are unique, so that each key has one holder. */
+function findTenantFaults(
+  tenants: ReadonlyArray<z.output<typeof tenant>>,
+): readonly FaultAtPath[] {
+  return [
+    ...findRepeats(
+      tenants.map(({name}) => name),
+      'tenants',
+    ),
+    ...findRepeats(
+      tenants.flatMap(({keyDigests}) => keyDigests),
+      'tenants',
+    ),
+  ];
+}
+
 function findRepeats(
   values: readonly string[],
   list: string,
--- a/packages/core/src/workspace/types.ts
+++ b/packages/core/src/workspace/types.ts
@@ -1,6 +1,11 @@
 /** @fileoverview The workspace configuration, which every daemon holds. */
 
-import type {ServiceName, WorkspaceName, ZoneName} from '../ids/types.js';
+import type {
+  ServiceName,
+  TenantName,
+  WorkspaceName,
+  ZoneName,
+} from '../ids/types.js';
 
 /** Where a request carries its key. */
 export type KeySource =
@@ -45,8 +50,31 @@
   readonly urgency: number;
   /** Maximum number of attempts without redirects and hedges; null: default. */
   readonly maxAttempts: number | null;
+  /** Whether its requests need no API key. Absent: no. */
+  readonly public?: boolean;
 }
 
+/** A customer whose requests are authenticated by API keys. */
+export interface Tenant {
+  readonly name: TenantName;
+  /** SHA-256 digests of its API keys, in lower-case hexadecimal. */
+  readonly keyDigests: readonly string[];
+  /** Takes precedence over the urgency of the route; null: the route's. */
+  readonly urgency: number | null;
+  /** Requests per second over all daemons; 0 means no limit. */
+  readonly ratePerSecond: number;
+  /** Requests beyond the rate that may come at once. */
+  readonly burst: number;
+}
+
+/**
+ * What placement and queueing of requests go by.
+ *
+ * - `count`: the number of requests at a server and its latency.
+ * - `cost`: the estimated run time of requests as well.
+ */
+export type Scheduling = 'count' | 'cost';
+
 /** Which backend servers may run a request of a service. */
 export type Division =
   /**
@@ -96,6 +124,11 @@
    * Time after which an idle connection of a caller closes, in milliseconds.
    */
   readonly idleMs: number;
+  /**
+   * Time in which a caller has to send the head of a request, in milliseconds.
+   * Absent: the default of the daemon.
+   */
+  readonly headerTimeoutMs?: number;
 }
 
 /** A configuration document; `version` rises with each accepted change. */
@@ -106,4 +139,8 @@
   readonly services: readonly Service[];
   readonly routes: readonly Route[];
   readonly limits: WorkspaceLimits;
+  /** Absent: requests carry no API keys. */
+  readonly tenants?: readonly Tenant[];
+  /** Absent: `count`. */
+  readonly scheduling?: Scheduling;
 }
--- a/packages/daemon/src/adapters/types.ts
+++ b/packages/daemon/src/adapters/types.ts
@@ -23,6 +23,7 @@
   ServiceName,
   StoreCall,
   StoreReply,
+  TenantName,
 } from '@jackdawfall/core';
 
 import type {LogFields} from '../logs/types.js';
@@ -50,6 +51,20 @@
 export interface CallerProtocol {
   /** Headers that are forwarded with the request to the backend server. */
   headersOf(incoming: IncomingMessage): Header[];
+  /** The API key that the request carries, or null if it carries none. */
+  apiKeyOf(incoming: IncomingMessage): string | null;
+  /**
+   * Replaces the API key and any tenant that the caller names by the tenant that
+   * holds the key. Used only in workspaces that have tenants.
+   *
+   * @param headers - Headers of the request.
+   * @param tenant - The tenant, or null if the request carries no valid key.
+   * @returns The headers to forward.
+   */
+  headersFor(
+    headers: readonly Header[],
+    tenant: TenantName | null,
+  ): readonly Header[];
   /** The timeout that the caller states, in milliseconds, or null if none. */
   timeoutMsOf(incoming: IncomingMessage): number | null;
   /**
--- a/packages/daemon/src/callers/logic.spec.ts
+++ b/packages/daemon/src/callers/logic.spec.ts
@@ -4,7 +4,12 @@
 import type {AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
 
-import {compileRoutes, failure, parseWorkspace} from '@jackdawfall/core';
+import {
+  compileRoutes,
+  createTenantDirectory,
+  failure,
+  parseWorkspace,
+} from '@jackdawfall/core';
 import type {Event, RequestId} from '@jackdawfall/core';
 import test from 'ava';
 import type {ExecutionContext} from 'ava';
@@ -182,7 +187,11 @@
     log: () => undefined,
     onConnection: () => undefined,
     onLoopLag: () => undefined,
-    configuration: () => ({workspace, router: compileRoutes(workspace)}),
+    configuration: () => ({
+      workspace,
+      router: compileRoutes(workspace),
+      tenants: createTenantDirectory(workspace),
+    }),
     protocol: CALLER_PROTOCOL,
     windowBytes: 1024,
     tickMs: 50,
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -18,7 +18,10 @@
   MemberId,
   Message,
   RequestId,
+  Route,
   Router,
+  Tenant,
+  TenantDirectory,
   Version,
   Workspace,
 } from '@jackdawfall/core';
@@ -49,6 +52,7 @@
 export interface CompiledConfiguration {
   readonly workspace: Workspace;
   readonly router: Router;
+  readonly tenants: TenantDirectory;
 }
 
 /** Dependencies of the front end. */
@@ -81,6 +85,14 @@
   readonly version: Version;
 }
 
+/** A request's route and tenant, or why it is rejected before it is read. */
+type MatchedRequest =
+  | ({readonly kind: 'matched'} & Pick<
+      PendingRequest,
+      'route' | 'service' | 'slice' | 'headers' | 'tenant'
+    >)
+  | {readonly kind: 'rejected'; readonly failure: Failure};
+
 /** Serves callers and tracks their requests until each has its response. */
 export class CallerFrontend {
   /** The HTTP server; whoever creates this object calls `listen`. */
@@ -196,7 +208,7 @@
       priority: pending.route.priority,
       idempotencyKey: pending.idempotencyKey,
       budgetMs,
-      urgency: pending.route.urgency,
+      urgency: urgencyOf(pending),
       objectiveMs: pending.route.objectiveMs,
       version,
       body,
@@ -345,6 +357,8 @@
         objectiveMs: pending.route.objectiveMs,
         maxAttempts: pending.route.maxAttempts,
         idempotencyKey: pending.idempotencyKey,
+        tenant: pending.tenant?.name ?? null,
+        urgency: urgencyOf(pending),
       },
     });
   }
@@ -383,20 +397,14 @@
     if (configuration === null) {
       return reject(failure('no-server', 'not-run', 'no configuration yet'));
     }
-    const method = incoming.method ?? '';
-    const path = incoming.url ?? '';
-    const headers = protocol.headersOf(incoming);
-    const rejection = this.rejectionOf(path, headers);
-    if (rejection !== null) return reject(rejection);
-    const match = configuration.router.match(method, path, incoming.headers);
-    if (match.kind !== 'matched') {
-      return reject(failure(match.kind, 'not-run', match.detail));
-    }
+    const matched = this.matchRequest(incoming, configuration);
+    if (matched.kind === 'rejected') return reject(matched.failure);
+    const {route, service, slice, headers, tenant} = matched;
     const {maxBodyBytes} = configuration.workspace.limits;
     const body = await readBody(incoming, maxBodyBytes, this.bodyBudget);
     if (body.kind === 'aborted') return null;
     if (body.kind === 'rejected') return reject(body.failure);
-    const timeoutMs = Math.min(callerTimeoutMs, match.route.timeoutMs);
+    const timeoutMs = Math.min(callerTimeoutMs, route.timeoutMs);
     const receivedMs = performance.now();
     if (receivedMs + timeoutMs > this.stopsAtMs) {
       this.bodyBudget.release(body.bytes.length);
@@ -404,14 +412,15 @@
     }
     return {
       request,
-      route: match.route,
-      service: match.service,
-      slice: match.slice,
+      route,
+      service,
+      slice,
       timeoutMs,
       receivedMs,
-      method,
-      path,
+      method: incoming.method ?? '',
+      path: incoming.url ?? '',
       headers,
+      tenant,
       idempotencyKey: protocol.idempotencyKeyOf(incoming),
       body: body.bytes,
       addedHeaders: protocol.addedHeaders(request),
@@ -421,6 +430,39 @@
     };
   }
 
+  /** Finds the route of a request and the tenant that sent it. */
+  private matchRequest(
+    incoming: IncomingMessage,
+    {router, tenants}: CompiledConfiguration,
+  ): MatchedRequest {
+    const rejected = (failed: Failure) =>
+      ({kind: 'rejected', failure: failed}) as const;
+    const {protocol} = this.context;
+    const path = incoming.url ?? '';
+    const received = protocol.headersOf(incoming);
+    const rejection = this.rejectionOf(path, received);
+    if (rejection !== null) return rejected(rejection);
+    const match = router.match(incoming.method ?? '', path, incoming.headers);
+    if (match.kind !== 'matched') {
+      return rejected(failure(match.kind, 'not-run', match.detail));
+    }
+    const {route, service, slice} = match;
+    if (!tenants.isUsed) {
+      const headers = received;
+      return {kind: 'matched', route, service, slice, headers, tenant: null};
+    }
+    const apiKey = protocol.apiKeyOf(incoming);
+    const authentication = tenants.authenticate(route, apiKey);
+    if (authentication.kind === 'unauthenticated') {
+      return rejected(
+        failure('unauthenticated', 'not-run', 'no tenant holds its API key'),
+      );
+    }
+    const {tenant} = authentication;
+    const headers = protocol.headersFor(received, tenant?.name ?? null);
+    return {kind: 'matched', route, service, slice, headers, tenant};
+  }
+
   private logRejection(
     request: RequestId,
     {method = '', url = ''}: IncomingMessage,
@@ -500,6 +542,17 @@
   }
 }
 
+/** The urgency of a tenant takes precedence over that of the route. */
+function urgencyOf({
+  route,
+  tenant,
+}: {
+  route: Route;
+  tenant: Tenant | null;
+}): number {
+  return tenant?.urgency ?? route.urgency;
+}
+
 /**
  * Waits until the event loop has read what has arrived by now, so that a
  * request whose caller has already disconnected is dropped. It takes two
--- a/packages/daemon/src/callers/protocol.ts
+++ b/packages/daemon/src/callers/protocol.ts
@@ -11,6 +11,8 @@
 /** Reads requests and renders error responses in the built-in format. */
 export const CALLER_PROTOCOL: CallerProtocol = {
   headersOf: incoming => endToEndHeaders(incoming.headers),
+  apiKeyOf: () => null,
+  headersFor: headers => headers,
   timeoutMsOf(incoming) {
     const requestedMs = Number(headerOf(incoming, TIMEOUT_HEADER) ?? NaN);
     return Number.isFinite(requestedMs) && requestedMs > 0 ? requestedMs : null;
--- a/packages/daemon/src/callers/types.ts
+++ b/packages/daemon/src/callers/types.ts
@@ -10,6 +10,7 @@
   Route,
   Service,
   Slice,
+  Tenant,
 } from '@jackdawfall/core';
 
 /**
@@ -25,6 +26,8 @@
   readonly method: string;
   readonly path: string;
   readonly headers: readonly Header[];
+  /** The tenant that sent it, or null if it carried no API key. */
+  readonly tenant: Tenant | null;
   readonly idempotencyKey: string | null;
   /** Time for the complete response, in milliseconds from `receivedMs`. */
   readonly timeoutMs: number;
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -3,7 +3,12 @@
  * sockets and timers into events for it.
  */
 
-import {compileRoutes, reduceDaemon, renderDaemon} from '@jackdawfall/core';
+import {
+  compileRoutes,
+  createTenantDirectory,
+  reduceDaemon,
+  renderDaemon,
+} from '@jackdawfall/core';
 import type {
   Announcement,
   Command,
@@ -490,7 +495,11 @@
     const {workspace} = this.options.daemon.ownershipView;
     if (workspace === null) return null;
     if (this.configuration?.workspace !== workspace) {
-      this.configuration = {workspace, router: compileRoutes(workspace)};
+      this.configuration = {
+        workspace,
+        router: compileRoutes(workspace),
+        tenants: createTenantDirectory(workspace),
+      };
     }
     return this.configuration;
   }
--- a/packages/emulator/src/requests/faults.spec.ts
+++ b/packages/emulator/src/requests/faults.spec.ts
@@ -100,6 +100,8 @@
       objectiveMs: 0,
       maxAttempts: null,
       idempotencyKey: null,
+      tenant: null,
+      urgency: 0,
     });
   }
 
--- a/packages/emulator/src/requests/load.ts
+++ b/packages/emulator/src/requests/load.ts
@@ -100,6 +100,8 @@
       objectiveMs: 0,
       maxAttempts: null,
       idempotencyKey: null,
+      tenant: null,
+      urgency: 0,
     });
   });
   schedule.run(
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -50,6 +50,8 @@
   'idempotency-mismatch': 16,
   stopping: 17,
   internal: 18,
+  unauthenticated: 19,
+  'quota-exceeded': 20,
 };
 
 /** Wire codes of the run states. */
