API keys are refused where a revocation may have been missed; faults of the configuration are known to all daemons

Cause: a daemon that is partitioned or was suspended accepts the API keys of an old configuration without limit. An invalid configuration was logged only by the few daemons that watch the source, so that all others rejected requests with "no configuration yet" and no reason.

Change: confirmations of watchers carry the age of the source's answer and the fault of its newest document. A daemon knows as of when its configuration was the newest; where the deployment sets a time for revocation, requests with a key get 503 (configuration-stale, not run) once that is too long ago by either clock. Links: protocol 5.

--- a/packages/core/src/configuration/logic.ts
+++ b/packages/core/src/configuration/logic.ts
@@ -87,7 +87,7 @@
   const {number} = message;
   const {state, at} = context;
   if (message.kind === 'configurationConfirmed') {
-    recordConfirmation(state, from, at.monotonic);
+    recordConfirmation(context, from, message);
   }
   const own = currentNumber(context);
   if (number < own && state.externalConfiguration !== null) {
--- a/packages/core/src/configuration/watchers.ts
+++ b/packages/core/src/configuration/watchers.ts
@@ -5,9 +5,21 @@
  */
 
 import type {MemberId} from '../ids/types.js';
+import type {Event} from '../loop/types.js';
+import type {ControlMessage} from '../messages/types.js';
 import {log, send} from '../ownership/effects.js';
 import type {OwnershipContext, OwnershipState} from '../ownership/state.js';
 import {currentRanks} from '../ownership/state.js';
+import {
+  freshnessAgeMs,
+  recordAnswer,
+  recordPeerConfirmation,
+} from './freshness.js';
+
+type ConfirmationMessage = Extract<
+  ControlMessage,
+  {kind: 'configurationConfirmed'}
+>;
 
 /** Number of members that watch the source. */
 const MAX_WATCHERS = 2;
@@ -39,6 +51,11 @@
   confirmAt: number;
   /** Monotonic time of the last confirmation of each watcher. */
   readonly heardAt: Map<MemberId, number>;
+  /**
+   * Why the newest document of the source is invalid, so that an older one stays
+   * in force or none is; null if it is valid.
+   */
+  fault: string | null;
 }
 
 /**
@@ -53,9 +70,27 @@
     watching: null,
     confirmAt: 0,
     heardAt: new Map(),
+    fault: null,
   };
 }
 
+/**
+ * Records the end of a poll of the source by this daemon.
+ *
+ * @param context - Context of the current input.
+ * @param poll - What the poll has shown.
+ */
+export function recordPoll(
+  context: OwnershipContext,
+  poll: Extract<Event, {kind: 'sourcePolled'}>,
+): void {
+  const {state, at} = context;
+  state.sourceWatch.confirmedUntil = at.monotonic + poll.confirmedForMs;
+  if (poll.confirmedForMs === 0) return;
+  recordAnswer(state.freshness, at, poll.ageMs);
+  state.sourceWatch.fault = poll.fault;
+}
+
 /**
  * Returns whether this daemon is to watch the source: unless enough members that
  * rank before it have confirmed the configuration lately, or may still do so
@@ -107,28 +142,54 @@
   if (!watching || now >= sourceWatch.confirmedUntil) return;
   if (now < sourceWatch.confirmAt) return;
   sourceWatch.confirmAt = now + CONFIRM_INTERVAL_MS;
-  const number = state.externalConfiguration?.number ?? 0;
+  const message: ControlMessage = {
+    kind: 'configurationConfirmed',
+    number: state.externalConfiguration?.number ?? 0,
+    ageMs: Math.max(0, freshnessAgeMs(state.freshness, at)),
+    fault: sourceWatch.fault ?? '',
+  };
   for (const id of map.members.keys()) {
     if (id === state.self) continue;
-    send(context, id, {kind: 'configurationConfirmed', number});
+    send(context, id, message);
   }
 }
 
 /**
  * Records the confirmation of a watcher, and forgets those of former members.
  *
- * @param state - State of ownership.
+ * @param context - Context of the current input.
  * @param from - The watcher.
- * @param now - Monotonic time, in milliseconds.
+ * @param message - The confirmation.
  */
 export function recordConfirmation(
-  state: OwnershipState,
+  context: OwnershipContext,
   from: MemberId,
-  now: number,
+  message: ConfirmationMessage,
 ): void {
+  const {number, ageMs, fault} = message;
+  const {state, at} = context;
   const {heardAt} = state.sourceWatch;
-  heardAt.set(from, now);
+  heardAt.set(from, at.monotonic);
+  const {silenceMs, heartbeatMs} = state.settings.tuning.links;
+  if (number <= (state.externalConfiguration?.number ?? 0)) {
+    const transitMs = silenceMs + heartbeatMs;
+    recordPeerConfirmation(state.freshness, at, ageMs, transitMs);
+  }
+  recordFault(context, from, fault === '' ? null : fault);
   for (const id of heardAt.keys()) {
     if (!state.map.members.has(id)) heardAt.delete(id);
   }
 }
+
+/** Logs a fault of the source's document that a watcher has found. */
+function recordFault(
+  context: OwnershipContext,
+  from: MemberId,
+  fault: string | null,
+): void {
+  const {sourceWatch} = context.state;
+  if (sourceWatch.fault === fault) return;
+  sourceWatch.fault = fault;
+  if (fault === null) return;
+  log(context, 'configurationRefused', {from, detail: fault});
+}
--- a/packages/core/src/errors/logic.ts
+++ b/packages/core/src/errors/logic.ts
@@ -29,6 +29,11 @@
     'This idempotency key was used for another request.',
   ),
   stopping: response(503, 'This daemon is stopping.', true),
+  'configuration-stale': response(
+    503,
+    'This daemon may have missed that an API key was revoked.',
+    true,
+  ),
   internal: response(500, 'The daemon met an internal error.'),
 };
 
--- a/packages/core/src/errors/types.ts
+++ b/packages/core/src/errors/types.ts
@@ -27,6 +27,7 @@
   | 'cancelled'
   | 'idempotency-mismatch'
   | 'stopping'
+  | 'configuration-stale'
   | 'internal';
 
 /**
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,6 +2,7 @@
 
 export {timeLeftMs} from './clock/logic.js';
 export type * from './clock/types.js';
+export {acceptsApiKeys, configurationFaultOf} from './configuration/view.js';
 export type * from './daemon/types.js';
 export {reduceDaemon} from './daemon/logic.js';
 export {createDaemon} from './daemon/state.js';
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -239,6 +239,13 @@
       readonly kind: 'sourcePolled';
       /** Time for which the answer counts, in milliseconds; 0 without one. */
       readonly confirmedForMs: number;
+      /** Maximum age of the answer, in milliseconds; Infinity without one. */
+      readonly ageMs: number;
+      /**
+       * Why the newest document of the source is invalid, or null if it is valid
+       * or there is none.
+       */
+      readonly fault: string | null;
     }
   /** The backend server accepted a slice grant, new or repeated. */
   | {
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -246,7 +246,14 @@
    * The same of a member that watches the external source, and which the source
    * has answered lately.
    */
-  | {readonly kind: 'configurationConfirmed'; readonly number: number}
+  | {
+      readonly kind: 'configurationConfirmed';
+      readonly number: number;
+      /** Age of the source's answer that the confirmation is based on, in ms. */
+      readonly ageMs: number;
+      /** Why the newest document of the source is invalid; empty if it isn't. */
+      readonly fault: string;
+    }
   /**
    * Requests the entries after a version; the reply is always `entries`. It
    * also tells the receiver the log version of the sender's map, so that a
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -59,6 +59,8 @@
   handlePropose,
   recordApplied,
 } from '../proposals/logic.js';
+import {recordEvent} from '../configuration/freshness.js';
+import {recordPoll} from '../configuration/watchers.js';
 import type {CallId} from '../ids/types.js';
 import {
   handleLoadPointerReply,
@@ -95,6 +97,7 @@
   dependencies: OwnershipDependencies,
 ): Effect[] {
   const context = createContext(state, input, dependencies.work);
+  recordEvent(state.freshness, input.at);
   handleEvent(context, input.event);
   if (input.event.kind === 'ticked' || state.runTasksNow) {
     state.runTasksNow = false;
@@ -148,8 +151,7 @@
       adoptConfiguration(context, event.configuration);
       return;
     case 'sourcePolled':
-      state.sourceWatch.confirmedUntil =
-        context.at.monotonic + event.confirmedForMs;
+      recordPoll(context, event);
       return;
     case 'slicesGranted':
     case 'sliceGrantFailed':
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -28,6 +28,8 @@
 import {createSliceGrants} from '../grants/state.js';
 import type {SliceGrants} from '../grants/types.js';
 import type {HeardConfiguration} from '../configuration/logic.js';
+import {createFreshness} from '../configuration/freshness.js';
+import type {ConfigurationFreshness} from '../configuration/freshness.js';
 import {createSourceWatch} from '../configuration/watchers.js';
 import type {SourceWatch} from '../configuration/watchers.js';
 import {createFormation} from '../coordinator/formation.js';
@@ -281,6 +283,7 @@
   readonly balance: Balance;
   readonly proposals: Proposals;
   readonly sourceWatch: SourceWatch;
+  readonly freshness: ConfigurationFreshness;
 }
 
 /** Context in which the reducer handles one input. */
@@ -357,6 +360,7 @@
     balance: createBalance(),
     proposals: createProposals(),
     sourceWatch: createSourceWatch(),
+    freshness: createFreshness(),
   };
 }
 
--- a/packages/core/src/routing/failures.ts
+++ b/packages/core/src/routing/failures.ts
@@ -143,6 +143,7 @@
       return pending.mayHaveRun ? 'retry' : 'redirect';
     case 'bad-request':
     case 'unauthenticated':
+    case 'configuration-stale':
     case 'quota-exceeded':
     case 'unknown-service':
     case 'key-missing':
--- a/packages/daemon/src/callers/logic.spec.ts
+++ b/packages/daemon/src/callers/logic.spec.ts
@@ -192,6 +192,8 @@
       router: compileRoutes(workspace),
       tenants: createTenantDirectory(workspace),
     }),
+    configurationFault: () => null,
+    acceptsApiKeys: () => true,
     protocol: CALLER_PROTOCOL,
     windowBytes: 1024,
     tickMs: 50,
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -67,6 +67,10 @@
   onLoopLag(lagMs: number): void;
   /** The configuration in force, or null if there was none so far. */
   configuration(): CompiledConfiguration | null;
+  /** Why the newest configuration is invalid, or null if it is valid. */
+  configurationFault(): string | null;
+  /** Whether API keys are accepted; see `acceptsApiKeys` of the core. */
+  acceptsApiKeys(): boolean;
   readonly protocol: CallerProtocol;
   /** Flow-control window of one body, in bytes. */
   readonly windowBytes: number;
@@ -395,7 +399,8 @@
     };
     const configuration = context.configuration();
     if (configuration === null) {
-      return reject(failure('no-server', 'not-run', 'no configuration yet'));
+      const detail = context.configurationFault() ?? 'no configuration yet';
+      return reject(failure('no-server', 'not-run', detail));
     }
     const matched = this.matchRequest(incoming, configuration);
     if (matched.kind === 'rejected') return reject(matched.failure);
@@ -452,6 +457,10 @@
       return {kind: 'matched', route, service, slice, headers, tenant: null};
     }
     const apiKey = protocol.apiKeyOf(incoming);
+    if (apiKey !== null && !this.context.acceptsApiKeys()) {
+      const detail = 'the configuration was not confirmed in time';
+      return rejected(failure('configuration-stale', 'not-run', detail));
+    }
     const authentication = tenants.authenticate(route, apiKey);
     if (authentication.kind === 'unauthenticated') {
       return rejected(
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -9,6 +9,7 @@
 export type * from './adapters/types.js';
 export {readBodyText} from './http/body.js';
 export {endToEndHeaders, headerOf, toHeaderRecord} from './http/headers.js';
+export {readClocks} from './loop/logic.js';
 export {HttpClient} from './http/client.js';
 export type {HttpRequest, HttpResponse} from './http/client.js';
 export {replyFromError} from './store_client/logic.js';
--- a/packages/daemon/src/metrics/gauges.ts
+++ b/packages/daemon/src/metrics/gauges.ts
@@ -83,6 +83,11 @@
       help: 'Version of the configuration in force; 0 for none.',
       value: ownership.map.configuration?.number ?? 0,
     },
+    {
+      name: 'configuration_invalid',
+      help: '1 while the newest document of the configuration source is invalid.',
+      value: Number(ownership.sourceWatch.fault !== null),
+    },
     {
       name: 'members',
       help: 'Live members in the map of this daemon.',
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -4,7 +4,9 @@
  */
 
 import {
+  acceptsApiKeys,
   compileRoutes,
+  configurationFaultOf,
   createTenantDirectory,
   reduceDaemon,
   renderDaemon,
@@ -151,6 +153,10 @@
       onConnection: () => metrics.count('connectionsAccepted'),
       onLoopLag: lagMs => metrics.record('loopLag', lagMs),
       configuration: () => this.currentConfiguration(),
+      configurationFault: () =>
+        configurationFaultOf(this.options.daemon.ownership),
+      acceptsApiKeys: () =>
+        acceptsApiKeys(this.options.daemon.ownership, readClocks()),
       idPrefix: this.self,
     });
   }
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -255,7 +255,12 @@
    * @param confirmedForMs - Time for which its answer counts; 0 without one.
    */
   pollSource(node: SimulatedNode, confirmedForMs: number): void {
-    this.deliver(node, {kind: 'sourcePolled', confirmedForMs});
+    this.deliver(node, {
+      kind: 'sourcePolled',
+      confirmedForMs,
+      ageMs: confirmedForMs === 0 ? Infinity : 0,
+      fault: null,
+    });
   }
 
   /**
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -9,7 +9,7 @@
 import type {Hello} from './types.js';
 
 /** Version of the protocol; links with another version are refused. */
-export const PROTOCOL_VERSION = 4;
+export const PROTOCOL_VERSION = 5;
 
 /** The Avro schema of one field. */
 export type FieldSchema = string | readonly string[] | {readonly type: string};
@@ -52,6 +52,7 @@
   internal: 18,
   unauthenticated: 19,
   'quota-exceeded': 20,
+  'configuration-stale': 21,
 };
 
 /** Wire codes of the run states. */
@@ -201,7 +202,10 @@
   },
   propose: {code: 21, fields: {change: 'string'}},
   configurationNumber: {code: 22, fields: {number: LOGICAL_TYPES.count}},
-  configurationConfirmed: {code: 23, fields: {number: LOGICAL_TYPES.count}},
+  configurationConfirmed: {
+    code: 23,
+    fields: {number: LOGICAL_TYPES.count, ageMs: 'double', fault: 'string'},
+  },
 };
 
 /** The schema of the hello frame. */
