jackdawfall config check: errors, entries without effect, differences from the version in force

Cause: an operator learnt only from the effect that a route can't match, that limits contradict each other, or what a new document changes.

Findings and differences are pure code of the core.

--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -17,6 +17,7 @@
   CommandRegistration,
   WrapAction,
 } from './command/types.js';
+import {configCommands} from './config/definition.js';
 import {mapCommand} from './map/definition.js';
 import {CommandError, EXIT_CODES} from './output/logic.js';
 import type {ExitName, Report} from './output/types.js';
@@ -36,6 +37,7 @@
 const COMMANDS: readonly CommandRegistration[] = [
   templateCommands,
   workspaceCommands,
+  configCommands,
   statusCommand,
   zoneCommands,
   serverCommands,
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -74,6 +74,10 @@
 export type {ParsedWorkspace} from './workspace/schema.js';
 export {MAX_SLICES, parseWorkspace} from './workspace/schema.js';
 export {checkWorkspaceChange} from './workspace/changes.js';
+export type {WorkspaceDifference} from './workspace/differences.js';
+export {compareWorkspaces} from './workspace/differences.js';
+export type {WorkspaceFinding} from './workspace/findings.js';
+export {findIneffectiveEntries} from './workspace/findings.js';
 export type {HeaderMap, RouteMatch, Router} from './workspace/router.js';
 export {compileRoutes, matchRoute} from './workspace/router.js';
 export type * from './templates/types.js';
