Quotas of tenants: permits divided by one member

Cause: rates and bursts of tenants were configured but not enforced.

Change: the member that joined first divides each quota. It keeps a token bucket for each tenant and hands out permits, which daemons use without asking; messages quotaDemand and quotaShares (protocol 5). Permits expire by both clocks; a new divider waits for those of its predecessor. Routing asks for a permit when a request arrives and returns it if the request was not run and the permit was not reported. Metrics and log events 219 to 221.

--- a/packages/core/src/daemon/logic.ts
+++ b/packages/core/src/daemon/logic.ts
@@ -6,6 +6,7 @@
 import {EXECUTION} from '../execution/definition.js';
 import type {Effect, Input} from '../loop/types.js';
 import {OWNERSHIP} from '../ownership/definition.js';
+import {QUOTAS} from '../quotas/definition.js';
 import {ROUTING} from '../routing/definition.js';
 import type {Daemon} from './types.js';
 
@@ -18,10 +19,19 @@
  */
 export function reduceDaemon(daemon: Daemon, input: Input): Effect[] {
   const {ownership, execution, routing, ownershipView, work} = daemon;
+  const {quotas, quotaMembership, quotaGate} = daemon;
   const effects = OWNERSHIP.reduce(ownership, input, {work});
   effects.push(
     ...EXECUTION.reduce(execution, input, {ownership: ownershipView}),
   );
-  effects.push(...ROUTING.reduce(routing, input, {ownership: ownershipView}));
+  const membership = quotaMembership;
+  const {tuning} = ownership.settings;
+  effects.push(...QUOTAS.reduce(quotas, input, {membership, tuning}));
+  effects.push(
+    ...ROUTING.reduce(routing, input, {
+      ownership: ownershipView,
+      quotas: quotaGate,
+    }),
+  );
   return effects;
 }
--- a/packages/core/src/daemon/state.ts
+++ b/packages/core/src/daemon/state.ts
@@ -4,6 +4,8 @@
 import {createOwnershipState} from '../ownership/state.js';
 import type {OwnershipSettings} from '../ownership/state.js';
 import {createOwnershipView} from '../ownership/view.js';
+import {createQuotaState} from '../quotas/state.js';
+import {createQuotaGate, createQuotaMembership} from '../quotas/view.js';
 import {createRoutingState} from '../routing/state.js';
 import type {Daemon} from './types.js';
 
@@ -16,11 +18,16 @@
 export function createDaemon(settings: OwnershipSettings): Daemon {
   const ownership = createOwnershipState(settings);
   const execution = createExecutionState(settings.tuning);
+  const quotas = createQuotaState();
+  const quotaMembership = createQuotaMembership(ownership);
   return {
     ownership,
     execution,
+    quotas,
     routing: createRoutingState(settings.tuning, settings.zone),
     ownershipView: createOwnershipView(ownership),
     work: workViewOf(execution),
+    quotaMembership,
+    quotaGate: createQuotaGate(quotas, quotaMembership),
   };
 }
--- a/packages/core/src/daemon/view.ts
+++ b/packages/core/src/daemon/view.ts
@@ -2,6 +2,7 @@
 
 import {EXECUTION} from '../execution/definition.js';
 import {OWNERSHIP} from '../ownership/definition.js';
+import {QUOTAS} from '../quotas/definition.js';
 import {ROUTING} from '../routing/definition.js';
 import type {Daemon} from './types.js';
 
@@ -15,6 +16,7 @@
   return {
     ownership: OWNERSHIP.render(daemon.ownership),
     execution: EXECUTION.render(daemon.execution),
+    quotas: QUOTAS.render(daemon.quotas),
     routing: ROUTING.render(daemon.routing),
   };
 }
--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -62,6 +62,21 @@
     'warn',
     "A row or object of the store can't be read; it was written by another writer.",
   ),
+  quotaDividerChanged: event(
+    219,
+    'info',
+    'This daemon started or stopped dividing the quotas of tenants.',
+  ),
+  quotaShareExpired: event(
+    220,
+    'warn',
+    'The member that divides quotas does not answer; the shares have expired.',
+  ),
+  quotaShareReceived: event(
+    221,
+    'info',
+    'The member that divides quotas answers; this daemon has shares.',
+  ),
   configurationInForce: event(601, 'info', 'A configuration is in force.'),
   requestFailed: failed(
     301,
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -281,6 +281,43 @@
       readonly total: number;
       /** Mean run time at the sender's server, in ms; 0 if unknown. */
       readonly runMs: number;
+    }
+  /**
+   * Requests of tenants with a quota at the sender, reported to the member that
+   * divides the quotas. It replies with `quotaShares`.
+   */
+  | {
+      readonly kind: 'quotaDemand';
+      /** Version of the sender's configuration, by which tenants are counted. */
+      readonly configuration: number;
+      /** Number of the report; rises with each report of the sender. */
+      readonly sequence: number;
+      /** `round` of the latest shares that the sender applied; 0 for none. */
+      readonly applied: number;
+      /** Whether tenants are left out whose requests changed. */
+      readonly partial: boolean;
+      /** Positions of the tenants in the configuration. */
+      readonly tenants: readonly number[];
+      /** Requests admitted since the sender joined, modulo 2 to the power of 30. */
+      readonly admitted: readonly number[];
+      /** Requests, rejected ones included, in tenths of a request per second. */
+      readonly rates: readonly number[];
+    }
+  /** Requests that the receiver may admit; the reply to `quotaDemand`. */
+  | {
+      readonly kind: 'quotaShares';
+      readonly configuration: number;
+      /** Number of the report that is answered. */
+      readonly sequence: number;
+      /** Number of the message; rises by one with each to the same receiver. */
+      readonly round: number;
+      /** Positions of the tenants in the configuration. */
+      readonly tenants: readonly number[];
+      /**
+       * Requests of each tenant that the receiver may admit beyond those in the
+       * report, within 2 s after it sent the report.
+       */
+      readonly permits: readonly number[];
     };
 
 /** Any message between two daemons. */
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -234,6 +234,8 @@
     case 'cancel':
     case 'inquire':
     case 'fate':
+    case 'quotaDemand':
+    case 'quotaShares':
       return;
   }
 }
--- a/packages/core/src/routing/completion.ts
+++ b/packages/core/src/routing/completion.ts
@@ -20,8 +20,13 @@
   cause: Failure,
 ): void {
   const {effects} = context;
-  const {request} = pending.accepted;
+  const {request, tenant} = pending.accepted;
   const run = pending.mayHaveRun ? 'unknown' : cause.run;
+  // A request that was rejected when it arrived has no permit.
+  const wasAdmitted = context.state.requests.has(request);
+  if (wasAdmitted && tenant !== null && run === 'not-run') {
+    context.quotas?.giveBack(tenant);
+  }
   const fields = {
     request,
     error: cause.kind,
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -11,6 +11,7 @@
 import type {Effect, Event, AcceptedRequest} from '../loop/types.js';
 import type {Message} from '../messages/types.js';
 import type {OwnershipView} from '../ownership/types.js';
+import type {QuotaGate} from '../quotas/types.js';
 import {capacityPerDaemon} from '../retry/logic.js';
 import {handleEnd, handleHead, handleResponseDelivered} from './responses.js';
 import {
@@ -33,10 +34,10 @@
 /** The subsystem that handles requests at their origin. */
 export const ROUTING: Subsystem<
   RoutingState,
-  {readonly ownership: OwnershipView}
+  {readonly ownership: OwnershipView; readonly quotas?: QuotaGate}
 > = {
   name: 'routing',
-  reduce(state, input, {ownership}) {
+  reduce(state, input, {ownership, quotas = null}) {
     const effects: Effect[] = [];
     const now = input.at.monotonic;
     const context: RoutingContext = {
@@ -44,6 +45,7 @@
       input,
       now,
       ownership,
+      quotas,
       effects,
       draws: 0,
     };
@@ -142,6 +144,15 @@
     );
     return;
   }
+  const overQuota =
+    accepted.tenant === null
+      ? null
+      : (context.quotas?.admit(accepted.tenant, context.input.at) ?? null);
+  if (overQuota !== null) {
+    const rejection = failure('quota-exceeded', 'not-run', overQuota);
+    failRequest(context, pending, rejection);
+    return;
+  }
   state.requests.set(accepted.request, pending);
   const tokensPerRequest =
     ownership.workspace?.limits.retryShare ?? DEFAULT_RETRY_SHARE;
@@ -199,6 +210,8 @@
     case 'propose':
     case 'configurationNumber':
     case 'configurationConfirmed':
+    case 'quotaDemand':
+    case 'quotaShares':
       return;
   }
   const attempt = context.state.attempts.get(message.attempt);
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -5,6 +5,7 @@
 import type {MemberId, ZoneName} from '../ids/types.js';
 import type {Effect, Input} from '../loop/types.js';
 import type {OwnershipView} from '../ownership/types.js';
+import type {QuotaGate} from '../quotas/types.js';
 import {RetryBudget, deriveRandom} from '../retry/logic.js';
 import type {Tuning} from '../settings/defaults.js';
 import {TimerQueue} from '../timers/logic.js';
@@ -27,6 +28,8 @@
   /** Monotonic time, in milliseconds. */
   readonly now: number;
   readonly ownership: OwnershipView;
+  /** Admits requests of tenants; null if there are no quotas. */
+  readonly quotas: QuotaGate | null;
   readonly effects: Effect[];
   /** Random values drawn so far for this input. */
   draws: number;
--- a/packages/daemon/src/metrics/gauges.ts
+++ b/packages/daemon/src/metrics/gauges.ts
@@ -1,6 +1,6 @@
 /** @fileoverview Gauges that are read whenever metrics are rendered. */
 
-import {currentLease, grantFiguresOf} from '@jackdawfall/core';
+import {currentLease, grantFiguresOf, quotaFiguresOf} from '@jackdawfall/core';
 import type {Daemon, Instant} from '@jackdawfall/core';
 
 import type {Gauge} from './types.js';
@@ -35,6 +35,7 @@
     ...processGauges(figures),
     ...membershipGauges(daemon, at),
     ...requestGauges(daemon, figures),
+    ...quotaGauges(daemon, at),
   ];
 }
 
@@ -123,3 +124,30 @@
     },
   ];
 }
+
+/** The figures are sums over all tenants, whose number isn't bounded. */
+function quotaGauges({quotas}: Daemon, at: Instant): Gauge[] {
+  const figures = quotaFiguresOf(quotas, at);
+  return [
+    {
+      name: 'quota_admitted',
+      help: 'Requests of tenants with a quota that were admitted since the start.',
+      value: figures.admitted,
+    },
+    {
+      name: 'quota_rejected',
+      help: 'Requests rejected by quota since the start.',
+      value: figures.rejected,
+    },
+    {
+      name: 'quota_permits_held',
+      help: 'Requests that the shares of this daemon still admit, all tenants.',
+      value: figures.permitsHeld,
+    },
+    {
+      name: 'quota_divider',
+      help: '1 while this daemon divides the quotas of tenants.',
+      value: Number(figures.divides),
+    },
+  ];
+}
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -9,7 +9,7 @@
 import type {Hello} from './types.js';
 
 /** Version of the protocol; links with another version are refused. */
-export const PROTOCOL_VERSION = 4;
+export const PROTOCOL_VERSION = 5;
 
 /** The Avro schema of one field. */
 export type FieldSchema = string | readonly string[] | {readonly type: string};
@@ -202,6 +202,28 @@
   propose: {code: 21, fields: {change: 'string'}},
   configurationNumber: {code: 22, fields: {number: LOGICAL_TYPES.count}},
   configurationConfirmed: {code: 23, fields: {number: LOGICAL_TYPES.count}},
+  quotaDemand: {
+    code: 24,
+    fields: {
+      configuration: LOGICAL_TYPES.count,
+      sequence: LOGICAL_TYPES.count,
+      applied: LOGICAL_TYPES.count,
+      partial: 'boolean',
+      tenants: LOGICAL_TYPES.integers,
+      admitted: LOGICAL_TYPES.integers,
+      rates: LOGICAL_TYPES.integers,
+    },
+  },
+  quotaShares: {
+    code: 25,
+    fields: {
+      configuration: LOGICAL_TYPES.count,
+      sequence: LOGICAL_TYPES.count,
+      round: LOGICAL_TYPES.count,
+      tenants: LOGICAL_TYPES.integers,
+      permits: LOGICAL_TYPES.integers,
+    },
+  },
 };
 
 /** The schema of the hello frame. */
--- a/packages/wire/src/links/liveness.ts
+++ b/packages/wire/src/links/liveness.ts
@@ -153,6 +153,8 @@
     case 'propose':
     case 'configurationNumber':
     case 'configurationConfirmed':
+    case 'quotaDemand':
+    case 'quotaShares':
       return 'neutral';
   }
 }
