--- a/packages/core/src/quotas/fleet.spec.ts
+++ b/packages/core/src/quotas/fleet.spec.ts
@@ -122,6 +122,8 @@
 
 const FAULTS: ReadonlyArray<{
   name: string;
+  /** Whether the flood begins with the fault. */
+  startsCalm?: boolean;
   run: (fleet: QuotaFleet, offer: () => void) => void;
 }> = [
   {name: 'no fault', run: () => undefined},
@@ -178,6 +180,20 @@
     name: 'frozen daemons',
     run: (fleet, offer) => freeze(fleet, [3, 4, 5, 6, 7, 8], 4000, offer),
   },
+  {
+    // By the monotonic clock, their permits are valid after they thaw.
+    name: 'daemons frozen with permits for their demand',
+    startsCalm: true,
+    run(fleet, offer) {
+      pass(fleet, 2000, () => {
+        if (fleet.now % 50 !== 0) return;
+        for (const daemon of fleet.daemons.slice(2, 10)) fleet.offer(daemon, A);
+      });
+      freeze(fleet, [2, 3, 4, 5, 6, 7, 8, 9], 8000, () => undefined);
+      // Before its next tick, a daemon doesn't know that it was evicted.
+      for (let i = 0; i < 10; i++) offer();
+    },
+  },
 ];
 
 function freeze(
@@ -195,14 +211,14 @@
 }
 
 for (const limits of [tenant(180, 180), tenant(20, 5)]) {
-  for (const {name, run} of FAULTS) {
+  for (const {name, startsCalm, run} of FAULTS) {
     const {ratePerSecond} = limits;
     test(`${name}: no window exceeds a quota of ${ratePerSecond}`, t => {
       const fleet = new QuotaFleet(16, [limits]);
       // Permits are handed out to all before the first requests.
       pass(fleet, WARM_UP_MS);
       const offer = flood(fleet);
-      pass(fleet, 2500, offer);
+      if (startsCalm !== true) pass(fleet, 2500, offer);
       run(fleet, offer);
       pass(fleet, RECOVERY_MS, offer);
       t.true(fleet.maxInWindow(A) <= boundOf(limits));
--- a/packages/core/src/quotas/holder.ts
+++ b/packages/core/src/quotas/holder.ts
@@ -91,6 +91,7 @@
   }
   if (hasLease && usage.evenPermits >= 1) {
     usage.evenPermits -= 1;
+    usage.returnableAfter = now;
     holder.admittedTotal += 1;
     return null;
   }
@@ -106,15 +107,21 @@
 
 /**
  * Returns the permit of a request that was not run. A permit that was reported
- * as used is not returned, since the divider may have given out another for it.
+ * as used is not returned, since the divider may have given out another for it;
+ * nor one that may have been an even permit, which the share doesn't count.
  *
  * @param holder - State of the holder.
  * @param tenant - The tenant that sent the request.
+ * @param admittedAt - Monotonic time at which it was admitted.
  */
-export function giveBackPermit(holder: Holder, tenant: TenantName): void {
+export function giveBackPermit(
+  holder: Holder,
+  tenant: TenantName,
+  admittedAt: number,
+): void {
   const usage = holder.usage.get(tenant);
-  if (usage === undefined || usage.admitted <= (usage.reported ?? 0)) return;
-  usage.admitted -= 1;
+  if (usage === undefined || admittedAt <= usage.returnableAfter) return;
+  if (usage.admitted > (usage.reported ?? 0)) usage.admitted -= 1;
 }
 
 /**
@@ -294,7 +301,10 @@
   const usages = reported.map(({tenant}) =>
     usageOf(holder, tenant, at.monotonic),
   );
-  for (const usage of usages) usage.reported = usage.admitted;
+  for (const usage of usages) {
+    usage.reported = usage.admitted;
+    usage.returnableAfter = at.monotonic;
+  }
   const admitted = new Map<TenantName, number>();
   for (const [tenant, usage] of holder.usage) {
     admitted.set(tenant, usage.admitted);
--- a/packages/core/src/quotas/state.ts
+++ b/packages/core/src/quotas/state.ts
@@ -75,6 +75,7 @@
   return {
     admitted: 0,
     reported: null,
+    returnableAfter: now,
     allowance: null,
     offered: 0,
     offeredPerSecond: 0,
--- a/packages/core/src/quotas/types.ts
+++ b/packages/core/src/quotas/types.ts
@@ -51,8 +51,13 @@
    * @returns Null if it is admitted, otherwise the reason, for people.
    */
   admit(tenant: TenantName, at: Instant): string | null;
-  /** Returns the permit of a request that was not run, if that is safe. */
-  giveBack(tenant: TenantName): void;
+  /**
+   * Returns the permit of a request that was not run, if that is safe.
+   *
+   * @param tenant - The tenant that sent the request.
+   * @param admittedAt - Monotonic time at which it was admitted.
+   */
+  giveBack(tenant: TenantName, admittedAt: number): void;
 }
 
 /** The permits that a member may use until they expire. */
@@ -69,6 +74,11 @@
   admitted: number;
   /** `admitted` in the latest report to the divider, or null before the first. */
   reported: number | null;
+  /**
+   * Monotonic time of the latest report, or of the latest request that used an
+   * even permit. A permit taken until then is not returned.
+   */
+  returnableAfter: number;
   allowance: Allowance | null;
   /** Requests since the rate was measured last, rejected ones included. */
   offered: number;
--- a/packages/core/src/quotas/view.ts
+++ b/packages/core/src/quotas/view.ts
@@ -71,7 +71,8 @@
   return {
     admit: (tenant, at) =>
       admitRequest(state, tenant, at, membership.holdsLease(at)),
-    giveBack: tenant => giveBackPermit(state.holder, tenant),
+    giveBack: (tenant, admittedAt) =>
+      giveBackPermit(state.holder, tenant, admittedAt),
   };
 }
 
--- a/packages/core/src/routing/completion.ts
+++ b/packages/core/src/routing/completion.ts
@@ -25,7 +25,7 @@
   // A request that was rejected when it arrived has no permit.
   const wasAdmitted = context.state.requests.has(request);
   if (wasAdmitted && tenant !== null && run === 'not-run') {
-    context.quotas?.giveBack(tenant);
+    context.quotas?.giveBack(tenant, pending.acceptedAt);
   }
   const fields = {
     request,
--- a/packages/core/src/testing/origin.ts
+++ b/packages/core/src/testing/origin.ts
@@ -3,6 +3,7 @@
 import type {AttemptId, MemberId} from '../ids/types.js';
 import type {Effect, Event, AcceptedRequest} from '../loop/types.js';
 import type {RequestMessage} from '../messages/types.js';
+import type {QuotaGate} from '../quotas/types.js';
 import {ROUTING} from '../routing/definition.js';
 import {createRoutingState} from '../routing/state.js';
 import {DEFAULT_TUNING} from '../settings/defaults.js';
@@ -25,6 +26,8 @@
   readonly state;
   readonly ownership = stubOwnership(SELF, OWNER);
   now = 1000;
+  /** Admits requests of tenants; by default all. */
+  quotas: QuotaGate = {admit: () => null, giveBack: () => undefined};
 
   constructor(routing: Partial<Tuning['routing']> = {}) {
     const changed = {...DEFAULT_TUNING.routing, ...routing};
@@ -35,7 +38,8 @@
     const at = {monotonic: this.now, wall: this.now};
     const input = {at, random: 0.1, event};
     const ownership = stubView(this.ownership);
-    return ROUTING.reduce(this.state, input, {ownership});
+    const dependencies = {ownership, quotas: this.quotas};
+    return ROUTING.reduce(this.state, input, dependencies);
   }
 
   accept(changes: Partial<AcceptedRequest> = {}): Effect[] {
