--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -206,6 +206,28 @@
     code: 23,
     fields: {number: LOGICAL_TYPES.count, ageMs: 'double', fault: 'string'},
   },
+  quotaDemand: {
+    code: 24,
+    fields: {
+      configuration: LOGICAL_TYPES.count,
+      sequence: LOGICAL_TYPES.count,
+      applied: LOGICAL_TYPES.count,
+      partial: 'boolean',
+      tenants: LOGICAL_TYPES.integers,
+      admitted: LOGICAL_TYPES.integers,
+      rates: LOGICAL_TYPES.integers,
+    },
+  },
+  quotaShares: {
+    code: 25,
+    fields: {
+      configuration: LOGICAL_TYPES.count,
+      sequence: LOGICAL_TYPES.count,
+      round: LOGICAL_TYPES.count,
+      tenants: LOGICAL_TYPES.integers,
+      permits: LOGICAL_TYPES.integers,
+    },
+  },
 };
 
 /** The schema of the hello frame. */
