Overload control at origins: spread Retry-After, no hop to a full server

Cause: every refused caller was told to return after the lesser of 150 ms and 0.3 of its time, so they returned together, and each return to a full owner cost a hop.

Change: with scheduling 'cost' an origin keeps the reports of servers (module overload): returns are promised in order with growing distance, bounded by 0.3 of the time left, by the run, and by a third of the objective; what an owner has just refused is rejected here, but for one request in ten and one each 100 ms. With 'count' nothing changes.

--- a/packages/core/src/errors/types.ts
+++ b/packages/core/src/errors/types.ts
@@ -51,4 +51,9 @@
   readonly run: RunState;
   /** Explanation for people, without secrets. */
   readonly detail: string;
+  /**
+   * When the caller should try again, in milliseconds from now; null if no
+   * further try can be served by its deadline. Absent: not decided.
+   */
+  readonly retryAfterMs?: number | null;
 }
--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -81,6 +81,10 @@
     'A caller disconnected before its response was complete.',
   ),
   requestRejected: failed(309, 'A request was rejected before routing.'),
+  requestNotSent: failed(
+    310,
+    'A request was rejected at its origin: its server is known to be full.',
+  ),
   limitFellBack: event(
     401,
     'info',
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -479,4 +479,11 @@
 
 /** Latency histograms. */
 export type HistogramName =
-  'request' | 'queue' | 'run' | 'renewal' | 'store' | 'loopLag' | 'sliceGrant';
+  | 'request'
+  | 'queue'
+  | 'run'
+  | 'renewal'
+  | 'store'
+  | 'loopLag'
+  | 'sliceGrant'
+  | 'retryAfter';
--- a/packages/core/src/routing/completion.ts
+++ b/packages/core/src/routing/completion.ts
@@ -3,9 +3,13 @@
 import {recordEnded, recordAbandoned} from '../selection/logic.js';
 import {failure} from '../errors/logic.js';
 import type {ErrorKind, Failure} from '../errors/types.js';
+import {withPromise} from './overload.js';
 import type {RoutingContext} from './state.js';
 import type {Attempt, RoutedRequest} from './types.js';
 
+/** `retryAfterMs` in the log if no return can be served. */
+const NO_RETURN = -1;
+
 /**
  * Reports a failure to the caller of a request and drops the request.
  *
@@ -22,6 +26,16 @@
   const {effects} = context;
   const {request} = pending.accepted;
   const run = pending.mayHaveRun ? 'unknown' : cause.run;
+  const reported = withPromise(
+    context,
+    pending,
+    failure(cause.kind, run, cause.detail),
+  );
+  const {retryAfterMs} = reported;
+  const promise: Record<string, number> =
+    retryAfterMs === undefined
+      ? {}
+      : {retryAfterMs: Math.round(retryAfterMs ?? NO_RETURN)};
   const fields = {
     request,
     error: cause.kind,
@@ -29,10 +43,10 @@
     detail: cause.detail,
     attempts: pending.attemptsSent,
     ageMs: Math.round(context.now - pending.acceptedAt),
+    ...promise,
   };
   dropRequest(context, pending);
   effects.push({kind: 'log', event: 'requestFailed', fields});
-  const reported = failure(cause.kind, run, cause.detail);
   effects.push({kind: 'failRequest', request, failure: reported});
 }
 
--- a/packages/core/src/routing/definition.ts
+++ b/packages/core/src/routing/definition.ts
@@ -10,6 +10,7 @@
 import type {Subsystem} from '../loop/subsystem.js';
 import type {Effect, Event, AcceptedRequest} from '../loop/types.js';
 import type {Message} from '../messages/types.js';
+import {forgetOld} from '../overload/logic.js';
 import type {OwnershipView} from '../ownership/types.js';
 import {capacityPerDaemon} from '../retry/logic.js';
 import {handleEnd, handleHead, handleResponseDelivered} from './responses.js';
@@ -271,6 +272,7 @@
     checkInquiry(context, attempt);
   }
   dropServerStats(state.selection, member => ownership.isEnded(member));
+  forgetOld(state.overload, context.now);
 }
 
 /**
--- a/packages/core/src/routing/dispatch.ts
+++ b/packages/core/src/routing/dispatch.ts
@@ -6,6 +6,8 @@
 import type {ServingMember} from '../ownership/types.js';
 import type {RoutingContext} from './state.js';
 import {drawRandom, scheduleTimer} from './state.js';
+import {failRequest} from './completion.js';
+import {noteSent, rejectionAtOrigin} from './overload.js';
 import type {Attempt, RoutedRequest} from './types.js';
 
 /** The daemon that gets an attempt. */
@@ -45,6 +47,11 @@
   }
   state.waiting.delete(request);
   pending.waitingSince = null;
+  const rejection = rejectionAtOrigin(context, pending, target.member);
+  if (rejection !== null) {
+    failRequest(context, pending, rejection);
+    return;
+  }
   sendAttempt(context, pending, target, ownership.self);
   if (!isKeyed) scheduleHedge(context, pending);
 }
@@ -147,6 +154,7 @@
   pending.attempts.set(attempt.id, attempt);
   state.attempts.set(attempt.id, attempt);
   recordSent(state.selection, attempt.to, attempt.id, now);
+  noteSent(context, attempt);
   effects.push({
     kind: 'sendDispatch',
     attempt: attempt.id,
--- a/packages/core/src/routing/failures.ts
+++ b/packages/core/src/routing/failures.ts
@@ -10,6 +10,7 @@
 import {backoffMs} from '../retry/logic.js';
 import {dropAttempt, failRequest} from './completion.js';
 import {dispatchRequest} from './dispatch.js';
+import {noteRefused} from './overload.js';
 import type {RoutingContext} from './state.js';
 import {drawRandom, penalizeServer, scheduleTimer} from './state.js';
 import type {Attempt, RoutedRequest} from './types.js';
@@ -47,6 +48,9 @@
   recordReportedLoad(state.selection, attempt.to, failed.outstanding, now);
   if (failed.error === 'overloaded' || failed.error === 'server-refused') {
     penalizeServer(context, attempt.to);
+    if (failed.run === 'not-run') {
+      noteRefused(context, pending, attempt.to, failed.outstanding);
+    }
   } else if (failed.error === 'stopping' || failed.error === 'no-server') {
     penalizeServer(context, attempt.to, true);
   }
--- a/packages/core/src/routing/responses.ts
+++ b/packages/core/src/routing/responses.ts
@@ -8,6 +8,7 @@
 import type {RequestId} from '../ids/types.js';
 import type {RequestMessage} from '../messages/types.js';
 import {cancelOtherAttempts, dropRequest} from './completion.js';
+import {noteServed} from './overload.js';
 import type {RoutingContext} from './state.js';
 import type {Attempt} from './types.js';
 
@@ -60,6 +61,7 @@
   attempt.inquiring = false;
   recordEnded(state.selection, attempt.to, attempt.id);
   recordReportedLoad(state.selection, attempt.to, end.outstanding, now);
+  noteServed(context, attempt, end.outstanding);
 }
 
 /**
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -4,6 +4,7 @@
 import {NO_VERSION} from '../ids/logic.js';
 import type {MemberId, ZoneName} from '../ids/types.js';
 import type {Effect, Input} from '../loop/types.js';
+import {createOverloadState} from '../overload/logic.js';
 import type {OwnershipView} from '../ownership/types.js';
 import {RetryBudget, deriveRandom} from '../retry/logic.js';
 import type {Tuning} from '../settings/defaults.js';
@@ -53,6 +54,7 @@
     budget: new RetryBudget(tuning.routing.retryBurst),
     redirectBudget: new RetryBudget(tuning.routing.redirectBurst),
     selection: createSelectionState(),
+    overload: createOverloadState(),
     sequence: 0,
     lastSeenMapVersion: NO_VERSION,
     runtimeTimerAt: Infinity,
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -14,6 +14,7 @@
   ZoneName,
 } from '../ids/types.js';
 import type {AcceptedRequest} from '../loop/types.js';
+import type {OverloadState} from '../overload/types.js';
 import type {RetryBudget} from '../retry/logic.js';
 import type {Tuning} from '../settings/defaults.js';
 import type {TimerQueue} from '../timers/logic.js';
@@ -109,6 +110,8 @@
   /** Pays for redirects after rejections for want of room. */
   readonly redirectBudget: RetryBudget;
   readonly selection: SelectionState;
+  /** Used only where the workspace schedules by cost. */
+  readonly overload: OverloadState;
   /** Number of the latest attempt; part of its id. */
   sequence: number;
   /**
--- a/packages/daemon/src/metrics/logic.ts
+++ b/packages/daemon/src/metrics/logic.ts
@@ -23,6 +23,7 @@
   store: 'Round-trip time of a call to the platform.',
   sliceGrant: 'Time until the backend server confirmed a slice grant.',
   loopLag: 'Time by which a timer of the event loop fired late.',
+  retryAfter: 'Wait asked of callers that were refused for want of room.',
 };
 
 /** Help texts and label names of the counters. */
