--- a/packages/emulator/src/requests/daemon.ts
+++ b/packages/emulator/src/requests/daemon.ts
@@ -59,6 +59,8 @@
   readonly map: MapCopy;
   readonly server: SimulatedServer;
   readonly slots: number;
+  /** Whether servers report that they are warm; else their limit is learnt. */
+  readonly isWarm: boolean;
   readonly settings: Tuning;
   reportOutcome(outcome: CallerOutcome): void;
 }
@@ -110,7 +112,9 @@
         connections: this.environment.slots * 5,
         checksGrants: false,
         leaving: false,
-        coldStart: null,
+        coldStart: this.environment.isWarm
+          ? {remainingMs: 0, perSecond: Infinity}
+          : null,
       },
     });
   }
@@ -279,8 +283,8 @@
       priority: accepted.priority,
       idempotencyKey: accepted.idempotencyKey,
       budgetMs: effect.budgetMs,
-      urgency: 0,
-      objectiveMs: 0,
+      urgency: accepted.urgency,
+      objectiveMs: accepted.objectiveMs,
       version: effect.version,
       body: new Uint8Array(),
       bodyEnds: true,
--- a/packages/emulator/src/requests/simulation.ts
+++ b/packages/emulator/src/requests/simulation.ts
@@ -7,6 +7,7 @@
   MemberId,
   RequestId,
   AcceptedRequest,
+  Scheduling,
   Tuning,
 } from '@jackdawfall/core';
 
@@ -30,6 +31,12 @@
   readonly settings: Tuning;
   /** Maximum time until a daemon applies a change of the map. */
   readonly maxMapLagMs: number;
+  /** Absent: `count`. */
+  readonly scheduling?: Scheduling;
+  /** Whether servers report that they are warm; absent: no. */
+  readonly isWarm?: boolean;
+  /** Called with each outcome that a caller is told. */
+  readonly onOutcome?: (outcome: CallerOutcome) => void;
   behaviour(schedule: Schedule, index: number): ServerBehaviour;
 }
 
@@ -118,9 +125,10 @@
       schedule,
       options.behaviour(schedule, index),
     );
-    const map = new MapCopy(members[index], members);
+    const map = new MapCopy(members[index], members, options.scheduling);
     const reportOutcome = (outcome: CallerOutcome) => {
       this.calls.get(outcome.request)!.outcomes.push(outcome);
+      options.onOutcome?.(outcome);
     };
     const environment = {
       schedule,
@@ -128,6 +136,7 @@
       map,
       server,
       slots,
+      isWarm: options.isWarm ?? false,
       settings,
       reportOutcome,
     };
