A hot slice keeps to its share of the slots while others wait

Cause: requests of a hot key filled the queue of their server; those of its other slices were refused with them.

Origins take a refusal as a sign that a server is full only for the same slice, or after refusals of two slices.

--- a/packages/core/src/execution/incoming.ts
+++ b/packages/core/src/execution/incoming.ts
@@ -17,6 +17,7 @@
 } from './completion.js';
 import {findOutcome, mayHaveBeenDropped} from './history.js';
 import {denyJob, permissionOf, startJob} from './runs.js';
+import {isBeyondShare} from './shares.js';
 import type {ExecutionContext} from './state.js';
 import {send} from './state.js';
 import type {Job, OutcomeRecord} from './types.js';
@@ -264,6 +265,10 @@
 function admit(context: ExecutionContext, job: Job): void {
   const {state, now} = context;
   const {attempt} = job;
+  if (isBeyondShare(context, job)) {
+    failJob(context, job, 'overloaded', 'its slice has its share of the slots');
+    return;
+  }
   const decision = admitOrQueue(state.admission, slotRequestOf(job), now);
   if (decision === 'refuse') {
     failJob(context, job, 'overloaded', 'the queue is full');
--- a/packages/core/src/overload/logic.spec.ts
+++ b/packages/core/src/overload/logic.spec.ts
@@ -2,7 +2,7 @@
 
 import test from 'ava';
 
-import type {MemberId} from '../ids/types.js';
+import type {MemberId, Slice} from '../ids/types.js';
 import {
   createOverloadState,
   expectRoom,
@@ -18,7 +18,13 @@
 
 const OWNER = 'h2#1' as MemberId;
 const RUN_MS = 200;
-const CLAIM: RoomClaim = {urgency: 1, objectiveMs: 700, leftMs: 2000};
+const SLICE = 3 as Slice;
+const CLAIM: RoomClaim = {
+  slice: SLICE,
+  urgency: 1,
+  objectiveMs: 700,
+  leftMs: 2000,
+};
 
 /** At 0 ms, a server of ten slots has refused `CLAIM` with 14 attempts. */
 function fullServer(): OverloadState {
@@ -40,6 +46,7 @@
   {what: 'a more urgent one', claim: {urgency: 0}, full: false},
   {what: 'one that may wait longer', claim: {objectiveMs: 900}, full: false},
   {what: 'one with more time', claim: {leftMs: 4000}, full: false},
+  {what: 'one of another slice', claim: {slice: 4 as Slice}, full: false},
   {what: 'after half a run time', at: 101, full: false},
   {what: 'after a report of fewer', reported: 13, full: false},
   {what: 'after a report of as many', reported: 14, full: true},
@@ -57,6 +64,12 @@
   });
 }
 
+test('refusals of two slices show that a server is full for a third', t => {
+  const state = fullServer();
+  recordRefusal(state, OWNER, 14, {...CLAIM, slice: 4 as Slice}, 0);
+  t.true(isKnownFull(state, OWNER, {...CLAIM, slice: 5 as Slice}, 0));
+});
+
 // Without the trickle, a server with room again is noticed late.
 test('a full server gets one request in ten, and one each 100 ms', t => {
   const state = fullServer();
--- a/packages/core/src/overload/logic.ts
+++ b/packages/core/src/overload/logic.ts
@@ -15,8 +15,10 @@
   ServerRecord,
 } from './types.js';
 
-/** Urgencies whose refusals are remembered for one server. */
-const MAX_REFUSALS = 4;
+/** Pairs of slice and urgency whose refusals are remembered for one server. */
+const MAX_REFUSALS = 6;
+/** Refusals of so many slices show that the server is full for any slice. */
+const MIN_REFUSED_SLICES = 2;
 /** Weight of a new run time in the moving mean. */
 const RUN_WEIGHT = 0.1;
 /** Share of a run time for which a report says whether there is room. */
@@ -123,13 +125,15 @@
   now: number,
 ): void {
   const record = recordOf(state, member);
-  const {urgency, objectiveMs, leftMs} = claim;
+  const {slice, urgency, objectiveMs, leftMs} = claim;
   record.outstanding = outstanding;
   record.reportedAt = now;
-  const others = record.refusals.filter(each => each.urgency !== urgency);
+  const others = record.refusals.filter(
+    each => each.urgency !== urgency || each.slice !== slice,
+  );
   record.refusals = [
     ...others.slice(1 - MAX_REFUSALS),
-    {urgency, objectiveMs, leftMs, outstanding, at: now},
+    {slice, urgency, objectiveMs, leftMs, outstanding, at: now},
   ];
 }
 
@@ -137,7 +141,8 @@
  * Returns whether a server would refuse a request by its recent reports. They
  * must be younger than half a run time, with a refusal among them of a request
  * that was as urgent and had as much time, and since then no report of fewer
- * attempts.
+ * attempts. A refusal of another slice counts only beside that of a third: a hot
+ * slice is refused beyond its share while others have room.
  *
  * @param state - The state.
  * @param member - The server's member.
@@ -157,7 +162,7 @@
     MAX_REPORT_MS,
     Math.max(MIN_REPORT_MS, record.meanRunMs * REPORT_SHARE),
   );
-  return record.refusals.some(
+  const refusals = record.refusals.filter(
     refusal =>
       now - refusal.at <= validMs &&
       refusal.urgency <= claim.urgency &&
@@ -165,6 +170,8 @@
       refusal.leftMs + validMs >= claim.leftMs &&
       record.outstanding >= refusal.outstanding,
   );
+  const slices = new Set(refusals.map(each => each.slice));
+  return slices.has(claim.slice) || slices.size >= MIN_REFUSED_SLICES;
 }
 
 /**
--- a/packages/core/src/overload/types.ts
+++ b/packages/core/src/overload/types.ts
@@ -3,10 +3,12 @@
  * of constant size for each server and forgotten within seconds.
  */
 
-import type {MemberId, ServiceName} from '../ids/types.js';
+import type {MemberId, ServiceName, Slice} from '../ids/types.js';
 
-/** The latest refusal for want of room of one urgency at one server. */
+/** The latest refusal for want of room of one slice and urgency at a server. */
 export interface Refusal {
+  /** Null for a shared service. */
+  readonly slice: Slice | null;
   readonly urgency: number;
   /** Monotonic time, in milliseconds. */
   readonly at: number;
@@ -26,7 +28,7 @@
   reportedAt: number;
   /** Moving mean of run times, in milliseconds; 0 before the first. */
   meanRunMs: number;
-  /** The latest refusal of each urgency; at most `MAX_REFUSALS`. */
+  /** The latest refusal of each slice and urgency; at most `MAX_REFUSALS`. */
   refusals: Refusal[];
   /** Monotonic time of the latest attempt sent there, in milliseconds. */
   sentAt: number;
@@ -46,6 +48,8 @@
 
 /** The part of a request that decides whether a server has room for it. */
 export interface RoomClaim {
+  /** Null for a shared service. */
+  readonly slice: Slice | null;
   /** Order among waiting requests; lower values go first. */
   readonly urgency: number;
   /** Latency objective of the response, in milliseconds; 0 if none. */
--- a/packages/core/src/routing/overload.ts
+++ b/packages/core/src/routing/overload.ts
@@ -199,8 +199,8 @@
   {now}: RoutingContext,
   {accepted, deadline}: RoutedRequest,
 ): RoomClaim {
-  const {urgency, objectiveMs} = accepted;
-  return {urgency, objectiveMs, leftMs: deadline - now};
+  const {slice, urgency, objectiveMs} = accepted;
+  return {slice, urgency, objectiveMs, leftMs: deadline - now};
 }
 
 function schedulesByCost({ownership}: RoutingContext): boolean {
--- a/packages/emulator/src/requests/returns.spec.ts
+++ b/packages/emulator/src/requests/returns.spec.ts
@@ -23,7 +23,14 @@
 for (const {keyed, load, maxAttempts} of CASES) {
   const service = keyed ? 'keyed' : 'shared';
   test(`${service} at ${load} of the capacity: switched off and on`, t => {
-    const base = {seed: 1, keyed, load, durationMs: DURATION_MS, hotShare: 0};
+    const base = {
+      seed: 1,
+      keyed,
+      load,
+      durationMs: DURATION_MS,
+      hotShare: 0,
+      servers: 6,
+    };
     const off = runReturns({...base, scheduling: 'count'});
     const on = runReturns({...base, scheduling: 'cost'});
     t.true(on.attemptsPerCall <= off.attemptsPerCall * maxAttempts);
@@ -36,6 +43,17 @@
   });
 }
 
+// A hot slice took the room of its neighbour on the same server.
+test('the neighbour of a hot slice is served more often', t => {
+  const base = {seed: 1, keyed: true, load: 0.9, durationMs: DURATION_MS};
+  const [off, on] = (['count', 'cost'] as const).map(scheduling =>
+    runReturns({...base, hotShare: 0.3, servers: 3, scheduling}),
+  );
+  // With three servers, slices 0 and 3 have the same owner.
+  const [before, after] = [off, on].map(each => goodShare(each.slices.get(3)!));
+  t.true(after >= before + NOISE, `${before} ${after}`);
+});
+
 function goodShare({good, calls}: KindResult): number {
   return good / calls;
 }
--- a/packages/emulator/src/requests/returns.ts
+++ b/packages/emulator/src/requests/returns.ts
@@ -8,7 +8,7 @@
 
 import type {CallerOutcome} from './daemon.js';
 import {scheduleArrivals} from './load.js';
-import {SERVICE} from './map_copy.js';
+import {SERVICE, SLICES} from './map_copy.js';
 import type {Schedule} from './schedule.js';
 import {RequestSimulation} from './simulation.js';
 
@@ -35,6 +35,7 @@
   readonly durationMs: number;
   /** Share of the first tries that go to the first slice. */
   readonly hotShare: number;
+  readonly servers: number;
 }
 
 /** What became of the first tries of one kind, and of those that they led to. */
@@ -57,6 +58,8 @@
   readonly repeating: KindResult;
   /** Of callers that wait for `Retry-After`. */
   readonly waiting: KindResult;
+  /** Of each slice. */
+  readonly slices: ReadonlyMap<number, KindResult>;
   readonly tries: number;
   /** Attempts that origins sent, for each first try. */
   readonly attemptsPerCall: number;
@@ -93,7 +96,6 @@
   },
 ];
 
-const SERVERS = 6;
 const SLOTS = 10;
 const LINK_DELAY_MS = 1;
 /** The load swings by this share, in cycles of this length. */
@@ -144,13 +146,14 @@
   );
   private readonly repeating = emptyResult();
   private readonly waiting = emptyResult();
+  private readonly slices = new Map<number, KindResult>();
   private readonly simulation: RequestSimulation;
   private tries = 0;
 
   constructor(private readonly experiment: ReturnsExperiment) {
     this.simulation = new RequestSimulation({
       seed: experiment.seed,
-      daemons: SERVERS,
+      daemons: experiment.servers,
       slots: SLOTS,
       linkDelayMs: LINK_DELAY_MS,
       settings: DEFAULT_TUNING,
@@ -174,7 +177,7 @@
     );
     const slowShare = SLOW_MS / SLOW_CYCLE_MS;
     const speed = 1 - slowShare + slowShare / SLOW_FACTOR;
-    const capacity = (SERVERS * SLOTS * 1000 * speed) / meanMs;
+    const capacity = (experiment.servers * SLOTS * 1000 * speed) / meanMs;
     const {durationMs, load} = experiment;
     // Thinning: arrivals at the highest rate, of which the wave keeps a part.
     const rate = capacity * load * (1 + SWING);
@@ -199,6 +202,7 @@
       kinds,
       repeating,
       waiting,
+      slices: this.slices,
       tries,
       attemptsPerCall: attempts / calls,
       runsPerCall: runs / calls,
@@ -213,14 +217,14 @@
     const kind = drawKind(schedule.random());
     const repeats = schedule.random() < REPEATING_SHARE;
     const isHot = schedule.random() < this.experiment.hotShare;
-    const slice = Math.floor(schedule.random() * SERVERS);
+    const slice = Math.floor(schedule.random() * SLICES);
     const retriesLeft = repeats ? REPEATS : 1 + Math.round(schedule.random());
     const caller = {
       kind,
       repeats,
       retriesLeft,
       startedAt: schedule.now,
-      daemon: Math.floor(schedule.random() * SERVERS),
+      daemon: Math.floor(schedule.random() * this.experiment.servers),
       slice: this.experiment.keyed ? ((isHot ? 0 : slice) as Slice) : null,
     };
     this.count(caller, 'calls');
@@ -269,6 +273,11 @@
 
   private count(caller: Caller, field: keyof KindResult): void {
     this.kinds.get(caller.kind.name)![field] += 1;
+    if (caller.slice !== null) {
+      const slice = this.slices.get(caller.slice) ?? emptyResult();
+      this.slices.set(caller.slice, slice);
+      slice[field] += 1;
+    }
     const group = caller.repeats ? this.repeating : this.waiting;
     group[field] += 1;
   }
@@ -285,7 +294,7 @@
     const drawnMs = isTail
       ? meanMs * TAIL_FACTOR
       : bulkMs / 2 + schedule.exponential(bulkMs / 2);
-    const shiftMs = (server * SLOW_CYCLE_MS) / SERVERS;
+    const shiftMs = (server * SLOW_CYCLE_MS) / this.experiment.servers;
     const isSlow = (schedule.now + shiftMs) % SLOW_CYCLE_MS < SLOW_MS;
     return drawnMs * (isSlow ? SLOW_FACTOR : 1);
   }
