The divider answers each regular report

Cause: a tenant over its quota got an empty answer, that is none, so that event 220 reported an expired share while the divider worked.

Change: a regular report is answered also without permits.

--- a/packages/core/src/quotas/divider.ts
+++ b/packages/core/src/quotas/divider.ts
@@ -153,7 +153,9 @@
     tenants.push(quota.index);
     permits.push(share);
   }
-  if (tenants.length === 0) return null;
+  // A regular report is answered in any case, so that the sender knows that there
+  // is a divider.
+  if (tenants.length === 0 && report.partial) return null;
   known.round += 1;
   const {configuration, sequence} = report;
   const round = known.round;
