--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -9,6 +9,13 @@
 
 import type {AttemptId} from '../ids/types.js';
 import type {Announcement, ColdStart} from '../loop/types.js';
+import {
+  expectedStartMs,
+  latestStartAt,
+  maxUsefulWaitMs,
+  missesDeadline,
+  nextByCost,
+} from './cost_order.js';
 import {hasColdStartCapacity, isCold, knownWarmAt} from './cold_start.js';
 import {recordArrival, reservedSlots} from './ranks.js';
 import type {SlotClaim} from './ranks.js';
@@ -68,6 +75,7 @@
     cold: null,
     baselines: new Map(),
     queues: {interactive: [], deferrable: []},
+    lateSkips: 0,
   };
 }
 
@@ -155,27 +163,48 @@
   if (queue.length >= admission.maxLimit * admission.tuning.queueFactor) {
     return 'refuse';
   }
-  const dueAt = now + objectiveMs;
+  const startBy = startByOf(request, now);
   const ahead =
-    queue.findLastIndex(each => !precedes({urgency, dueAt}, each)) + 1;
-  const expectedMs = expectedWaitMs(admission, ahead);
+    queue.findLastIndex(each => !precedes({urgency, startBy}, each)) + 1;
+  const expectedMs = expectedWaitMs(admission, request, ahead);
   const queueMs = maxWaitMs(admission, request, expectedMs, now);
   if (expectedMs > queueMs) return 'refuse';
+  const {cost} = request;
+  const budgetMs = deadline - now;
+  if (cost !== undefined && missesDeadline(cost, expectedMs, budgetMs)) {
+    return 'refuse';
+  }
   const expiresAt = Math.min(deadline, now + queueMs);
-  queue.splice(ahead, 0, {attempt, expiresAt, urgency, objectiveMs, dueAt});
+  queue.splice(ahead, 0, {
+    attempt,
+    expiresAt,
+    urgency,
+    objectiveMs,
+    startBy,
+    expectedMs: cost?.expectedMs ?? 0,
+  });
   return 'wait';
 }
 
 /**
- * The more urgent goes first; of equal urgency, the one with the earliest
- * deadline by its latency objective (`dueAt`).
+ * Without an objective, work by cost is due at its deadline: otherwise it would
+ * go before all work that has one.
  */
+function startByOf(
+  {cost, objectiveMs, deadline}: SlotRequest,
+  now: number,
+): number {
+  if (cost === undefined) return now + objectiveMs;
+  return latestStartAt(cost, objectiveMs > 0 ? now + objectiveMs : deadline);
+}
+
+/** The more urgent goes first; of equal urgency, the earliest `startBy`. */
 function precedes(
-  a: Pick<QueuedAttempt, 'urgency' | 'dueAt'>,
+  a: Pick<QueuedAttempt, 'urgency' | 'startBy'>,
   b: QueuedAttempt,
 ): boolean {
   if (a.urgency !== b.urgency) return a.urgency < b.urgency;
-  return a.dueAt < b.dueAt;
+  return a.startBy < b.startBy;
 }
 
 /**
@@ -207,15 +236,28 @@
   now: number,
 ): {readonly waiting: QueuedAttempt; readonly priority: Priority} | null {
   for (const priority of ['interactive', 'deferrable'] as const) {
-    const [waiting] = admission.queues[priority];
-    if (waiting === undefined) continue;
+    const queue = admission.queues[priority];
+    if (queue.length === 0) continue;
+    const {index, skipsLate} = nextInQueue(admission, queue, now);
+    const waiting = queue[index];
     if (!hasSlot(admission, {...waiting, priority}, now)) continue;
-    admission.queues[priority].shift();
+    queue.splice(index, 1);
+    admission.lateSkips = skipsLate ? admission.lateSkips + 1 : 0;
     return {waiting, priority};
   }
   return null;
 }
 
+/** A queue whose head was queued by count goes in its order. */
+function nextInQueue(
+  admission: Admission,
+  queue: readonly QueuedAttempt[],
+  now: number,
+): {readonly index: number; readonly skipsLate: boolean} {
+  if (queue[0].expectedMs === 0) return {index: 0, skipsLate: false};
+  return nextByCost(queue, admission.lateSkips, now);
+}
+
 /**
  * Removes the attempts whose time in the queue has expired.
  *
@@ -444,8 +486,19 @@
  * the queue is rejected immediately, so that its origin can try another server.
  * A limit of 0 would divide by zero.
  */
-function expectedWaitMs(admission: Admission, ahead: number): number {
+function expectedWaitMs(
+  admission: Admission,
+  {cost, priority}: SlotRequest,
+  ahead: number,
+): number {
   if (admission.limit === 0) return 0;
+  if (cost !== undefined) {
+    let aheadMs = 0;
+    for (const {expectedMs} of admission.queues[priority].slice(0, ahead)) {
+      aheadMs += expectedMs > 0 ? expectedMs : admission.meanRunMs;
+    }
+    return expectedStartMs(admission.limit, cost.remainingMs, aheadMs);
+  }
   return (ahead * admission.meanRunMs) / admission.limit;
 }
 
@@ -455,7 +508,8 @@
  *
  * - Deferrable work: `deferrableQueueMs`.
  * - Work with a latency objective at a server that reports its cold start: a
- *   share of the objective, at least `leastQueueMs`.
+ *   share of the objective, at least `leastQueueMs`. By cost, a
+ *   share of the time that the objective leaves besides the run.
  * - Keyed work in slow start, at a queue that was empty within `burstQueueMs`:
  *   see `maxBurstWaitMs`.
  * - Slow start: `rampQueueMs`.
@@ -464,8 +518,8 @@
  *   every response.
  * - Otherwise the mean run time, at least `queueMs`.
  *
- * In the last three cases work of shared services waits half as long, because
- * it may have to wait at another server as well.
+ * By cost, and in the last three cases, work of shared services waits half as
+ * long, because it may have to wait at another server as well.
  */
 function maxWaitMs(
   admission: Admission,
@@ -477,7 +531,10 @@
   if (request.priority === 'deferrable') return tuning.deferrableQueueMs;
   const share = request.shared ? SHARED_WAIT_FACTOR : 1;
   if (admission.cold !== null && request.objectiveMs > 0) {
-    const shareMs = tuning.objectiveShare * request.objectiveMs;
+    const shareMs =
+      request.cost === undefined
+        ? tuning.objectiveShare * request.objectiveMs
+        : maxUsefulWaitMs(request.cost, request.objectiveMs) * share;
     return Math.max(tuning.leastQueueMs, shareMs);
   }
   const standingMs = now - admission.queueEmptyAt;
--- a/packages/core/src/admission/types.ts
+++ b/packages/core/src/admission/types.ts
@@ -15,9 +15,13 @@
   /** Latency objective of the response, in milliseconds; 0 if none. */
   readonly objectiveMs: number;
   /**
-   * Monotonic time of its deadline by the latency objective, in milliseconds.
+   * Monotonic time by which it goes before others of its urgency, in
+   * milliseconds: its deadline by the latency objective or, by cost, the latest
+   * start to meet it.
    */
-  readonly dueAt: number;
+  readonly startBy: number;
+  /** Expected run time, in milliseconds; 0 if it is queued by count. */
+  readonly expectedMs: number;
   /** Monotonic time at which it is rejected, in milliseconds. */
   readonly expiresAt: number;
 }
@@ -107,6 +111,16 @@
   /** Baselines by latency class of the runs. */
   readonly baselines: Map<string, LatencyBaseline>;
   readonly queues: Record<Priority, QueuedAttempt[]>;
+  /** Starts since one that is late had its turn, see `nextByCost`. */
+  lateSkips: number;
+}
+
+/** What is expected of the runs at a server, for scheduling by cost. */
+export interface SlotCost {
+  /** Expected run time of the attempt, in milliseconds, above 0. */
+  readonly expectedMs: number;
+  /** Expected remaining times of what runs, in milliseconds. */
+  readonly remainingMs: readonly number[];
 }
 
 /** An attempt that asks for a slot. */
@@ -121,6 +135,8 @@
   readonly urgency: number;
   /** Latency objective of the response, in milliseconds; 0 if none. */
   readonly objectiveMs: number;
+  /** Absent: the decision goes by counts. */
+  readonly cost?: SlotCost | undefined;
 }
 
 /**
--- a/packages/core/src/execution/completion.ts
+++ b/packages/core/src/execution/completion.ts
@@ -8,6 +8,7 @@
 import type {ExecutionContext} from './state.js';
 import {send, sliceKey} from './state.js';
 import type {AttemptOutcome, Job} from './types.js';
+import {costFieldsOf, reportedWorkMs} from './work.js';
 
 /** Why an attempt failed, and whether it may have run. */
 export interface AttemptFailure {
@@ -45,6 +46,7 @@
     owner: ownerHint,
     version,
     outstanding,
+    workMs: reportedWorkMs(context.state, context.now),
   });
 }
 
@@ -98,6 +100,7 @@
     leftMs: Math.round(deadline - now),
     running: state.admission.running,
     limit: state.admission.limit,
+    ...costFieldsOf(state, job, now),
   };
   effects.push({kind: 'log', event: 'attemptFailed', fields});
 }
@@ -199,12 +202,15 @@
 
 /**
  * Counts a refused attempt as load of its slice, so that balancing knows what
- * the slice needs and not only what its server could run.
+ * the slice needs and not only what its server could run. By cost it counts with
+ * its own expected run time.
  */
-function recordRefusedLoad(context: ExecutionContext, {slice}: Job): void {
+function recordRefusedLoad(context: ExecutionContext, job: Job): void {
+  const {slice} = job;
   if (slice === null) return;
   const {busyMs, admission} = context.state;
-  busyMs.set(slice, (busyMs.get(slice) ?? 0) + admission.meanRunMs);
+  const ms = job.expectedMs > 0 ? job.expectedMs : admission.meanRunMs;
+  busyMs.set(slice, (busyMs.get(slice) ?? 0) + ms);
 }
 
 /**
--- a/packages/core/src/execution/definition.ts
+++ b/packages/core/src/execution/definition.ts
@@ -3,6 +3,7 @@
  */
 
 import {applyAnnouncement, stopAdmission} from '../admission/logic.js';
+import {createServerCosts} from '../costs/logic.js';
 import type {MemberId} from '../ids/types.js';
 import type {Subsystem} from '../loop/subsystem.js';
 import type {Announcement, Effect, Event} from '../loop/types.js';
@@ -30,6 +31,7 @@
   reduce(state, input, {ownership}) {
     const effects: Effect[] = [];
     const now = input.at.monotonic;
+    state.byCost = ownership.workspace?.scheduling === 'cost';
     const context: ExecutionContext = {state, input, now, ownership, effects};
     detectStall(context);
     handleEvent(context, input.event);
@@ -130,6 +132,10 @@
 ): void {
   const {state, now, effects} = context;
   state.server = announcement;
+  if (state.admission.instance !== announcement.instance) {
+    // Another instance may be of another size or version.
+    state.costs = createServerCosts();
+  }
   const cause = applyAnnouncement(state.admission, announcement, now);
   if (cause !== null) {
     effects.push({kind: 'log', event: 'limitFellBack', fields: {cause}});
--- a/packages/core/src/execution/incoming.ts
+++ b/packages/core/src/execution/incoming.ts
@@ -5,6 +5,7 @@
 
 import {dequeueWhere, admitOrQueue} from '../admission/logic.js';
 import type {SlotRequest} from '../admission/types.js';
+import {expectedRunMs} from '../costs/logic.js';
 import type {ErrorKind} from '../errors/types.js';
 import type {Generation, MemberId} from '../ids/types.js';
 import type {Dispatch, RequestMessage} from '../messages/types.js';
@@ -20,6 +21,7 @@
 import type {ExecutionContext} from './state.js';
 import {send} from './state.js';
 import type {Job, OutcomeRecord} from './types.js';
+import {costFieldsOf, slotCostOf} from './work.js';
 
 /**
  * Handles the dispatch of an attempt: rejects, replays, queues or starts it.
@@ -183,6 +185,8 @@
     priority: dispatch.priority,
     urgency: dispatch.urgency,
     objectiveMs: dispatch.objectiveMs,
+    costClass: dispatch.costClass,
+    expectedMs: state.byCost ? expectedRunMs(state.costs, dispatch, now) : 0,
     key,
     requestLine: `${dispatch.method} ${dispatch.path}`,
     arrivedAt: now,
@@ -264,7 +268,8 @@
 function admit(context: ExecutionContext, job: Job): void {
   const {state, now} = context;
   const {attempt} = job;
-  const decision = admitOrQueue(state.admission, slotRequestOf(job), now);
+  const request = slotRequestOf(context, job);
+  const decision = admitOrQueue(state.admission, request, now);
   if (decision === 'refuse') {
     failJob(context, job, 'overloaded', 'the queue is full');
     return;
@@ -278,27 +283,29 @@
   else logQueued(context, job);
 }
 
-function logQueued(
-  context: ExecutionContext,
-  {attempt, request, urgency}: Job,
-): void {
+function logQueued(context: ExecutionContext, job: Job): void {
+  const {attempt, request, urgency} = job;
   const {admission} = context.state;
   const waiting = admission.queues.interactive.length;
   const {running, limit} = admission;
-  const fields = {request, attempt, urgency, waiting, running, limit};
+  const figures = costFieldsOf(context.state, job, context.now);
+  const counts = {request, attempt, urgency, waiting, running, limit};
+  const fields = {...counts, ...figures};
   context.effects.push({kind: 'log', event: 'attemptQueued', fields});
 }
 
-function slotRequestOf(job: Job): SlotRequest {
+function slotRequestOf({state, now}: ExecutionContext, job: Job): SlotRequest {
   const {attempt, priority, deadline, slice, urgency, objectiveMs} = job;
   const shared = slice === null;
-  return {attempt, priority, deadline, shared, urgency, objectiveMs};
+  const cost = slotCostOf(state, job, now);
+  return {attempt, priority, deadline, shared, urgency, objectiveMs, cost};
 }
 
 /** Queues a cancelled job again for the attempts that are coalesced with it. */
 function requeue(context: ExecutionContext, job: Job): void {
   const {state, now} = context;
-  const decision = admitOrQueue(state.admission, slotRequestOf(job), now);
+  const request = slotRequestOf(context, job);
+  const decision = admitOrQueue(state.admission, request, now);
   if (decision === 'start') startJob(context, job);
   if (decision === 'refuse') {
     failJob(context, job, 'overloaded', 'queue is full');
--- a/packages/core/src/execution/runs.ts
+++ b/packages/core/src/execution/runs.ts
@@ -9,13 +9,18 @@
   releaseSlot,
 } from '../admission/logic.js';
 import type {CompletedRun, LimitResetCause} from '../admission/types.js';
+import {recordRunTime} from '../costs/logic.js';
 import type {ErrorKind, RunState} from '../errors/types.js';
 import type {Event} from '../loop/types.js';
 import type {DispatchPermission} from '../ownership/types.js';
 import {failJob, finishJob, isRunning, recordRunEnd} from './completion.js';
 import type {ExecutionContext} from './state.js';
 import {latencyClassOf, sliceKey} from './state.js';
-import type {Job} from './types.js';
+import type {ExecutionState, Job} from './types.js';
+import {estimateFieldOf} from './work.js';
+
+/** Least status code of a server's errors. */
+const MIN_SERVER_ERROR = 500;
 
 type Denial = Extract<DispatchPermission, {kind: 'denied'}>['reason'];
 
@@ -113,6 +118,7 @@
     leftMs: Math.round(deadline - context.now),
     running: state.admission.running,
     limit: state.admission.limit,
+    ...estimateFieldOf(state, job),
   };
   effects.push({kind: 'log', event: 'runStarted', fields});
 }
@@ -223,7 +229,10 @@
   const valueMs = now - job.startedAt;
   effects.push({kind: 'recordDuration', histogram: 'run', valueMs});
   const {attempt, request, status} = job;
-  const fields = {request, attempt, status, runMs: Math.round(valueMs)};
+  const runMs = Math.round(valueMs);
+  const estimate = estimateFieldOf(state, job);
+  const fields = {request, attempt, status, runMs, ...estimate};
+  learnCost(state, job, now);
   effects.push({kind: 'log', event: 'runEnded', fields});
   finishJob(context, job, {kind: 'completed', kept: keepsResponse(job)});
 }
@@ -250,6 +259,15 @@
   failJob(context, job, late ? 'deadline-exceeded' : 'server-lost', detail);
 }
 
+/**
+ * Learns from a completed run. A server's errors are left out: most of them end
+ * early, and lowered estimates would attract more work.
+ */
+function learnCost(state: ExecutionState, job: Job, now: number): void {
+  if (!state.byCost || job.status >= MIN_SERVER_ERROR) return;
+  recordRunTime(state.costs, job, now - job.startedAt, now);
+}
+
 function logLimitReset(
   context: ExecutionContext,
   cause: LimitResetCause | null,
--- a/packages/core/src/execution/state.ts
+++ b/packages/core/src/execution/state.ts
@@ -4,6 +4,7 @@
  */
 
 import {createAdmission} from '../admission/logic.js';
+import {createServerCosts} from '../costs/logic.js';
 import type {MemberId, ServiceName, Slice} from '../ids/types.js';
 import type {Effect, Input} from '../loop/types.js';
 import type {OwnershipView, WorkView} from '../ownership/types.js';
@@ -36,6 +37,8 @@
     stopAt: Infinity,
     stopEndsAt: Infinity,
     admission: createAdmission(tuning.admission),
+    byCost: false,
+    costs: createServerCosts(),
     jobs: new Map(),
     running: new Map(),
     busyMs: new Map(),
--- a/packages/core/src/execution/types.ts
+++ b/packages/core/src/execution/types.ts
@@ -5,9 +5,11 @@
 
 import type {Instant} from '../clock/types.js';
 import type {Admission} from '../admission/types.js';
+import type {ServerCosts} from '../costs/types.js';
 import type {ErrorKind, RunState} from '../errors/types.js';
 import type {
   AttemptId,
+  CostClass,
   Generation,
   MemberId,
   RequestId,
@@ -41,6 +43,10 @@
   readonly urgency: number;
   /** Latency objective of the response, in milliseconds; 0 if none. */
   readonly objectiveMs: number;
+  /** Class of its run time, and the run time that was expected on arrival. */
+  readonly costClass: CostClass;
+  /** In milliseconds; 0 if unknown, and unless scheduling goes by cost. */
+  readonly expectedMs: number;
   /** Key of the index `AttemptHistory.attemptsByIdempotencyKey`, or null. */
   readonly key: string | null;
   /**
@@ -130,6 +136,10 @@
   stopEndsAt: number;
   /** Concurrency limit and queues of the backend server. */
   readonly admission: Admission;
+  /** Whether scheduling goes by cost, by the configuration in force. */
+  byCost: boolean;
+  /** Learned run times; only kept while scheduling goes by cost. */
+  costs: ServerCosts;
   readonly jobs: Map<AttemptId, Job>;
   /** Runs in flight for each slice. */
   readonly running: Map<string, number>;
--- a/packages/core/src/execution/view.ts
+++ b/packages/core/src/execution/view.ts
@@ -21,6 +21,10 @@
       interactive: admission.queues.interactive.length,
       deferrable: admission.queues.deferrable.length,
     },
+    // What scheduling by cost goes by; zeros while it is off.
+    slowness: execution.costs.slowness,
+    estimateError: execution.costs.errorShare,
+    classes: execution.costs.table.classes.size,
     // Outcomes in the history.
     remembered: history.unkeyed.size + history.keyed.size,
     // Origins with a low watermark.
--- a/packages/core/src/ids/types.ts
+++ b/packages/core/src/ids/types.ts
@@ -46,6 +46,12 @@
  */
 export type Slice = number & {readonly brand: 'Slice'};
 
+/**
+ * Class of requests with similar run times: a hash of the route's pattern with
+ * the size class of the body; 0 for none.
+ */
+export type CostClass = number & {readonly brand: 'CostClass'};
+
 /** Log index in a workspace's replicated log; 0 is before the first entry. */
 export type Version = number & {readonly brand: 'Version'};
 
--- a/packages/core/src/loop/types.ts
+++ b/packages/core/src/loop/types.ts
@@ -10,6 +10,7 @@
   Address,
   AttemptId,
   CallId,
+  CostClass,
   Generation,
   InstanceId,
   MemberId,
@@ -98,6 +99,8 @@
   readonly tenant: TenantName | null;
   /** Order among waiting requests; lower values go first. */
   readonly urgency: number;
+  /** Class of its run time; 0 unless scheduling goes by cost. */
+  readonly costClass: CostClass;
 }
 
 /** A command of an operator, sent to any daemon. */
--- a/packages/core/src/messages/types.ts
+++ b/packages/core/src/messages/types.ts
@@ -3,6 +3,7 @@
 import type {RunState, ErrorKind} from '../errors/types.js';
 import type {
   AttemptId,
+  CostClass,
   MemberId,
   RequestId,
   ServiceName,
@@ -51,6 +52,8 @@
   readonly urgency: number;
   /** Response time objective of the route, in milliseconds; 0 if none. */
   readonly objectiveMs: number;
+  /** Class of its run time; 0 unless scheduling goes by cost. */
+  readonly costClass: CostClass;
   /** Log version of the sender's map. */
   readonly version: Version;
   /** First part of the body; the rest follows in `body` messages. */
@@ -89,6 +92,10 @@
       readonly attempt: AttemptId;
       /** Attempts that are queued or running at the sender. */
       readonly outstanding: number;
+      /** See `WorkReport`. */
+      readonly workMs: number;
+      /** See `WorkReport`. */
+      readonly expectedMs: number;
     }
   /** The attempt failed; a response that has started stays incomplete. */
   | {
@@ -109,6 +116,8 @@
       readonly version: Version;
       /** Attempts that are queued or running at the sender. */
       readonly outstanding: number;
+      /** See `WorkReport`. */
+      readonly workMs: number;
     }
   /**
    * Flow control: the receiver of a response or body accepts this many more
--- a/packages/core/src/routing/dispatch.ts
+++ b/packages/core/src/routing/dispatch.ts
@@ -5,7 +5,7 @@
 import type {Address, MemberId} from '../ids/types.js';
 import type {ServingMember} from '../ownership/types.js';
 import type {RoutingContext} from './state.js';
-import {drawRandom, scheduleTimer} from './state.js';
+import {costKeyOf, drawRandom, scheduleTimer} from './state.js';
 import type {Attempt, RoutedRequest} from './types.js';
 
 /** The daemon that gets an attempt. */
@@ -109,6 +109,7 @@
         ? pending.excludedServers
         : [...pending.excludedServers, alsoExcluded],
     tuning: state.tuning.routing,
+    costClass: costKeyOf(context, pending)?.costClass,
   };
   return chooseServer(state.selection, servers, selectionContext);
 }
@@ -146,7 +147,8 @@
   pending.attemptsSent += 1;
   pending.attempts.set(attempt.id, attempt);
   state.attempts.set(attempt.id, attempt);
-  recordSent(state.selection, attempt.to, attempt.id, now);
+  const key = costKeyOf(context, pending);
+  recordSent(state.selection, attempt.to, attempt.id, now, key);
   effects.push({
     kind: 'sendDispatch',
     attempt: attempt.id,
--- a/packages/core/src/routing/failures.ts
+++ b/packages/core/src/routing/failures.ts
@@ -1,6 +1,6 @@
 /** @fileoverview Decides at the origin what follows a failed attempt. */
 
-import {recordReportedLoad} from '../selection/logic.js';
+import {recordReportedLoad, recordReportedWork} from '../selection/logic.js';
 import {failure} from '../errors/logic.js';
 import type {ErrorKind, Failure} from '../errors/types.js';
 import type {MemberId} from '../ids/types.js';
@@ -11,7 +11,7 @@
 import {dropAttempt, failRequest} from './completion.js';
 import {dispatchRequest} from './dispatch.js';
 import type {RoutingContext} from './state.js';
-import {drawRandom, penalizeServer, scheduleTimer} from './state.js';
+import {costKeyOf, drawRandom, penalizeServer, scheduleTimer} from './state.js';
 import type {Attempt, RoutedRequest} from './types.js';
 
 /** What follows a failed attempt. */
@@ -45,6 +45,11 @@
   const pending = state.requests.get(attempt.request);
   if (pending === undefined) return;
   recordReportedLoad(state.selection, attempt.to, failed.outstanding, now);
+  const key = costKeyOf(context, pending);
+  if (key !== null) {
+    const report = {workMs: failed.workMs, expectedMs: 0};
+    recordReportedWork(state.selection, attempt.to, key, report, now);
+  }
   if (failed.error === 'overloaded' || failed.error === 'server-refused') {
     penalizeServer(context, attempt.to);
   } else if (failed.error === 'stopping' || failed.error === 'no-server') {
--- a/packages/core/src/routing/rejections.spec.ts
+++ b/packages/core/src/routing/rejections.spec.ts
@@ -7,7 +7,14 @@
 
 import type {MemberId} from '../ids/types.js';
 import {DEFAULT_TUNING} from '../settings/defaults.js';
-import {OTHER, OWNER, Origin, idOf, summarize} from '../testing/origin.js';
+import {
+  NO_WORK,
+  OTHER,
+  OWNER,
+  Origin,
+  idOf,
+  summarize,
+} from '../testing/origin.js';
 
 // A server that rejects at once looked idle, and was tried first by each request.
 for (const error of ['stopping', 'no-server'] as const) {
@@ -24,7 +31,7 @@
       origin.now += 20;
       origin.head(origin.state.sequence, OTHER);
       const attempt = idOf(origin.state.sequence);
-      origin.receive({kind: 'end', attempt, outstanding: 4}, OTHER);
+      origin.receive({kind: 'end', attempt, outstanding: 4, ...NO_WORK}, OTHER);
       origin.now += 25;
       const name = `n${request}` as never;
       t.deepEqual(summarize(origin.accept({slice: null, request: name})), [
--- a/packages/core/src/routing/responses.ts
+++ b/packages/core/src/routing/responses.ts
@@ -4,10 +4,12 @@
   recordLatency,
   recordEnded,
   recordReportedLoad,
+  recordReportedWork,
 } from '../selection/logic.js';
 import type {RequestId} from '../ids/types.js';
 import type {RequestMessage} from '../messages/types.js';
 import {cancelOtherAttempts, dropRequest} from './completion.js';
+import {costKeyOf} from './state.js';
 import type {RoutingContext} from './state.js';
 import type {Attempt} from './types.js';
 
@@ -60,6 +62,10 @@
   attempt.inquiring = false;
   recordEnded(state.selection, attempt.to, attempt.id);
   recordReportedLoad(state.selection, attempt.to, end.outstanding, now);
+  const pending = state.requests.get(attempt.request);
+  const key = pending === undefined ? null : costKeyOf(context, pending);
+  if (key === null) return;
+  recordReportedWork(state.selection, attempt.to, key, end, now);
 }
 
 /**
--- a/packages/core/src/routing/state.ts
+++ b/packages/core/src/routing/state.ts
@@ -1,6 +1,7 @@
 /** @fileoverview State and context of routing, with its timers. */
 
 import {createSelectionState, recordPenalty} from '../selection/logic.js';
+import type {CostKey} from '../costs/types.js';
 import {NO_VERSION} from '../ids/logic.js';
 import type {MemberId, ZoneName} from '../ids/types.js';
 import type {Effect, Input} from '../loop/types.js';
@@ -72,6 +73,21 @@
   return deriveRandom(context.input.random, context.draws);
 }
 
+/**
+ * Returns the service and the cost class of a request.
+ *
+ * @param context - Context of the current input.
+ * @param pending - The request.
+ * @returns The key of its cost, or null unless scheduling goes by cost.
+ */
+export function costKeyOf(
+  context: RoutingContext,
+  pending: RoutedRequest,
+): CostKey | null {
+  const {workspace} = context.ownership;
+  return workspace?.scheduling === 'cost' ? pending.accepted : null;
+}
+
 /**
  * Schedules an action for a request.
  *
--- a/packages/core/src/selection/logic.spec.ts
+++ b/packages/core/src/selection/logic.spec.ts
@@ -5,6 +5,7 @@
 import type {
   Address,
   AttemptId,
+  CostClass,
   MemberId,
   ServiceName,
   ZoneName,
@@ -18,6 +19,7 @@
   recordLatency,
   recordPenalty,
   recordReportedLoad,
+  recordReportedWork,
   recordSent,
 } from './logic.js';
 import type {SelectionState} from './types.js';
@@ -143,3 +145,108 @@
     t.true(share >= least && share <= most, `${share}`);
   });
 }
+
+const KEY = {service: SERVICE, costClass: 4 as CostClass};
+/** Two servers of another zone, so that no zone preference applies. */
+const PAIR = SERVERS.slice(1, 3);
+const [A, B] = PAIR.map(({member}) => member);
+
+function reportWork(
+  selection: SelectionState,
+  member: MemberId,
+  workMs: number,
+  expectedMs: number,
+  at = NOW,
+): void {
+  const report = {workMs, expectedMs};
+  recordReportedWork(selection, member, KEY, report, at);
+}
+
+// Of equal counts and latencies, the server with less work must be chosen.
+const BY_COST: ReadonlyArray<{
+  name: string;
+  prepare: (selection: SelectionState) => void;
+  now?: number;
+  expected: MemberId;
+}> = [
+  {
+    name: 'less reported work',
+    prepare: selection => {
+      reportWork(selection, A, 900, 100);
+      reportWork(selection, B, 300, 100);
+    },
+    expected: B,
+  },
+  {
+    name: 'less work, although it has more attempts',
+    prepare: selection => {
+      recordReportedLoad(selection, A, 3, NOW);
+      recordReportedLoad(selection, B, 9, NOW);
+      reportWork(selection, A, 900, 100);
+      reportWork(selection, B, 300, 100);
+    },
+    expected: B,
+  },
+  {
+    name: 'work sent since the report',
+    prepare: selection => {
+      reportWork(selection, A, 100, 100);
+      reportWork(selection, B, 110, 100);
+      for (let attempt = 0; attempt < 8; attempt++) {
+        const id = `a${attempt}` as AttemptId;
+        recordSent(selection, A, id, NOW + 1, KEY);
+      }
+    },
+    expected: B,
+  },
+  {
+    name: 'the faster server',
+    prepare: selection => {
+      for (let report = 0; report < 20; report++) {
+        reportWork(selection, A, 50, 160);
+        reportWork(selection, B, 50, 60);
+      }
+    },
+    expected: B,
+  },
+  {
+    name: 'counts, after reports have grown old',
+    prepare: selection => {
+      reportWork(selection, A, 900, 100);
+      reportWork(selection, B, 300, 100);
+      recordReportedLoad(selection, A, 1, NOW + 20_000);
+      recordReportedLoad(selection, B, 9, NOW + 20_000);
+    },
+    now: NOW + 20_000,
+    expected: A,
+  },
+];
+
+for (const {name, prepare, now = NOW + 2, expected} of BY_COST) {
+  test(`by cost: ${name}`, t => {
+    const selection = createSelectionState();
+    prepare(selection);
+    const {costClass} = KEY;
+    for (const random of [0, 0.6]) {
+      const context = contextWith({zone: null, now, random, costClass});
+      t.is(chooseServer(selection, PAIR, context)?.member, expected);
+    }
+  });
+}
+
+// A silent server sends no reports, and its last one may have been low.
+test('by cost: a server that is silent is avoided', t => {
+  const selection = createSelectionState();
+  reportWork(selection, A, 100, 100);
+  reportWork(selection, B, 300, 100);
+  for (const member of [A, B]) {
+    recordLatency(selection, member, SERVICE, 100, NOW, HALF_LIFE_MS);
+  }
+  recordSent(selection, A, 'a1' as AttemptId, NOW, KEY);
+  const {costClass} = KEY;
+  const context = contextWith({zone: null, now: NOW + 500, costClass});
+  t.is(chooseServer(selection, PAIR, context)?.member, A);
+  reportWork(selection, B, 300, 100, NOW + 4000);
+  const later = {...context, now: NOW + 4000};
+  t.is(chooseServer(selection, PAIR, later)?.member, B);
+});
--- a/packages/core/src/selection/logic.ts
+++ b/packages/core/src/selection/logic.ts
@@ -7,9 +7,22 @@
  * responses alone.
  */
 
-import type {AttemptId, MemberId, ServiceName, ZoneName} from '../ids/types.js';
+import {createCostTable} from '../costs/logic.js';
+import type {CostKey, WorkReport} from '../costs/types.js';
+import type {
+  AttemptId,
+  CostClass,
+  MemberId,
+  ServiceName,
+  ZoneName,
+} from '../ids/types.js';
 import type {ServingMember} from '../ownership/types.js';
 import type {Tuning} from '../settings/defaults.js';
+import {
+  expectedCompletionMs,
+  recordSentCost,
+  recordWork,
+} from './completion.js';
 import type {SelectionState, ServerStats, ServiceStats} from './types.js';
 import {LatencyHistogram} from './histogram.js';
 
@@ -40,6 +53,11 @@
  * to need; beyond it, a faster one in another zone may be better.
  */
 const NEAR_LATENCY_SHARE = 0.75;
+/**
+ * Latency as a multiple of the service's mean up to which a server counts as
+ * healthy by cost: runs in the tail last seven times the mean of their kind.
+ */
+const MAX_HEALTHY_RATIO = 8;
 /** Minimum number of samples before a percentile is used. */
 const MIN_SAMPLES = 20;
 
@@ -59,6 +77,8 @@
   /** Servers that must not be selected. */
   readonly excluded: readonly MemberId[];
   readonly tuning: SelectionTuning;
+  /** Class of the request for selection by cost; absent: by counts. */
+  readonly costClass?: CostClass | undefined;
 }
 
 /**
@@ -67,7 +87,11 @@
  * @returns The state, without statistics.
  */
 export function createSelectionState(): SelectionState {
-  return {servers: new Map(), services: new Map()};
+  return {
+    servers: new Map(),
+    services: new Map(),
+    costs: createCostTable(),
+  };
 }
 
 /**
@@ -153,14 +177,39 @@
  * @param member - The server's member.
  * @param attempt - The attempt.
  * @param now - Monotonic time, in milliseconds.
+ * @param key - Service and class of the request; null unless scheduling goes by
+ *     cost.
  */
 export function recordSent(
   selection: SelectionState,
   member: MemberId,
   attempt: AttemptId,
   now: number,
+  key: CostKey | null = null,
+): void {
+  const server = serverStatsOf(selection, member);
+  server.outstanding.set(attempt, now);
+  if (key !== null) recordSentCost(selection, server, attempt, key);
+}
+
+/**
+ * Records a server's report of its work in milliseconds.
+ *
+ * @param selection - Statistics of servers and services.
+ * @param member - The server's member.
+ * @param key - Service and class of the request that the report came with.
+ * @param report - The report.
+ * @param now - Monotonic time, in milliseconds.
+ */
+export function recordReportedWork(
+  selection: SelectionState,
+  member: MemberId,
+  key: CostKey,
+  report: WorkReport,
+  now: number,
 ): void {
-  serverStatsOf(selection, member).outstanding.set(attempt, now);
+  const server = serverStatsOf(selection, member);
+  recordWork(selection, server, key, report, now);
 }
 
 /**
@@ -234,7 +283,9 @@
   member: MemberId,
   attempt: AttemptId,
 ): void {
-  selection.servers.get(member)?.outstanding.delete(attempt);
+  const server = selection.servers.get(member);
+  server?.outstanding.delete(attempt);
+  server?.sentCosts.delete(attempt);
 }
 
 /**
@@ -335,13 +386,46 @@
     ? 1
     : context.tuning.otherZoneFactor;
   const meanMs = meanLatencyMs(selection, context);
+  const penalty =
+    known !== undefined && known.penalizedUntil > context.now
+      ? PENALTY_FACTOR
+      : 1;
+  const byCost = completionScore(selection, server, known, context);
+  if (byCost > 0) return byCost * zoneFactor * penalty;
   if (known === undefined) return Math.max(MIN_LATENCY_MS, meanMs) * zoneFactor;
   const latencyMs = expectedLatencyMs(known, meanMs, context);
   const load = 1 + outstandingAt(known, context);
-  const penalty = known.penalizedUntil > context.now ? PENALTY_FACTOR : 1;
   return latencyMs ** LATENCY_EXPONENT * load * zoneFactor * penalty;
 }
 
+/**
+ * Rates a server by the expected completion of the request. Latencies count only
+ * beyond those of healthy servers: they show that one is stuck or silent, which
+ * its last report can't.
+ *
+ * @returns Milliseconds, or 0 if servers must be compared by counts.
+ */
+function completionScore(
+  selection: SelectionState,
+  {slots}: ServingMember,
+  known: ServerStats | undefined,
+  context: SelectionContext,
+): number {
+  const {service, costClass, now, tuning} = context;
+  if (costClass === undefined) return 0;
+  const completionMs = expectedCompletionMs(selection, known, {
+    key: {service, costClass},
+    slots,
+    outstanding: known === undefined ? 0 : outstandingAt(known, context),
+    now,
+    halfLifeMs: tuning.latencyHalfLifeMs,
+  });
+  const meanMs = meanLatencyMs(selection, context);
+  if (known === undefined || meanMs === 0) return completionMs;
+  const ratio = expectedLatencyMs(known, meanMs, context) / meanMs;
+  return completionMs * Math.max(1, ratio / MAX_HEALTHY_RATIO);
+}
+
 /**
  * Estimates the latency of the next attempt at a server. The age of its oldest
  * open attempt is a lower bound. While there is one, the estimate doesn't decay
@@ -386,6 +470,10 @@
     reportedAt: 0,
     latencyMs: 0,
     latencyUpdatedAt: 0,
+    sentCosts: new Map(),
+    reportedWorkMs: 0,
+    workReportedAt: -Infinity,
+    slowness: 1,
     penalizedUntil: 0,
   };
   selection.servers.set(member, fresh);
--- a/packages/core/src/selection/types.ts
+++ b/packages/core/src/selection/types.ts
@@ -1,5 +1,6 @@
 /** @fileoverview Statistics that an origin keeps of servers and services. */
 
+import type {CostTable} from '../costs/types.js';
 import type {AttemptId, MemberId, ServiceName} from '../ids/types.js';
 import type {LatencyHistogram} from './histogram.js';
 
@@ -21,6 +22,14 @@
   latencyMs: number;
   /** Monotonic time of its latest change. */
   latencyUpdatedAt: number;
+  /** Expected run times of open attempts at the usual speed, in milliseconds. */
+  readonly sentCosts: Map<AttemptId, number>;
+  /** Work of the server as it last reported, see `WorkReport`. */
+  reportedWorkMs: number;
+  /** Monotonic time of that report; -Infinity before the first. */
+  workReportedAt: number;
+  /** Its run times as a multiple of the mean over all servers. */
+  slowness: number;
   /** Monotonic time until which other servers are preferred. */
   penalizedUntil: number;
 }
@@ -36,4 +45,6 @@
 export interface SelectionState {
   readonly servers: Map<MemberId, ServerStats>;
   readonly services: Map<ServiceName, ServiceStats>;
+  /** Expected run times, learned from the reports of all servers. */
+  readonly costs: CostTable;
 }
--- a/packages/core/src/testing/execution.ts
+++ b/packages/core/src/testing/execution.ts
@@ -1,6 +1,7 @@
 /** @fileoverview One daemon's execution subsystem, for tests. */
 
 import type {AttemptId, MemberId} from '../ids/types.js';
+import {NO_COST_CLASS} from '../costs/classes.js';
 import {EXECUTION} from '../execution/definition.js';
 import {createExecutionState} from '../execution/state.js';
 import type {Effect, Event} from '../loop/types.js';
@@ -116,6 +117,7 @@
     budgetMs: 5000,
     urgency: 0,
     objectiveMs: 0,
+    costClass: NO_COST_CLASS,
     version: 1 as never,
     body: new Uint8Array(),
     bodyEnds: true,
--- a/packages/core/src/testing/origin.ts
+++ b/packages/core/src/testing/origin.ts
@@ -3,6 +3,7 @@
 import type {AttemptId, MemberId} from '../ids/types.js';
 import type {Effect, Event, AcceptedRequest} from '../loop/types.js';
 import type {RequestMessage} from '../messages/types.js';
+import {NO_COST_CLASS} from '../costs/classes.js';
 import {ROUTING} from '../routing/definition.js';
 import {createRoutingState} from '../routing/state.js';
 import {DEFAULT_TUNING} from '../settings/defaults.js';
@@ -17,6 +18,8 @@
 export const OTHER = 'h3#1' as MemberId;
 /** The request that `accept` uses by default. */
 export const REQUEST = 'r1' as never;
+/** The report of a daemon that doesn't schedule by cost. */
+export const NO_WORK = {workMs: 0, expectedMs: 0};
 /** Its timeout. */
 export const TIMEOUT_MS = 1000;
 
@@ -51,6 +54,7 @@
       idempotencyKey: null,
       tenant: null,
       urgency: 0,
+      costClass: NO_COST_CLASS,
       ...changes,
     };
     return this.feed({kind: 'requestAccepted', accepted});
@@ -70,7 +74,10 @@
 
   end(sequence: number, from: MemberId = OWNER): Effect[] {
     const attempt = idOf(sequence);
-    return this.receive({kind: 'end', attempt, outstanding: 0}, from);
+    return this.receive(
+      {kind: 'end', attempt, outstanding: 0, ...NO_WORK},
+      from,
+    );
   }
 
   failed(
@@ -87,6 +94,7 @@
       owner: null,
       version: 1 as never,
       outstanding: 0,
+      workMs: 0,
       ...changes,
     } as const;
     return this.receive(failed, from);
--- a/packages/core/src/testing/ownership.ts
+++ b/packages/core/src/testing/ownership.ts
@@ -12,7 +12,7 @@
   DispatchPermission,
   ServingMember,
 } from '../ownership/types.js';
-import type {Workspace} from '../workspace/types.js';
+import type {Scheduling, Workspace} from '../workspace/types.js';
 
 /** Contents of the view; tests may change the fields between inputs. */
 export interface StubOwnership {
@@ -27,6 +27,8 @@
   ended: MemberId[];
   /** Whether a configuration is in force. */
   configured: boolean;
+  /** What scheduling goes by in that configuration. */
+  scheduling: Scheduling;
 }
 
 /** Time limit for in-flight work of a moving slice, in milliseconds. */
@@ -65,6 +67,7 @@
     servers: [owner],
     ended: [],
     configured: true,
+    scheduling: 'count',
   };
   return stub;
 }
@@ -94,7 +97,8 @@
     members: 1,
     departedServer: null,
     get workspace() {
-      return stub.configured ? WORKSPACE : null;
+      const {scheduling} = stub;
+      return stub.configured ? {...WORKSPACE, scheduling} : null;
     },
     placement: () => ({
       owner: stub.owner,
--- a/packages/daemon/src/callers/logic.ts
+++ b/packages/daemon/src/callers/logic.ts
@@ -8,7 +8,7 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {setImmediate} from 'node:timers/promises';
 
-import {failure} from '@jackdawfall/core';
+import {NO_COST_CLASS, costClassOf, failure} from '@jackdawfall/core';
 import type {
   AttemptId,
   Event,
@@ -210,6 +210,7 @@
       budgetMs,
       urgency: urgencyOf(pending),
       objectiveMs: pending.route.objectiveMs,
+      costClass: pending.costClass,
       version,
       body,
       bodyEnds: body.length === pending.body.length,
@@ -359,6 +360,7 @@
         idempotencyKey: pending.idempotencyKey,
         tenant: pending.tenant?.name ?? null,
         urgency: urgencyOf(pending),
+        costClass: pending.costClass,
       },
     });
   }
@@ -400,8 +402,8 @@
     const matched = this.matchRequest(incoming, configuration);
     if (matched.kind === 'rejected') return reject(matched.failure);
     const {route, service, slice, headers, tenant} = matched;
-    const {maxBodyBytes} = configuration.workspace.limits;
-    const body = await readBody(incoming, maxBodyBytes, this.bodyBudget);
+    const {scheduling, limits} = configuration.workspace;
+    const body = await readBody(incoming, limits.maxBodyBytes, this.bodyBudget);
     if (body.kind === 'aborted') return null;
     if (body.kind === 'rejected') return reject(body.failure);
     const timeoutMs = Math.min(callerTimeoutMs, route.timeoutMs);
@@ -421,6 +423,10 @@
       path: incoming.url ?? '',
       headers,
       tenant,
+      costClass:
+        scheduling === 'cost'
+          ? costClassOf(route, body.bytes.length)
+          : NO_COST_CLASS,
       idempotencyKey: protocol.idempotencyKeyOf(incoming),
       body: body.bytes,
       addedHeaders: protocol.addedHeaders(request),
--- a/packages/daemon/src/callers/types.ts
+++ b/packages/daemon/src/callers/types.ts
@@ -4,6 +4,7 @@
 
 import type {
   AttemptId,
+  CostClass,
   Header,
   MemberId,
   RequestId,
@@ -28,6 +29,8 @@
   readonly headers: readonly Header[];
   /** The tenant that sent it, or null if it carried no API key. */
   readonly tenant: Tenant | null;
+  /** Class of its run time; 0 unless scheduling goes by cost. */
+  readonly costClass: CostClass;
   readonly idempotencyKey: string | null;
   /** Time for the complete response, in milliseconds from `receivedMs`. */
   readonly timeoutMs: number;
--- a/packages/daemon/src/links/messages.spec.ts
+++ b/packages/daemon/src/links/messages.spec.ts
@@ -21,7 +21,7 @@
   {message: {kind: 'data', attempt, bytes}, receivers: ['callers']},
   // The attempt is complete for the reducer before its response is delivered.
   {
-    message: {kind: 'end', attempt, outstanding: 0},
+    message: {kind: 'end', attempt, outstanding: 0, workMs: 0, expectedMs: 0},
     receivers: ['reducer', 'callers'],
   },
   {message: {kind: 'cancel', attempt}, receivers: ['reducer']},
--- a/packages/daemon/src/metrics/gauges.ts
+++ b/packages/daemon/src/metrics/gauges.ts
@@ -1,6 +1,6 @@
 /** @fileoverview Gauges that are read whenever metrics are rendered. */
 
-import {currentLease, grantFiguresOf} from '@jackdawfall/core';
+import {currentLease, grantFiguresOf, reportedWorkMs} from '@jackdawfall/core';
 import type {Daemon, Instant} from '@jackdawfall/core';
 
 import type {Gauge} from './types.js';
@@ -34,7 +34,7 @@
   return [
     ...processGauges(figures),
     ...membershipGauges(daemon, at),
-    ...requestGauges(daemon, figures),
+    ...requestGauges(daemon, at, figures),
   ];
 }
 
@@ -103,6 +103,7 @@
 
 function requestGauges(
   {routing, execution}: Daemon,
+  {monotonic}: Instant,
   figures: ProcessFigures,
 ): Gauge[] {
   return [
@@ -116,6 +117,21 @@
       help: 'Attempts waiting for or running at the local backend server.',
       value: execution.jobs.size,
     },
+    {
+      name: 'work_held_seconds',
+      help: 'Expected remaining run time of these attempts over the limit; 0 unless scheduling goes by cost.',
+      value: reportedWorkMs(execution, monotonic) / MS_PER_S,
+    },
+    {
+      name: 'estimate_error_ratio',
+      help: 'Mean difference between a run time and its estimate, over the estimate.',
+      value: execution.costs.errorShare,
+    },
+    {
+      name: 'server_slowness_ratio',
+      help: 'Latest run times of the backend server over their estimates.',
+      value: execution.costs.slowness,
+    },
     {
       name: 'runs_active',
       help: 'Attempts running at the local backend server.',
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -11,12 +11,8 @@
   AttemptId,
   Dispatch,
   Effect,
-  Event,
   MemberId,
-  Message,
   RunState,
-  ServiceName,
-  Slice,
   SliceGrant,
 } from '@jackdawfall/core';
 
@@ -26,54 +22,25 @@
   isFinalStatus,
 } from '../http/headers.js';
 import type {AttemptMessage} from '../links/messages.js';
-import type {GrantOutcome, ServerProtocol} from '../adapters/types.js';
+import type {GrantOutcome} from '../adapters/types.js';
 import {
   discardBody,
   hasExcessBytes,
   limitInformational,
 } from './excess_bytes.js';
 import {KeptResponses} from './kept.js';
-import type {KeptResponseLimits} from './kept.js';
 import {endsAtConnectionClose, waitForCleanClose} from './connection_close.js';
 import {ServerConnectionPool} from './connections.js';
 import {toGrantEvent} from './grants.js';
-import type {ReceivedAttempt, Run, ResponseStream} from './types.js';
+import type {
+  ReceivedAttempt,
+  Run,
+  RunExecutorContext,
+  ResponseStream,
+} from './types.js';
 
 const BODY_LOST = 'the link was lost before the end of the body';
 
-/** Dependencies of the executor. */
-export interface RunExecutorContext {
-  emit(event: Event): void;
-  transmit(to: MemberId, message: Message): void;
-  /**
-   * Whether this daemon may hand work of the slice to its backend server now
-   * (rule R1): it owns the slice, which is ready here, and holds a valid lease;
-   * for a null slice, whether it may run work of a shared service. It is
-   * checked again before a request is written, since that may change while the
-   * connection is being opened.
-   */
-  mayWrite(service: ServiceName, slice: Slice | null): boolean;
-  /** Flow-control window of a response, in bytes. */
-  readonly windowBytes: number;
-  /** Time to wait for a connection to open, in milliseconds. */
-  readonly silenceMs: number;
-  /**
-   * Time without activity on a run, in milliseconds, after which new runs use
-   * new connections to the server.
-   */
-  readonly silentRunMs: number;
-  readonly protocol: ServerProtocol;
-  /**
-   * Called when no connection to the server can be opened, since nothing
-   * listens at its address. This isn't a refusal of a request by the server.
-   *
-   * @param server - The server.
-   * @param isAlive - Whether its process is known to be alive nevertheless.
-   */
-  onServerUnreachable(server: Announcement, isAlive: boolean): void;
-  readonly keptLimits: KeptResponseLimits;
-}
-
 /** Executes the attempts that were sent to this daemon. */
 export class RunExecutor {
   private readonly attempts = new Map<AttemptId, ReceivedAttempt>();
@@ -249,7 +216,7 @@
     for (const bytes of kept.chunks) {
       this.context.transmit(to, {kind: 'data', attempt, bytes});
     }
-    if (kept.complete) this.sendEnd(stream);
+    if (kept.complete) this.sendEnd(received, stream);
   }
 
   /**
@@ -516,15 +483,16 @@
     this.finishRun(received, run);
     this.keptResponses.end(received);
     this.context.emit({kind: 'runEnded', attempt: received.attempt});
-    for (const stream of received.streams) this.sendEnd(stream);
+    for (const stream of received.streams) this.sendEnd(received, stream);
   }
 
-  private sendEnd(stream: ResponseStream): void {
+  private sendEnd(received: ReceivedAttempt, stream: ResponseStream): void {
     const {attempt, to} = stream;
     this.context.transmit(to, {
       kind: 'end',
       attempt,
       outstanding: this.activeCount,
+      ...this.context.workReport(received.dispatch),
     });
   }
 
@@ -538,6 +506,7 @@
       owner: null,
       version: NO_VERSION,
       outstanding: this.activeCount,
+      workMs: 0,
     });
   }
 
--- a/packages/daemon/src/runs/next_instance.spec.ts
+++ b/packages/daemon/src/runs/next_instance.spec.ts
@@ -76,6 +76,7 @@
     silenceMs: SETTLE_MS,
     silentRunMs: SETTLE_MS,
     protocol: PROTOCOL,
+    workReport: () => ({workMs: 0, expectedMs: 0}),
     onServerUnreachable: () => undefined,
     keptLimits: {responseBytes: 100, totalBytes: 1000},
   });
--- a/packages/daemon/src/runs/process_watch.spec.ts
+++ b/packages/daemon/src/runs/process_watch.spec.ts
@@ -62,6 +62,7 @@
     silenceMs: WAIT_MS,
     silentRunMs: WAIT_MS,
     protocol: SERVER_PROTOCOL,
+    workReport: () => ({workMs: 0, expectedMs: 0}),
     onServerUnreachable: (_, isAlive) => onRefused(isAlive),
     keptLimits: {responseBytes: 100, totalBytes: 1000},
   });
--- a/packages/daemon/src/runs/types.ts
+++ b/packages/daemon/src/runs/types.ts
@@ -1,11 +1,26 @@
 /**
  * @fileoverview State of the attempts that a daemon runs at the local backend
- * server.
+ * server, and the dependencies of their executor.
  */
 
 import type {ClientRequest, IncomingMessage} from 'node:http';
 
-import type {AttemptId, Dispatch, Header, MemberId} from '@jackdawfall/core';
+import type {
+  Announcement,
+  AttemptId,
+  CostKey,
+  Dispatch,
+  Event,
+  Header,
+  MemberId,
+  Message,
+  ServiceName,
+  Slice,
+  WorkReport,
+} from '@jackdawfall/core';
+
+import type {ServerProtocol} from '../adapters/types.js';
+import type {KeptResponseLimits} from './kept.js';
 
 /**
  * An attempt sent to this daemon, with its body, connection and response. The
@@ -74,3 +89,41 @@
   bytes: number;
   complete: boolean;
 }
+
+/** Dependencies of the executor. */
+export interface RunExecutorContext {
+  emit(event: Event): void;
+  transmit(to: MemberId, message: Message): void;
+  /**
+   * Whether this daemon may hand work of the slice to its backend server now
+   * (rule R1): it owns the slice, which is ready here, and holds a valid lease;
+   * for a null slice, whether it may run work of a shared service. It is
+   * checked again before a request is written, since that may change while the
+   * connection is being opened.
+   */
+  mayWrite(service: ServiceName, slice: Slice | null): boolean;
+  /** Flow-control window of a response, in bytes. */
+  readonly windowBytes: number;
+  /** Time to wait for a connection to open, in milliseconds. */
+  readonly silenceMs: number;
+  /**
+   * Time without activity on a run, in milliseconds, after which new runs use
+   * new connections to the server.
+   */
+  readonly silentRunMs: number;
+  readonly protocol: ServerProtocol;
+  /**
+   * The work of the backend server and the expected run time of a class, as
+   * origins are told.
+   */
+  workReport(key: CostKey): WorkReport;
+  /**
+   * Called when no connection to the server can be opened, since nothing
+   * listens at its address. This isn't a refusal of a request by the server.
+   *
+   * @param server - The server.
+   * @param isAlive - Whether its process is known to be alive nevertheless.
+   */
+  onServerUnreachable(server: Announcement, isAlive: boolean): void;
+  readonly keptLimits: KeptResponseLimits;
+}
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -8,6 +8,7 @@
   createTenantDirectory,
   reduceDaemon,
   renderDaemon,
+  workReportOf,
 } from '@jackdawfall/core';
 import type {
   Announcement,
@@ -130,6 +131,10 @@
       silenceMs: tuning.links.silenceMs,
       silentRunMs: tuning.execution.silentRunMs,
       protocol: adapters.servers,
+      workReport: key => {
+        const {execution} = this.options.daemon;
+        return workReportOf(execution, key, readClocks().monotonic);
+      },
       onServerUnreachable: (server, isAlive) =>
         this.reportServerLost(server, 'connection refused', !isAlive),
       keptLimits: {
--- a/packages/daemon/src/runtime/lost_link.spec.ts
+++ b/packages/daemon/src/runtime/lost_link.spec.ts
@@ -240,6 +240,7 @@
     budgetMs: 20_000,
     urgency: 0,
     objectiveMs: 0,
+    costClass: 0 as never,
     version: 0 as never,
     body: Buffer.from(part),
     bodyEnds: false,
@@ -373,7 +374,13 @@
 }
 
 function endOf(attempt: AttemptId): Message {
-  return {kind: 'end', attempt, outstanding: OUTSTANDING};
+  return {
+    kind: 'end',
+    attempt,
+    outstanding: OUTSTANDING,
+    workMs: 0,
+    expectedMs: 0,
+  };
 }
 
 async function get(port: number): Promise<{status: number; body: string}> {
--- a/packages/daemon/src/testing/runs.ts
+++ b/packages/daemon/src/testing/runs.ts
@@ -78,6 +78,7 @@
     silenceMs: connectMs,
     silentRunMs: SILENCE_MS,
     protocol: SERVER_PROTOCOL,
+    workReport: () => ({workMs: 0, expectedMs: 0}),
     onServerUnreachable: () => undefined,
     keptLimits: {responseBytes: 100, totalBytes: 1000},
   });
--- a/packages/emulator/src/bench/links/worker.ts
+++ b/packages/emulator/src/bench/links/worker.ts
@@ -12,7 +12,7 @@
   Version,
   WorkspaceName,
 } from '@jackdawfall/core';
-import {DEFAULT_TUNING} from '@jackdawfall/core';
+import {DEFAULT_TUNING, NO_COST_CLASS} from '@jackdawfall/core';
 import {Links} from '@jackdawfall/wire';
 import {serve, readOwnUsage} from '../workers.js';
 import type {DriveOptions, DriveResult, Peer} from './types.js';
@@ -151,7 +151,13 @@
       headers: HEADERS,
     });
     own.send(from, address, {kind: 'data', attempt, bytes: body});
-    own.send(from, address, {kind: 'end', attempt, outstanding: 1});
+    own.send(from, address, {
+      kind: 'end',
+      attempt,
+      outstanding: 1,
+      workMs: 0,
+      expectedMs: 0,
+    });
   };
 }
 
@@ -211,6 +217,7 @@
     budgetMs: 900,
     urgency: 0,
     objectiveMs: 0,
+    costClass: NO_COST_CLASS,
     version: 12 as Version,
     body: BODY,
     bodyEnds: true,
--- a/packages/emulator/src/requests/daemon.ts
+++ b/packages/emulator/src/requests/daemon.ts
@@ -5,6 +5,9 @@
 
 import type {
   AttemptId,
+  ColdStart,
+  CostClass,
+  Dispatch,
   Effect,
   Event,
   Failure,
@@ -20,6 +23,7 @@
   ROUTING,
   createExecutionState,
   createRoutingState,
+  workReportOf,
 } from '@jackdawfall/core';
 
 import type {MapCopy} from './map_copy.js';
@@ -31,6 +35,9 @@
 /** Time to open a connection to a backend server, in milliseconds. */
 const CONNECT_MS = 1;
 
+/** Report of a server that is warm. */
+const WARM: ColdStart = {remainingMs: 0, perSecond: 1000};
+
 /** The outcome of a request as reported to its caller. */
 export interface CallerOutcome {
   readonly request: RequestId;
@@ -45,6 +52,7 @@
 /** A run of an attempt on the backend server. */
 interface Run {
   readonly request: RequestId;
+  readonly costClass: CostClass;
   /** Attempts that get the response, with their origins. */
   readonly recipients: Map<AttemptId, MemberId>;
   /** Null before the run has started. */
@@ -60,6 +68,8 @@
   readonly server: SimulatedServer;
   readonly slots: number;
   readonly settings: Tuning;
+  /** Whether the server reports its cold start. */
+  readonly reportsColdStart: boolean;
   reportOutcome(outcome: CallerOutcome): void;
 }
 
@@ -76,7 +86,7 @@
   private readonly responses = new Map<AttemptId, RequestId>();
   private readonly completeResponses = new Set<AttemptId>();
   /** As the target of dispatches: attempts that were sent to this daemon. */
-  private readonly dispatched = new Map<AttemptId, RequestId>();
+  private readonly dispatched = new Map<AttemptId, Dispatch>();
   private readonly runs = new Map<AttemptId, Run>();
   /** While frozen: actions to run afterwards, else null. */
   private deferred: Array<() => void> | null = null;
@@ -110,7 +120,7 @@
         connections: this.environment.slots * 5,
         checksGrants: false,
         leaving: false,
-        coldStart: null,
+        coldStart: this.environment.reportsColdStart ? WARM : null,
       },
     });
   }
@@ -155,7 +165,7 @@
   receive(from: MemberId, message: Message): void {
     this.runOrDefer(() => {
       if (message.kind === 'dispatch') {
-        this.dispatched.set(message.attempt, message.request);
+        this.dispatched.set(message.attempt, message);
       }
       if (message.kind === 'head') {
         const request = message.headers[0].value as RequestId;
@@ -279,8 +289,9 @@
       priority: accepted.priority,
       idempotencyKey: accepted.idempotencyKey,
       budgetMs: effect.budgetMs,
-      urgency: 0,
-      objectiveMs: 0,
+      urgency: accepted.urgency,
+      objectiveMs: accepted.objectiveMs,
+      costClass: accepted.costClass,
       version: effect.version,
       body: new Uint8Array(),
       bodyEnds: true,
@@ -289,10 +300,11 @@
 
   private run(effect: Extract<Effect, {kind: 'run'}>): void {
     const {attempt, origin} = effect;
-    const request = this.dispatched.get(attempt)!;
+    const {request, costClass} = this.dispatched.get(attempt)!;
     const recipients = new Map([[attempt, origin]]);
     this.runs.set(attempt, {
       request,
+      costClass,
       recipients,
       abort: null,
       ended: false,
@@ -348,7 +360,14 @@
       headers,
     });
     const outstanding = this.execution.jobs.size;
-    network.send(this.member, to, {kind: 'end', attempt, outstanding});
+    const key = {service: SERVICE, costClass: run.costClass};
+    const report = workReportOf(
+      this.execution,
+      key,
+      this.environment.schedule.now,
+    );
+    const end = {kind: 'end', attempt, outstanding, ...report} as const;
+    network.send(this.member, to, end);
   }
 
   private replayResponse(
--- a/packages/emulator/src/requests/faults.spec.ts
+++ b/packages/emulator/src/requests/faults.spec.ts
@@ -6,7 +6,7 @@
 import test from 'ava';
 import fc from 'fast-check';
 import type {RequestId, Slice} from '@jackdawfall/core';
-import {DEFAULT_TUNING} from '@jackdawfall/core';
+import {DEFAULT_TUNING, NO_COST_CLASS} from '@jackdawfall/core';
 
 import {RequestSimulation} from './simulation.js';
 import type {Call} from './simulation.js';
@@ -102,6 +102,7 @@
       idempotencyKey: null,
       tenant: null,
       urgency: 0,
+      costClass: NO_COST_CLASS,
     });
   }
 
--- a/packages/emulator/src/requests/load.ts
+++ b/packages/emulator/src/requests/load.ts
@@ -1,7 +1,7 @@
 /** @fileoverview Simulates an open load, whose rate ignores the responses. */
 
 import type {RequestId, Slice, Tuning} from '@jackdawfall/core';
-import {DEFAULT_TUNING} from '@jackdawfall/core';
+import {DEFAULT_TUNING, NO_COST_CLASS} from '@jackdawfall/core';
 
 import {RequestSimulation} from './simulation.js';
 import {SERVICE, SLICES} from './map_copy.js';
@@ -102,6 +102,7 @@
       idempotencyKey: null,
       tenant: null,
       urgency: 0,
+      costClass: NO_COST_CLASS,
     });
   });
   schedule.run(
--- a/packages/emulator/src/requests/map_copy.ts
+++ b/packages/emulator/src/requests/map_copy.ts
@@ -7,6 +7,7 @@
   MemberId,
   OwnershipView,
   DispatchPermission,
+  Scheduling,
   ServiceName,
   Slice,
   Version,
@@ -53,7 +54,7 @@
 
 /** The copy, to which changes are applied in the order of their commits. */
 export class MapCopy implements OwnershipView {
-  readonly workspace = WORKSPACE;
+  readonly workspace: Workspace;
   readonly departedServer = null;
   version = 1 as Version;
   /** Whether this daemon holds a valid lease. */
@@ -64,11 +65,16 @@
   /**
    * @param self - The daemon whose copy this is.
    * @param daemons - All daemons; each has a server.
+   * @param scheduling - What placement and queueing go by.
+   * @param slots - Concurrent runs of each server, as members announce them.
    */
   constructor(
     readonly self: MemberId,
     private readonly daemons: readonly MemberId[],
+    scheduling: Scheduling = 'count',
+    private readonly slots: number = DEFAULT_TUNING.admission.queueFactor,
   ) {
+    this.workspace = {...WORKSPACE, scheduling};
     for (let slice = 0; slice < SLICES; slice++) {
       const owner = daemons[slice % daemons.length];
       this.slices.push({owner, generation: 1, moving: false});
@@ -147,7 +153,7 @@
       member,
       address: this.addressOf(member),
       zone: 'a' as ZoneName,
-      slots: DEFAULT_TUNING.admission.queueFactor,
+      slots: this.slots,
     }));
   }
 
--- a/packages/emulator/src/requests/server.ts
+++ b/packages/emulator/src/requests/server.ts
@@ -6,8 +6,8 @@
 
 /** How a backend server behaves. */
 export interface ServerBehaviour {
-  /** Draws the duration of a run, in milliseconds. */
-  serviceMs(): number;
+  /** Draws the duration of a run of a request, in milliseconds. */
+  serviceMs(request: RequestId): number;
   /** Concurrent runs that it accepts at this time; it refuses others. */
   maxRuns(): number;
 }
@@ -61,7 +61,8 @@
       end();
       onEnd();
     };
-    if (!this.silent) this.schedule.after(this.behaviour.serviceMs(), finish);
+    if (this.silent) return end;
+    this.schedule.after(this.behaviour.serviceMs(request), finish);
     return end;
   }
 }
--- a/packages/emulator/src/requests/simulation.ts
+++ b/packages/emulator/src/requests/simulation.ts
@@ -7,6 +7,7 @@
   MemberId,
   RequestId,
   AcceptedRequest,
+  Scheduling,
   Tuning,
 } from '@jackdawfall/core';
 
@@ -30,6 +31,10 @@
   readonly settings: Tuning;
   /** Maximum time until a daemon applies a change of the map. */
   readonly maxMapLagMs: number;
+  /** Absent: by counts. */
+  readonly scheduling?: Scheduling;
+  /** Whether servers report their cold start; absent: no. */
+  readonly reportsColdStart?: boolean;
   behaviour(schedule: Schedule, index: number): ServerBehaviour;
 }
 
@@ -111,6 +116,13 @@
     return runs;
   }
 
+  /** Without scheduling by cost, members announce the slots of the default. */
+  private createMap(member: MemberId): MapCopy {
+    const {scheduling, slots} = this.options;
+    if (scheduling === undefined) return new MapCopy(member, this.members);
+    return new MapCopy(member, this.members, scheduling, slots);
+  }
+
   private addDaemon(index: number): void {
     const {schedule, network, options, members} = this;
     const {slots, settings} = options;
@@ -118,7 +130,7 @@
       schedule,
       options.behaviour(schedule, index),
     );
-    const map = new MapCopy(members[index], members);
+    const map = this.createMap(members[index]);
     const reportOutcome = (outcome: CallerOutcome) => {
       this.calls.get(outcome.request)!.outcomes.push(outcome);
     };
@@ -129,6 +141,7 @@
       server,
       slots,
       settings,
+      reportsColdStart: options.reportsColdStart ?? false,
       reportOutcome,
     };
     this.servers.push(server);
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -9,7 +9,7 @@
 import type {Hello} from './types.js';
 
 /** Version of the protocol; links with another version are refused. */
-export const PROTOCOL_VERSION = 4;
+export const PROTOCOL_VERSION = 5;
 
 /** The Avro schema of one field. */
 export type FieldSchema = string | readonly string[] | {readonly type: string};
@@ -115,6 +115,7 @@
       budgetMs: 'double',
       urgency: 'int',
       objectiveMs: 'double',
+      costClass: 'int',
       version: LOGICAL_TYPES.count,
       body: LOGICAL_TYPES.octets,
       bodyEnds: 'boolean',
@@ -129,7 +130,15 @@
     fields: {...ATTEMPT, status: 'int', headers: LOGICAL_TYPES.headers},
   },
   data: {code: 4, fields: {...ATTEMPT, bytes: LOGICAL_TYPES.octets}},
-  end: {code: 5, fields: {...ATTEMPT, outstanding: 'int'}},
+  end: {
+    code: 5,
+    fields: {
+      ...ATTEMPT,
+      outstanding: 'int',
+      workMs: LOGICAL_TYPES.count,
+      expectedMs: LOGICAL_TYPES.count,
+    },
+  },
   failed: {
     code: 6,
     fields: {
@@ -140,6 +149,7 @@
       owner: ['null', 'string'],
       version: LOGICAL_TYPES.count,
       outstanding: 'int',
+      workMs: LOGICAL_TYPES.count,
     },
   },
   credit: {code: 7, fields: {...ATTEMPT, bytes: LOGICAL_TYPES.count}},
--- a/packages/wire/src/links/liveness.spec.ts
+++ b/packages/wire/src/links/liveness.spec.ts
@@ -21,7 +21,7 @@
   bytes: new Uint8Array(),
   ends: true,
 };
-const END: Message = {kind: 'end', attempt, outstanding: 0};
+const END: Message = {kind: 'end', attempt, outstanding: 0, workMs: 0, expectedMs: 0};
 const CANCEL: Message = {kind: 'cancel', attempt};
 const NEVER: Message = {kind: 'fate', attempt, state: 'never'};
 const RUNNING: Message = {kind: 'fate', attempt, state: 'running'};
