--- a/packages/core/src/execution/incoming.ts
+++ b/packages/core/src/execution/incoming.ts
@@ -5,6 +5,7 @@
 
 import {dequeueWhere, admitOrQueue} from '../admission/logic.js';
 import type {SlotRequest} from '../admission/types.js';
+import {expectedRunMs} from '../costs/logic.js';
 import type {ErrorKind} from '../errors/types.js';
 import type {Generation, MemberId} from '../ids/types.js';
 import type {Dispatch, RequestMessage} from '../messages/types.js';
@@ -21,6 +22,7 @@
 import type {ExecutionContext} from './state.js';
 import {send} from './state.js';
 import type {Job, OutcomeRecord} from './types.js';
+import {costFieldsOf, slotCostOf} from './work.js';
 
 /**
  * Handles the dispatch of an attempt: rejects, replays, queues or starts it.
@@ -184,6 +186,8 @@
     priority: dispatch.priority,
     urgency: dispatch.urgency,
     objectiveMs: dispatch.objectiveMs,
+    costClass: dispatch.costClass,
+    expectedMs: state.byCost ? expectedRunMs(state.costs, dispatch, now) : 0,
     key,
     requestLine: `${dispatch.method} ${dispatch.path}`,
     arrivedAt: now,
@@ -269,7 +273,8 @@
     failJob(context, job, 'overloaded', 'its slice has its share of the slots');
     return;
   }
-  const decision = admitOrQueue(state.admission, slotRequestOf(job), now);
+  const request = slotRequestOf(context, job);
+  const decision = admitOrQueue(state.admission, request, now);
   if (decision === 'refuse') {
     failJob(context, job, 'overloaded', 'the queue is full');
     return;
@@ -283,27 +288,33 @@
   else logQueued(context, job);
 }
 
-function logQueued(
-  context: ExecutionContext,
-  {attempt, request, urgency}: Job,
-): void {
+function logQueued(context: ExecutionContext, job: Job): void {
+  const {attempt, request, urgency} = job;
   const {admission} = context.state;
   const waiting = admission.queues.interactive.length;
   const {running, limit} = admission;
-  const fields = {request, attempt, urgency, waiting, running, limit};
+  const figures = costFieldsOf(context.state, job, context.now);
+  const counts = {request, attempt, urgency, waiting, running, limit};
+  const fields = {...counts, ...figures};
   context.effects.push({kind: 'log', event: 'attemptQueued', fields});
 }
 
-function slotRequestOf(job: Job): SlotRequest {
+function slotRequestOf({state, now}: ExecutionContext, job: Job): SlotRequest {
   const {attempt, priority, deadline, slice, urgency, objectiveMs} = job;
   const shared = slice === null;
-  return {attempt, priority, deadline, shared, urgency, objectiveMs};
+  const cost = slotCostOf(state, job, now);
+  return {attempt, priority, deadline, shared, urgency, objectiveMs, cost};
 }
 
 /** Queues a cancelled job again for the attempts that are coalesced with it. */
 function requeue(context: ExecutionContext, job: Job): void {
   const {state, now} = context;
-  const decision = admitOrQueue(state.admission, slotRequestOf(job), now);
+  if (isBeyondShare(context, job)) {
+    failJob(context, job, 'overloaded', 'its slice has its share of the slots');
+    return;
+  }
+  const request = slotRequestOf(context, job);
+  const decision = admitOrQueue(state.admission, request, now);
   if (decision === 'start') startJob(context, job);
   if (decision === 'refuse') {
     failJob(context, job, 'overloaded', 'queue is full');
--- a/packages/core/src/execution/shares.ts
+++ b/packages/core/src/execution/shares.ts
@@ -5,6 +5,9 @@
 import type {ExecutionContext} from './state.js';
 import type {Job} from './types.js';
 
+/** A queue that was not empty for this time is overload rather than a burst. */
+const STANDING_QUEUE_MS = 100;
+
 /**
  * Returns whether a job is refused since its slice has its share of the slots
  * and others wait, where the workspace schedules by cost.
@@ -14,10 +17,12 @@
  * @returns Whether to refuse it.
  */
 export function isBeyondShare(context: ExecutionContext, job: Job): boolean {
-  const {state, ownership} = context;
-  const {queues, limit} = state.admission;
+  const {state, ownership, now} = context;
+  const {queues, limit, queueEmptyAt} = state.admission;
   if (ownership.workspace?.scheduling !== 'cost') return false;
   if (queues.interactive.length + queues.deferrable.length === 0) return false;
+  // A burst below the capacity is worth queueing whatever slice it is for.
+  if (now - queueEmptyAt <= STANDING_QUEUE_MS) return false;
   return exceedsShare(job, sharingJobs(state.jobs.values()), limit);
 }
 
--- a/packages/core/src/routing/dispatch.ts
+++ b/packages/core/src/routing/dispatch.ts
@@ -5,7 +5,7 @@
 import type {Address, MemberId} from '../ids/types.js';
 import type {ServingMember} from '../ownership/types.js';
 import type {RoutingContext} from './state.js';
-import {drawRandom, scheduleTimer} from './state.js';
+import {costKeyOf, drawRandom, scheduleTimer} from './state.js';
 import {failRequest} from './completion.js';
 import {noteSent, rejectionAtOrigin} from './overload.js';
 import type {Attempt, RoutedRequest} from './types.js';
@@ -116,6 +116,7 @@
         ? pending.excludedServers
         : [...pending.excludedServers, alsoExcluded],
     tuning: state.tuning.routing,
+    costClass: costKeyOf(context, pending)?.costClass,
   };
   return chooseServer(state.selection, servers, selectionContext);
 }
@@ -153,7 +154,8 @@
   pending.attemptsSent += 1;
   pending.attempts.set(attempt.id, attempt);
   state.attempts.set(attempt.id, attempt);
-  recordSent(state.selection, attempt.to, attempt.id, now);
+  const key = costKeyOf(context, pending);
+  recordSent(state.selection, attempt.to, attempt.id, now, key);
   noteSent(context, attempt);
   effects.push({
     kind: 'sendDispatch',
--- a/packages/core/src/routing/failures.ts
+++ b/packages/core/src/routing/failures.ts
@@ -1,6 +1,6 @@
 /** @fileoverview Decides at the origin what follows a failed attempt. */
 
-import {recordReportedLoad} from '../selection/logic.js';
+import {recordReportedLoad, recordReportedWork} from '../selection/logic.js';
 import {failure} from '../errors/logic.js';
 import type {ErrorKind, Failure} from '../errors/types.js';
 import type {MemberId} from '../ids/types.js';
@@ -12,7 +12,7 @@
 import {dispatchRequest} from './dispatch.js';
 import {noteRefused} from './overload.js';
 import type {RoutingContext} from './state.js';
-import {drawRandom, penalizeServer, scheduleTimer} from './state.js';
+import {costKeyOf, drawRandom, penalizeServer, scheduleTimer} from './state.js';
 import type {Attempt, RoutedRequest} from './types.js';
 
 /** What follows a failed attempt. */
@@ -46,6 +46,11 @@
   const pending = state.requests.get(attempt.request);
   if (pending === undefined) return;
   recordReportedLoad(state.selection, attempt.to, failed.outstanding, now);
+  const key = costKeyOf(context, pending);
+  if (key !== null) {
+    const report = {workMs: failed.workMs, expectedMs: 0};
+    recordReportedWork(state.selection, attempt.to, key, report, now);
+  }
   if (failed.error === 'overloaded' || failed.error === 'server-refused') {
     penalizeServer(context, attempt.to);
     if (failed.run === 'not-run') {
--- a/packages/core/src/routing/responses.ts
+++ b/packages/core/src/routing/responses.ts
@@ -4,11 +4,13 @@
   recordLatency,
   recordEnded,
   recordReportedLoad,
+  recordReportedWork,
 } from '../selection/logic.js';
 import type {RequestId} from '../ids/types.js';
 import type {RequestMessage} from '../messages/types.js';
 import {cancelOtherAttempts, dropRequest} from './completion.js';
 import {noteServed} from './overload.js';
+import {costKeyOf} from './state.js';
 import type {RoutingContext} from './state.js';
 import type {Attempt} from './types.js';
 
@@ -62,6 +64,10 @@
   recordEnded(state.selection, attempt.to, attempt.id);
   recordReportedLoad(state.selection, attempt.to, end.outstanding, now);
   noteServed(context, attempt, end.outstanding);
+  const pending = state.requests.get(attempt.request);
+  const key = pending === undefined ? null : costKeyOf(context, pending);
+  if (key === null) return;
+  recordReportedWork(state.selection, attempt.to, key, end, now);
 }
 
 /**
--- a/packages/core/src/testing/ownership.ts
+++ b/packages/core/src/testing/ownership.ts
@@ -27,7 +27,7 @@
   ended: MemberId[];
   /** Whether a configuration is in force. */
   configured: boolean;
-  /** What requests are scheduled by. */
+  /** What scheduling goes by in that configuration. */
   scheduling: Scheduling;
 }
 
@@ -97,8 +97,8 @@
     members: 1,
     departedServer: null,
     get workspace() {
-      const {configured, scheduling} = stub;
-      return configured ? {...WORKSPACE, scheduling} : null;
+      const {scheduling} = stub;
+      return stub.configured ? {...WORKSPACE, scheduling} : null;
     },
     placement: () => ({
       owner: stub.owner,
--- a/packages/emulator/src/requests/map_copy.ts
+++ b/packages/emulator/src/requests/map_copy.ts
@@ -65,12 +65,14 @@
   /**
    * @param self - The daemon whose copy this is.
    * @param daemons - All daemons; each has a server.
-   * @param scheduling - What requests are scheduled by.
+   * @param scheduling - What placement and queueing go by.
+   * @param slots - Concurrent runs of each server, as members announce them.
    */
   constructor(
     readonly self: MemberId,
     private readonly daemons: readonly MemberId[],
     scheduling: Scheduling = 'count',
+    private readonly slots: number = DEFAULT_TUNING.admission.queueFactor,
   ) {
     this.workspace = {...WORKSPACE, scheduling};
     for (let slice = 0; slice < SLICES; slice++) {
@@ -151,7 +153,7 @@
       member,
       address: this.addressOf(member),
       zone: 'a' as ZoneName,
-      slots: DEFAULT_TUNING.admission.queueFactor,
+      slots: this.slots,
     }));
   }
 
--- a/packages/emulator/src/requests/returns.ts
+++ b/packages/emulator/src/requests/returns.ts
@@ -4,7 +4,7 @@
  */
 
 import type {Failure, RequestId, Scheduling, Slice} from '@jackdawfall/core';
-import {DEFAULT_TUNING} from '@jackdawfall/core';
+import {DEFAULT_TUNING, NO_COST_CLASS} from '@jackdawfall/core';
 
 import type {CallerOutcome} from './daemon.js';
 import {scheduleArrivals} from './load.js';
@@ -159,7 +159,7 @@
       settings: DEFAULT_TUNING,
       maxMapLagMs: 0,
       scheduling: experiment.scheduling,
-      isWarm: true,
+      reportsColdStart: true,
       onOutcome: outcome => this.handleOutcome(outcome),
       behaviour: (schedule, server) => ({
         serviceMs: request => this.drawRunMs(schedule, server, request),
@@ -248,6 +248,7 @@
       maxAttempts: null,
       idempotencyKey: null,
       tenant: null,
+      costClass: NO_COST_CLASS,
       urgency: kind.urgency,
     });
   }
--- a/packages/emulator/src/requests/server.ts
+++ b/packages/emulator/src/requests/server.ts
@@ -61,9 +61,8 @@
       end();
       onEnd();
     };
-    if (!this.silent) {
-      this.schedule.after(this.behaviour.serviceMs(request), finish);
-    }
+    if (this.silent) return end;
+    this.schedule.after(this.behaviour.serviceMs(request), finish);
     return end;
   }
 }
--- a/packages/emulator/src/requests/simulation.ts
+++ b/packages/emulator/src/requests/simulation.ts
@@ -31,10 +31,10 @@
   readonly settings: Tuning;
   /** Maximum time until a daemon applies a change of the map. */
   readonly maxMapLagMs: number;
-  /** Absent: `count`. */
+  /** Absent: by counts. */
   readonly scheduling?: Scheduling;
-  /** Whether servers report that they are warm; absent: no. */
-  readonly isWarm?: boolean;
+  /** Whether servers report their cold start; absent: no. */
+  readonly reportsColdStart?: boolean;
   /** Called with each outcome that a caller is told. */
   readonly onOutcome?: (outcome: CallerOutcome) => void;
   behaviour(schedule: Schedule, index: number): ServerBehaviour;
@@ -118,6 +118,13 @@
     return runs;
   }
 
+  /** Without scheduling by cost, members announce the slots of the default. */
+  private createMap(member: MemberId): MapCopy {
+    const {scheduling, slots} = this.options;
+    if (scheduling === undefined) return new MapCopy(member, this.members);
+    return new MapCopy(member, this.members, scheduling, slots);
+  }
+
   private addDaemon(index: number): void {
     const {schedule, network, options, members} = this;
     const {slots, settings} = options;
@@ -125,7 +132,7 @@
       schedule,
       options.behaviour(schedule, index),
     );
-    const map = new MapCopy(members[index], members, options.scheduling);
+    const map = this.createMap(members[index]);
     const reportOutcome = (outcome: CallerOutcome) => {
       this.calls.get(outcome.request)!.outcomes.push(outcome);
       options.onOutcome?.(outcome);
@@ -136,8 +143,8 @@
       map,
       server,
       slots,
-      isWarm: options.isWarm ?? false,
       settings,
+      reportsColdStart: options.reportsColdStart ?? false,
       reportOutcome,
     };
     this.servers.push(server);
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -116,6 +116,7 @@
       budgetMs: 'double',
       urgency: 'int',
       objectiveMs: 'double',
+      costClass: 'int',
       version: LOGICAL_TYPES.count,
       body: LOGICAL_TYPES.octets,
       bodyEnds: 'boolean',
@@ -130,7 +131,15 @@
     fields: {...ATTEMPT, status: 'int', headers: LOGICAL_TYPES.headers},
   },
   data: {code: 4, fields: {...ATTEMPT, bytes: LOGICAL_TYPES.octets}},
-  end: {code: 5, fields: {...ATTEMPT, outstanding: 'int'}},
+  end: {
+    code: 5,
+    fields: {
+      ...ATTEMPT,
+      outstanding: 'int',
+      workMs: LOGICAL_TYPES.count,
+      expectedMs: LOGICAL_TYPES.count,
+    },
+  },
   failed: {
     code: 6,
     fields: {
@@ -141,6 +150,7 @@
       owner: ['null', 'string'],
       version: LOGICAL_TYPES.count,
       outstanding: 'int',
+      workMs: LOGICAL_TYPES.count,
     },
   },
   credit: {code: 7, fields: {...ATTEMPT, bytes: LOGICAL_TYPES.count}},
