--- a/packages/emulator/src/deployment/cluster.ts
+++ b/packages/emulator/src/deployment/cluster.ts
@@ -97,8 +97,8 @@
 ): Promise<void> {
   const name = `daemon ${host.plan.host}`;
   const args = ['--settings', host.settingsFile];
-  const {logFile} = host;
-  const program = {name, entry: DAEMON_ENTRY, args, logFile};
+  const {logFile, daemonLimits: limits} = host;
+  const program = {name, entry: DAEMON_ENTRY, args, logFile, limits};
   const daemon = startProcess(program, signal);
   host.daemon = daemon;
   const untilMs = performance.now() + READY_TIMEOUT_MS;
@@ -240,7 +240,7 @@
     tuning: cluster.plan.tuning,
   };
   const settingsFile = join(folder, `${plan.host}.json`);
-  const {logFolder} = cluster.plan;
+  const {logFolder, daemonLimits} = cluster.plan;
   await writeFile(settingsFile, JSON.stringify(settings));
   return {
     plan,
@@ -249,6 +249,7 @@
     operators: `${LOOPBACK}:${operators}`,
     settingsFile,
     logFile: logFolder && join(logFolder, `${plan.host}.log`),
+    daemonLimits,
     serverPort,
     serverControlAddress: `${LOOPBACK}:${serverControl}`,
     relayControlAddress: relay && `${LOOPBACK}:${relay.controlPort}`,
--- a/packages/emulator/src/deployment/processes.ts
+++ b/packages/emulator/src/deployment/processes.ts
@@ -1,6 +1,6 @@
 /** @fileoverview Starts processes, keeps their latest output and kills them. */
 
-import type {ManagedProcess} from './types.js';
+import type {ManagedProcess, ProcessLimits} from './types.js';
 import type {ChildProcess} from 'node:child_process';
 import {spawn} from 'node:child_process';
 import {createWriteStream} from 'node:fs';
@@ -27,6 +27,8 @@
   readonly onLine?: (line: string) => void;
   /** File to which all output is appended as well. */
   readonly logFile?: string;
+  /** Limits of the process; those of this process if absent. */
+  readonly limits?: ProcessLimits;
 }
 
 /**
@@ -41,11 +43,12 @@
   signal: AbortSignal,
 ): ManagedProcess {
   const entry = new URL(`../../../${program.entry}`, import.meta.url);
-  const child = spawn(
-    process.execPath,
-    [fileURLToPath(entry), ...program.args],
-    {stdio: ['ignore', 'pipe', 'pipe']},
-  );
+  const [command, ...args] = [
+    ...limitedCommand(program.limits),
+    fileURLToPath(entry),
+    ...program.args,
+  ];
+  const child = spawn(command, args, {stdio: ['ignore', 'pipe', 'pipe']});
   const output: string[] = [];
   collectLines(child, output, program.onLine);
   if (program.logFile !== undefined) appendOutput(child, program.logFile);
@@ -112,6 +115,15 @@
   return {child: startProcess({...program, onLine}, signal), firstLine};
 }
 
+/** Returns the command that runs Node.js within the limits. */
+function limitedCommand(limits?: ProcessLimits): [string, ...string[]] {
+  if (limits === undefined) return [process.execPath];
+  const {heapMb, descriptors} = limits;
+  const script = `ulimit -n ${descriptors} && exec "$0" "$@"`;
+  const heap = `--max-old-space-size=${heapMb}`;
+  return ['/bin/sh', '-c', script, process.execPath, heap];
+}
+
 /** Writes both outputs to a file that earlier processes may have begun. */
 function appendOutput({stdout, stderr}: ChildProcess, path: string): void {
   const file = createWriteStream(path, {flags: 'a'});
--- a/packages/emulator/src/deployment/types.ts
+++ b/packages/emulator/src/deployment/types.ts
@@ -17,6 +17,14 @@
   readonly kill: (signal: NodeJS.Signals) => void;
 }
 
+/** Limits of a process. */
+export interface ProcessLimits {
+  /** Maximum size of the heap's old generation, in MB. */
+  readonly heapMb: number;
+  /** Maximum number of open descriptors. */
+  readonly descriptors: number;
+}
+
 /** A host to start: a daemon and its local backend server. */
 export interface HostPlan {
   readonly host: string;
@@ -34,6 +42,8 @@
   /** Partial tuning of the daemons. */
   readonly tuning: Readonly<Record<string, unknown>>;
   readonly seed: number;
+  /** Limits of each daemon; those of this process if absent. */
+  readonly daemonLimits?: ProcessLimits;
   /** Existing folder for a log file of each daemon; absent to keep none. */
   readonly logFolder?: string;
 }
@@ -49,6 +59,8 @@
   readonly settingsFile: string;
   /** Path of the daemon's log file, if one is kept. */
   readonly logFile?: string;
+  /** Limits of the daemon; those of this process if absent. */
+  readonly daemonLimits?: ProcessLimits;
   readonly serverPort: number;
   readonly serverControlAddress: string;
   /** Null without a relay. */
