--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -142,6 +142,11 @@
     'warn',
     "Callers' connections were closed to make room for others.",
   ),
+  messageInvalid: event(
+    520,
+    'warn',
+    'A message of another daemon was not passed on, since it is not valid HTTP.',
+  ),
   platformAnswers: event(512, 'info', 'The platform responds again.'),
   announcementRefused: event(
     408,
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -38,6 +38,9 @@
   receiversOf,
 } from '../links/messages.js';
 import type {MessageReceiver} from '../links/messages.js';
+import {findInvalid, toFailure} from '../links/checks.js';
+import type {InvalidMessage} from '../links/checks.js';
+import {ClosedConnections} from '../callers/closed_connections.js';
 import {CallerFrontend} from '../callers/logic.js';
 import type {CallerContext, CompiledConfiguration} from '../callers/context.js';
 import type {DaemonPort, Adapters} from '../adapters/types.js';
@@ -52,9 +55,6 @@
 
 /** Maximum share of the memory budget that is queued for one link. */
 const MAX_LINK_SHARE = 0.25;
-/** Interval of log lines about closed connections. */
-const CLOSED_LOG_INTERVAL_MS = 1000;
-
 /** Dependencies of the runtime. */
 export interface DaemonRuntimeOptions {
   readonly settings: Settings;
@@ -93,9 +93,7 @@
   private announcedMs = 0;
   private storeUnavailable = false;
   private lastToken = 0;
-  /** Connections closed for want of room since the last log line, by reason. */
-  private readonly closedConnections = new Map<string, number>();
-  private closedLoggedMs = 0;
+  private readonly closedConnections: ClosedConnections;
   private stopping = false;
 
   /** @param options - Dependencies. */
@@ -140,6 +138,10 @@
       windowBytes: tuning.links.windowBytes,
       budget: this.budget,
     };
+    this.closedConnections = new ClosedConnections(
+      options.metrics,
+      (event, fields) => this.log(event, fields),
+    );
     this.callers = this.createFrontend(shared);
     this.executor = new RunExecutor({
       ...shared,
@@ -167,13 +169,8 @@
       log: (event, fields) => this.log(event, fields),
       onConnection: () => metrics.count('connectionsAccepted'),
       onBodyRefused: refusal => metrics.count('bodiesRefused', refusal),
-      onConnectionsClosed: (reason, count) => {
-        metrics.count('connectionsClosed', reason, count);
-        this.closedConnections.set(
-          reason,
-          (this.closedConnections.get(reason) ?? 0) + count,
-        );
-      },
+      onConnectionsClosed: (reason, count) =>
+        this.closedConnections.record(reason, count),
       maxConnections: this.memoryLimits.maxConnections,
       onLoopLag: lagMs => metrics.record('loopLag', lagMs),
       configuration: () => this.currentConfiguration(),
@@ -380,11 +377,28 @@
   }
 
   private receive(from: MemberId, message: Message): void {
+    const invalid = findInvalid(message);
+    if (invalid !== null) {
+      this.handleInvalid(from, invalid);
+      return;
+    }
     for (const receiver of receiversOf(message)) {
       this.pass(receiver, from, message);
     }
   }
 
+  /**
+   * Fails the attempt of a message that can't be passed on. One with an invalid
+   * response has run; one with an invalid request never will.
+   */
+  private handleInvalid(from: MemberId, message: InvalidMessage): void {
+    const {kind, attempt} = message;
+    this.log('messageInvalid', {peer: from, message: kind, attempt});
+    const failed = toFailure(message, this.executor.activeCount);
+    if (kind === 'head') this.receive(from, failed);
+    else this.transmit(from, failed);
+  }
+
   private pass(
     receiver: MessageReceiver,
     from: MemberId,
@@ -466,7 +480,7 @@
     this.executor.tick();
     this.callers.tick();
     this.budget.set('links', this.links.bufferedBytesOfAll);
-    this.logClosedConnections();
+    this.closedConnections.log(this.callers.openConnections);
     this.checkAnnouncementAge();
     const {self} = this.options.daemon.ownershipView;
     if (self === null || self === this.self) return;
@@ -476,18 +490,6 @@
     this.options.logger.setContext({member: self});
   }
 
-  /** Logs connections that were closed for want of room, once a second. */
-  private logClosedConnections(): void {
-    const now = performance.now();
-    if (now - this.closedLoggedMs < CLOSED_LOG_INTERVAL_MS) return;
-    this.closedLoggedMs = now;
-    for (const [reason, count] of this.closedConnections) {
-      const connections = this.callers.openConnections;
-      this.log('connectionsClosed', {reason, count, connections});
-    }
-    this.closedConnections.clear();
-  }
-
   /** One link may not use up the memory budget. */
   private queueBytes(): number {
     const {queueBytes} = this.options.settings.tuning.links;
--- a/packages/daemon/src/runtime/lost_link.spec.ts
+++ b/packages/daemon/src/runtime/lost_link.spec.ts
@@ -1,6 +1,7 @@
 /**
  * @fileoverview Tests of requests and responses that are under way between two
- * daemons when their link is lost. One of the two is played by the test.
+ * daemons when their link is lost, and of messages that can't be passed on. One
+ * of the two daemons is played by the test.
  */
 
 import {once} from 'node:events';
@@ -41,6 +42,8 @@
 const TUNING = mergeTuning({leases: {coversShared: false}});
 const OUTSTANDING = 0;
 const SETTLE_MS = 300;
+/** Interval at which the test's daemon answers dispatches. */
+const RESPONSE_INTERVAL_MS = 10;
 /** The whole body of the backend server's response, in parts. */
 const PARTS = ['first,', 'second,', 'third'];
 const WHOLE = PARTS.join('');
@@ -132,6 +135,66 @@
   });
 }
 
+/** Heads that no daemon of this version sends, and that Node can't write. */
+const INVALID_HEADS: ReadonlyArray<{name: string; head: object}> = [
+  {name: 'status 0', head: {status: 0}},
+  {name: 'status 20', head: {status: 20}},
+  {name: 'status 101', head: {status: 101}},
+  {name: 'status 600', head: {status: 600}},
+  {name: 'a space in a name', head: {headers: [{name: 'x ', value: ''}]}},
+];
+
+// The daemon that passed such a head on ended, or its caller got the status.
+for (const {name, head} of INVALID_HEADS) {
+  test(`a head with ${name} from another daemon is not passed on`, async t => {
+    const received: Message[] = [];
+    const peer = createPeer(t, received);
+    const peerPort = await peer.links.listen();
+    const {address, callers} = await startDaemon(t);
+    peer.links.send(DAEMON, address, entriesFor(peerPort, PEER));
+    await waitUntil(() => received.some(each => each.kind === 'pull'));
+    const answered = new Set<AttemptId>();
+    const responder = setInterval(() => {
+      for (const attempt of attemptsIn(received)) {
+        if (answered.has(attempt)) continue;
+        answered.add(attempt);
+        const message = {...headOf(attempt), ...head};
+        peer.links.send(DAEMON, address, message);
+        peer.links.send(DAEMON, address, endOf(attempt));
+      }
+    }, RESPONSE_INTERVAL_MS);
+    t.teardown(() => clearInterval(responder));
+    const {status} = await get(callers, {'x-timeout-ms': '1000'});
+    t.true(status === 502 || status === 504, String(status));
+    t.true(answered.size > 0);
+  });
+}
+
+const INVALID_DISPATCHES: ReadonlyArray<{name: string; change: object}> = [
+  {name: 'a tab in its path', change: {path: '/records/\t'}},
+  {name: 'an unknown method', change: {method: 'GE T'}},
+  {name: 'a space in a name', change: {headers: [{name: 'x ', value: ''}]}},
+];
+
+// The daemon that ran such a dispatch ended.
+for (const {name, change} of INVALID_DISPATCHES) {
+  test(`a dispatch with ${name} from another daemon is not run`, async t => {
+    const received: Message[] = [];
+    const peer = createPeer(t, received);
+    const peerPort = await peer.links.listen();
+    const {runtime, address} = await startDaemon(t);
+    runtime.announce(announcementOf(1));
+    const attempt = `${PEER}/1` as AttemptId;
+    peer.links.send(DAEMON, address, entriesFor(peerPort, DAEMON));
+    const message = {...dispatchOf(attempt, PARTS[0]), ...change};
+    peer.links.send(DAEMON, address, message);
+    await waitUntil(() => received.some(each => each.kind === 'failed'));
+    const failed = received.find(each => each.kind === 'failed');
+    t.is(failed?.run, 'not-run');
+    t.is(failed?.error, 'bad-request');
+  });
+}
+
 // The server was sent the request without the part that was lost with the link.
 test('after the loss of a link, the body of a request is not continued', async t => {
   const bodies: string[] = [];
@@ -376,8 +439,12 @@
   return {kind: 'end', attempt, outstanding: OUTSTANDING};
 }
 
-async function get(port: number): Promise<{status: number; body: string}> {
-  const outgoing = request({host: IP, port, path: '/records/1', agent: false});
+async function get(
+  port: number,
+  headers: Record<string, string> = {},
+): Promise<{status: number; body: string}> {
+  const path = '/records/1';
+  const outgoing = request({host: IP, port, path, headers, agent: false});
   outgoing.end();
   const [incoming] = (await once(outgoing, 'response')) as [IncomingMessage];
   let body = '';
