--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -156,6 +156,16 @@
     'info',
     'This daemon takes new connections in time again.',
   ),
+  connectionsClosed: event(
+    519,
+    'warn',
+    "Callers' connections were closed to make room for others.",
+  ),
+  messageInvalid: event(
+    520,
+    'warn',
+    'A message of another daemon was not passed on, since it is not valid HTTP.',
+  ),
   platformAnswers: event(512, 'info', 'The platform responds again.'),
   announcementRefused: event(
     408,
--- a/packages/daemon/src/process/logic.ts
+++ b/packages/daemon/src/process/logic.ts
@@ -17,7 +17,8 @@
 import type {Logger} from '../logs/types.js';
 import {createMetrics} from '../metrics/logic.js';
 import {createOperatorServer} from '../operators/logic.js';
-import {DaemonRuntime, linkAddressOf} from '../runtime/logic.js';
+import {DaemonRuntime} from '../runtime/logic.js';
+import {linkAddressOf} from '../settings/logic.js';
 import {CALLER_PROTOCOL} from '../callers/protocol.js';
 import type {Adapters} from '../adapters/types.js';
 import {
--- a/packages/daemon/src/runs/logic.ts
+++ b/packages/daemon/src/runs/logic.ts
@@ -16,6 +16,7 @@
   SliceGrant,
 } from '@jackdawfall/core';
 
+import {ByteQueue} from '../http/byte_blocks.js';
 import {
   areValidHeaders,
   endToEndHeaders,
@@ -28,6 +29,7 @@
   hasExcessBytes,
   limitInformational,
 } from './excess_bytes.js';
+import {RunBodies, framingOf} from './bodies.js';
 import {KeptResponses} from './kept.js';
 import {endsAtConnectionClose, waitForCleanClose} from './connection_close.js';
 import {ServerConnectionPool} from './connections.js';
@@ -39,7 +41,9 @@
   ResponseStream,
 } from './types.js';
 
+const NO_BYTES = new Uint8Array(0);
 const BODY_LOST = 'the link was lost before the end of the body';
+const BODY_DROPPED = 'no memory for the body';
 
 /** Executes the attempts that were sent to this daemon. */
 export class RunExecutor {
@@ -49,10 +53,12 @@
   private connections: ServerConnectionPool | null = null;
   private announcement: Announcement | null = null;
   private readonly keptResponses: KeptResponses;
+  private readonly bodies: RunBodies;
 
   /** @param context - Dependencies. */
   constructor(private readonly context: RunExecutorContext) {
     this.keptResponses = new KeptResponses(context.keptLimits);
+    this.bodies = new RunBodies(context);
   }
 
   /**
@@ -144,6 +150,10 @@
       this.reportFailed(effect.attempt, 'not-run', BODY_LOST);
       return;
     }
+    if (received.bodyDropped) {
+      this.reportFailed(effect.attempt, 'not-run', BODY_DROPPED);
+      return;
+    }
     const {announcement, connections} = this;
     if (announcement === null || connections === null) {
       this.reportFailed(effect.attempt, 'not-run', 'no backend server');
@@ -175,7 +185,7 @@
     received.run = run;
     this.active.add(received);
     this.subscribe(received, run);
-    this.writeBody(received);
+    this.bodies.write(received);
   }
 
   /**
@@ -247,6 +257,7 @@
       hasInactiveRun = true;
     }
     if (hasInactiveRun) this.connections?.useNewConnections();
+    this.bodies.countWaiting(this.attempts.values());
   }
 
   /**
@@ -301,17 +312,21 @@
   private handleDispatch(from: MemberId, dispatch: Dispatch): void {
     if (originOf(dispatch.attempt) !== from) return;
     if (this.attempts.has(dispatch.attempt)) return;
-    this.attempts.set(dispatch.attempt, {
+    const received: ReceivedAttempt = {
       attempt: dispatch.attempt,
-      dispatch,
-      bodyChunks: dispatch.body.length > 0 ? [dispatch.body] : [],
+      // The body is kept apart, until it is written.
+      dispatch: {...dispatch, body: NO_BYTES},
+      unwritten: new ByteQueue(),
+      bodyDropped: false,
       bodyEnded: dispatch.bodyEnds,
       bodyLost: false,
       startScheduled: false,
       run: null,
       streams: [],
       kept: null,
-    });
+    };
+    this.attempts.set(dispatch.attempt, received);
+    this.bodies.hold(received, dispatch.body);
   }
 
   private handleBody(
@@ -322,10 +337,10 @@
   ): void {
     const received = this.attempts.get(attempt);
     if (received === undefined || originOf(attempt) !== from) return;
-    if (received.bodyLost) return;
-    received.bodyChunks.push(bytes);
+    if (received.bodyLost || received.bodyDropped) return;
+    this.bodies.hold(received, bytes);
     received.bodyEnded = ends;
-    this.writeBody(received);
+    this.bodies.write(received);
   }
 
   private handleCredit(
@@ -342,21 +357,6 @@
     }
   }
 
-  private writeBody(received: ReceivedAttempt): void {
-    const {run, bodyChunks, attempt} = received;
-    if (run === null || run.finished || run.outgoing.writableEnded) return;
-    const taken = Buffer.concat(bodyChunks);
-    bodyChunks.length = 0;
-    if (received.bodyEnded) {
-      run.outgoing.end(taken);
-    } else if (taken.length > 0) {
-      run.outgoing.write(taken);
-      const to = originOf(attempt);
-      const bytes = taken.length;
-      this.context.transmit(to, {kind: 'credit', attempt, bytes});
-    }
-  }
-
   private subscribe(received: ReceivedAttempt, run: Run): void {
     const {outgoing} = run;
     limitInformational(outgoing);
@@ -533,18 +533,6 @@
   }
 }
 
-/**
- * Headers that frame the body. For some methods, Node's client writes a body
- * without any, so that it would be read as further requests.
- */
-function framingOf(received: ReceivedAttempt): Record<string, string> {
-  const {bodyChunks, bodyEnded, dispatch} = received;
-  if (dispatch.headers.some(each => each.name === 'content-length')) return {};
-  if (!bodyEnded) return {'transfer-encoding': 'chunked'};
-  const length = bodyChunks.reduce((sum, bytes) => sum + bytes.length, 0);
-  return length === 0 ? {} : {'content-length': String(length)};
-}
-
 /** Whether every receiver of the response has flow-control credit. */
 function hasCredit(received: ReceivedAttempt): boolean {
   return received.streams.every(stream => stream.credit > 0);
--- a/packages/daemon/src/runs/types.ts
+++ b/packages/daemon/src/runs/types.ts
@@ -13,6 +13,7 @@
   Event,
   Header,
   MemberId,
+  MemoryBudget,
   Message,
   ServiceName,
   Slice,
@@ -21,6 +22,7 @@
 
 import type {ServerProtocol} from '../adapters/types.js';
 import type {KeptResponseLimits} from './kept.js';
+import type {ByteQueue} from '../http/byte_blocks.js';
 
 /**
  * An attempt sent to this daemon, with its body, connection and response. The
@@ -29,14 +31,16 @@
 export interface ReceivedAttempt {
   readonly attempt: AttemptId;
   readonly dispatch: Dispatch;
-  /** Chunks of the request body not yet written to the backend server. */
-  readonly bodyChunks: Uint8Array[];
+  /** The part of the request body not yet written to the backend server. */
+  readonly unwritten: ByteQueue;
   bodyEnded: boolean;
   /**
    * Whether the link with its origin was lost before the end of its body, of
    * which a part may be missing.
    */
   bodyLost: boolean;
+  /** Whether there was no memory for its body; it is not run. */
+  bodyDropped: boolean;
   /** Whether a run is scheduled but hasn't started. */
   startScheduled: boolean;
   run: Run | null;
@@ -102,6 +106,8 @@
    * connection is being opened.
    */
   mayWrite(service: ServiceName, slice: Slice | null): boolean;
+  /** Memory budget of the process. */
+  readonly budget: MemoryBudget;
   /** Flow-control window of a response, in bytes. */
   readonly windowBytes: number;
   /** Time to wait for a connection to open, in milliseconds. */
--- a/packages/daemon/src/runtime/logic.ts
+++ b/packages/daemon/src/runtime/logic.ts
@@ -4,10 +4,12 @@
  */
 
 import {
+  MemoryBudget,
   acceptsApiKeys,
   compileRoutes,
   configurationFaultOf,
   createTenantDirectory,
+  memoryLimitsOf,
   reduceDaemon,
   renderDaemon,
   workReportOf,
@@ -16,12 +18,12 @@
   Announcement,
   Command,
   CommandResult,
-  Daemon,
   Effect,
   Event,
   LogEventName,
   InstanceId,
   MemberId,
+  MemoryLimits,
   Message,
   ServerLimits,
   ServiceName,
@@ -38,33 +40,23 @@
   receiversOf,
 } from '../links/messages.js';
 import type {MessageReceiver} from '../links/messages.js';
+import {findInvalid, toFailure} from '../links/checks.js';
+import type {InvalidMessage} from '../links/checks.js';
+import {ClosedConnections} from '../callers/closed_connections.js';
 import {CallerFrontend} from '../callers/logic.js';
-import type {CallerContext, CompiledConfiguration} from '../callers/logic.js';
-import type {DaemonPort, Adapters} from '../adapters/types.js';
-import type {LogFields, Logger} from '../logs/types.js';
+import type {CallerContext, CompiledConfiguration} from '../callers/context.js';
+import type {DaemonPort} from '../adapters/types.js';
+import type {LogFields} from '../logs/types.js';
 import {ReducerLoop, readClocks} from '../loop/logic.js';
 import {readGauges} from '../metrics/gauges.js';
-import type {Metrics} from '../metrics/types.js';
+import {readMachineLimits} from '../memory/machine.js';
 import {Outbox} from '../links/outbox.js';
 import {RunExecutor} from '../runs/logic.js';
-import type {Settings} from '../settings/types.js';
-
-/** Dependencies of the runtime. */
-export interface DaemonRuntimeOptions {
-  readonly settings: Settings;
-  readonly adapters: Adapters;
-  readonly daemon: Daemon;
-  /** Member id of this process until it joins again under a new one. */
-  readonly member: MemberId;
-  readonly logger: Logger;
-  readonly metrics: Metrics;
-  readonly random: () => number;
-  /** Called when the daemon has left the workspace after a planned stop. */
-  readonly onLeft: () => void;
-  /** Called when an invariant is violated. */
-  readonly onInvariantViolation: (invariant: string, detail: string) => void;
-  readonly signal: AbortSignal;
-}
+import {linkAddressOf} from '../settings/logic.js';
+import type {DaemonRuntimeOptions} from './types.js';
+
+/** Maximum share of the memory budget that is queued for one link. */
+const MAX_LINK_SHARE = 0.25;
 
 /** Connects the reducer to callers, links, backend server and store. */
 export class DaemonRuntime implements DaemonPort {
@@ -73,6 +65,8 @@
   private readonly loop: ReducerLoop;
   private readonly executor: RunExecutor;
   private readonly outbox: Outbox;
+  private readonly memoryLimits: MemoryLimits;
+  private readonly budget: MemoryBudget;
   private readonly commandReplies = new Map<
     number,
     (result: CommandResult) => void
@@ -85,12 +79,15 @@
   private announcedMs = 0;
   private storeUnavailable = false;
   private lastToken = 0;
+  private readonly closedConnections: ClosedConnections;
   private stopping = false;
 
   /** @param options - Dependencies. */
   constructor(private readonly options: DaemonRuntimeOptions) {
-    const {settings, adapters, signal} = options;
+    const {settings, signal} = options;
     const {tuning} = settings;
+    this.memoryLimits = memoryLimitsOf(readMachineLimits(tuning.memory));
+    this.budget = new MemoryBudget(this.memoryLimits.budgetBytes);
     this.self = options.member;
     this.loop = new ReducerLoop(
       input => reduceDaemon(options.daemon, input),
@@ -105,7 +102,7 @@
         workspace: settings.workspace,
       },
       listen: settings.links,
-      tuning: tuning.links,
+      tuning: {...tuning.links, queueBytes: this.queueBytes()},
       signal,
       on: {
         message: (from, message) => this.receive(from, message),
@@ -125,9 +122,22 @@
       emit: (event: Event) => this.emit(event),
       transmit: (to: MemberId, message: Message) => this.transmit(to, message),
       windowBytes: tuning.links.windowBytes,
+      budget: this.budget,
     };
+    this.closedConnections = new ClosedConnections(
+      options.metrics,
+      (event, fields) => this.log(event, fields),
+    );
     this.callers = this.createFrontend(shared);
-    this.executor = new RunExecutor({
+    this.executor = this.createExecutor(shared);
+  }
+
+  private createExecutor(
+    shared: Pick<CallerContext, 'emit' | 'transmit' | 'windowBytes' | 'budget'>,
+  ): RunExecutor {
+    const {settings, adapters} = this.options;
+    const {tuning} = settings;
+    return new RunExecutor({
       ...shared,
       mayWrite: (service, slice) => this.mayWrite(service, slice),
       silenceMs: tuning.links.silenceMs,
@@ -147,7 +157,7 @@
   }
 
   private createFrontend(
-    shared: Pick<CallerContext, 'emit' | 'transmit' | 'windowBytes'>,
+    shared: Pick<CallerContext, 'emit' | 'transmit' | 'windowBytes' | 'budget'>,
   ): CallerFrontend {
     const {settings, adapters, metrics} = this.options;
     return new CallerFrontend({
@@ -156,6 +166,10 @@
       tickMs: settings.tuning.loop.tickMs,
       log: (event, fields) => this.log(event, fields),
       onConnection: () => metrics.count('connectionsAccepted'),
+      onBodyRefused: refusal => metrics.count('bodiesRefused', refusal),
+      onConnectionsClosed: (reason, count) =>
+        this.closedConnections.record(reason, count),
+      maxConnections: this.memoryLimits.maxConnections,
       onLoopLag: lagMs => metrics.record('loopLag', lagMs),
       configuration: () => this.currentConfiguration(),
       configurationFault: () =>
@@ -365,11 +379,28 @@
   }
 
   private receive(from: MemberId, message: Message): void {
+    const invalid = findInvalid(message);
+    if (invalid !== null) {
+      this.handleInvalid(from, invalid);
+      return;
+    }
     for (const receiver of receiversOf(message)) {
       this.pass(receiver, from, message);
     }
   }
 
+  /**
+   * Fails the attempt of a message that can't be passed on. One with an invalid
+   * response has run; one with an invalid request never will.
+   */
+  private handleInvalid(from: MemberId, message: InvalidMessage): void {
+    const {kind, attempt} = message;
+    this.log('messageInvalid', {peer: from, message: kind, attempt});
+    const failed = toFailure(message, this.executor.activeCount);
+    if (kind === 'head') this.receive(from, failed);
+    else this.transmit(from, failed);
+  }
+
   private pass(
     receiver: MessageReceiver,
     from: MemberId,
@@ -435,6 +466,8 @@
       loopLagMs: this.callers.loopLagMs,
       connections: this.callers.openConnections,
       runs: this.executor.activeCount,
+      held: this.budget.heldBytes,
+      budgetBytes: this.budget.maxBytes,
     };
     return metrics.render(readGauges(daemon, readClocks(), figures));
   }
@@ -448,6 +481,8 @@
   tick(): void {
     this.executor.tick();
     this.callers.tick();
+    this.budget.set('links', this.links.bufferedBytesOfAll);
+    this.closedConnections.log(this.callers.openConnections);
     this.checkAnnouncementAge();
     const {self} = this.options.daemon.ownershipView;
     if (self === null || self === this.self) return;
@@ -457,6 +492,12 @@
     this.options.logger.setContext({member: self});
   }
 
+  /** One link may not use up the memory budget. */
+  private queueBytes(): number {
+    const {queueBytes} = this.options.settings.tuning.links;
+    return Math.min(queueBytes, this.budget.maxBytes * MAX_LINK_SHARE);
+  }
+
   private checkAnnouncementAge(): void {
     const {announcement} = this;
     if (announcement === null) return;
@@ -515,14 +556,3 @@
     return this.configuration;
   }
 }
-
-/**
- * Returns the address that peers connect to.
- *
- * @param settings - The daemon's settings.
- * @returns `ip:port`.
- */
-export function linkAddressOf(settings: Settings): Announcement['address'] {
-  const {ip, port} = settings.links;
-  return settings.linkAddress ?? (`${ip}:${port}` as Announcement['address']);
-}
--- a/packages/daemon/src/settings/logic.ts
+++ b/packages/daemon/src/settings/logic.ts
@@ -103,3 +103,14 @@
   if (!/^\d{1,5}$/.test(port) || Number(port) > 65535) return false;
   return z.union([z.ipv4(), z.ipv6()]).safeParse(ip).success;
 }
+
+/**
+ * Returns the address that peers connect to.
+ *
+ * @param settings - The daemon's settings.
+ * @returns `ip:port`.
+ */
+export function linkAddressOf(settings: Settings): Address {
+  const {ip, port} = settings.links;
+  return settings.linkAddress ?? (`${ip}:${port}` as Address);
+}
--- a/packages/wire/src/codec/schemas.ts
+++ b/packages/wire/src/codec/schemas.ts
@@ -53,6 +53,7 @@
   unauthenticated: 19,
   'quota-exceeded': 20,
   'configuration-stale': 21,
+  'body-timeout': 22,
 };
 
 /** Wire codes of the run states. */
