Configuration numbers order by the store's era

Cause: after a restore of the store its versions go back, so that full reads were dropped as stale and rewritten rows were never adopted; a daemon that started then read an older configuration, and absent evacuations counted as ended.

--- a/packages/core/src/configuration/logic.ts
+++ b/packages/core/src/configuration/logic.ts
@@ -12,6 +12,11 @@
 import type {ControlMessage} from '../messages/types.js';
 import {log, send} from '../ownership/effects.js';
 import type {OwnershipContext} from '../ownership/state.js';
+import {
+  NO_ERA,
+  makeConfigurationNumber,
+  parseConfigurationNumber,
+} from '../restore/era.js';
 import {isWatcher, recordConfirmation} from './watchers.js';
 
 /**
@@ -49,8 +54,11 @@
   configuration: ExternalConfiguration,
 ): void {
   const {state} = context;
-  const {number, document, zonesOut} = configuration;
-  if (number <= currentNumber(context)) return;
+  if (configuration.number <= currentNumber(context)) return;
+  const {number, document, zonesOut} = withoutRegress(
+    state.externalConfiguration,
+    configuration,
+  );
   state.externalConfiguration = {number, document, zonesOut};
   applyExternalConfiguration(state.map, state.externalConfiguration);
   state.placementCheckedVersion = -1;
@@ -124,6 +132,38 @@
   send(context, heard.from, {kind: 'configurationNumber', number});
 }
 
+/**
+ * Keeps what is in force and a restored source may have lost: a document with a
+ * higher version of the operator, and, until the operator has had the time to
+ * write its rows again, evacuated zones. The result ranks just above the
+ * configuration that was read, so that it spreads.
+ *
+ * @param own - The configuration in force, or null.
+ * @param read - The one that was read, with a higher number.
+ * @returns The configuration to put in force.
+ */
+export function withoutRegress(
+  own: ExternalConfiguration | null,
+  read: ExternalConfiguration,
+): ExternalConfiguration {
+  const parts = parseConfigurationNumber(read.number);
+  if (own === null || parts.era === NO_ERA) return read;
+  const keepsDocument = versionOf(own.document) > versionOf(read.document);
+  const kept = own.zonesOut.filter(zone => !read.zonesOut.includes(zone));
+  const keepsZones = !parts.settled && kept.length > 0;
+  if (!keepsDocument && !keepsZones) return read;
+  return {
+    number: makeConfigurationNumber({...parts, merged: true}),
+    document: keepsDocument ? own.document : read.document,
+    zonesOut: keepsZones ? [...read.zonesOut, ...kept].sort() : read.zonesOut,
+  };
+}
+
+/** Returns the operator's version of a document. */
+function versionOf(document: string): number {
+  return (JSON.parse(document) as {version: number}).version;
+}
+
 function currentNumber({state}: OwnershipContext): number {
   return state.externalConfiguration?.number ?? 0;
 }
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -58,6 +58,13 @@
 export type {RoutingState} from './routing/types.js';
 export type * from './settings/defaults.js';
 export {DEFAULT_TUNING} from './settings/defaults.js';
+export type {ConfigurationNumber} from './restore/era.js';
+export {
+  NO_ERA,
+  makeConfigurationNumber,
+  parseConfigurationNumber,
+  parseEra,
+} from './restore/era.js';
 export type * from './store/types.js';
 export {MAX_TRANSACTION_ENTRIES} from './store/types.js';
 export type * from './workspace/types.js';
--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -190,6 +190,11 @@
     'This daemon started or stopped watching the configuration source.',
   ),
   settingsRead: event(515, 'info', 'The settings were read again.'),
+  sourceRestored: event(
+    604,
+    'warn',
+    'The configuration source was restored to an older copy; what was in force stays in force.',
+  ),
   configurationRefused: event(
     602,
     'warn',
