--- a/packages/core/src/configuration/logic.ts
+++ b/packages/core/src/configuration/logic.ts
@@ -17,6 +17,7 @@
   makeConfigurationNumber,
   parseConfigurationNumber,
 } from '../restore/era.js';
+import {recordEra} from '../restore/logic.js';
 import {isWatcher, recordConfirmation} from './watchers.js';
 
 /**
@@ -54,6 +55,7 @@
   configuration: ExternalConfiguration,
 ): void {
   const {state} = context;
+  recordEra(context, parseConfigurationNumber(configuration.number).era);
   if (configuration.number <= currentNumber(context)) return;
   const {number, document, zonesOut} = withoutRegress(
     state.externalConfiguration,
@@ -94,6 +96,7 @@
   }
   const {number} = message;
   const {state, at} = context;
+  recordEra(context, parseConfigurationNumber(number).era);
   if (message.kind === 'configurationConfirmed') {
     recordConfirmation(state, from, at.monotonic);
   }
--- a/packages/core/src/leases/grantor.ts
+++ b/packages/core/src/leases/grantor.ts
@@ -9,6 +9,8 @@
 import {send} from '../ownership/effects.js';
 import type {OwnershipContext, OwnershipState} from '../ownership/state.js';
 import {currentRanks, currentRing, isRuleEnabled} from '../ownership/state.js';
+import {eraOfRevision} from '../restore/era.js';
+import {announceEra, recordEra} from '../restore/logic.js';
 import {currentLease} from './logic.js';
 import type {ReportedRevision} from '../membership/types.js';
 import {MAX_FOLLOW_DELAY_MS, createWatchedMember} from './state.js';
@@ -275,12 +277,36 @@
   if (isRuleEnabled(state, 'R4') && currentLease(state, at).source === 'none') {
     return 'no-lease';
   }
+  if (isEraOutdatedTooLong(context, watched, message)) return 'behind';
   if (isOutdatedTooLong(state, watched, message.configuration, at.monotonic)) {
     return 'behind';
   }
   return '';
 }
 
+/**
+ * Tells a member of a restore of the store that its row's revision doesn't
+ * reflect, and returns whether it has lagged for more than `behindMs`. It may
+ * not know of the restore, while others go on without entries that it has.
+ */
+function isEraOutdatedTooLong(
+  context: OwnershipContext,
+  watched: WatchedMember,
+  {member, row}: Extract<ControlMessage, {kind: 'renew'}>,
+): boolean {
+  const {state, at} = context;
+  const era = eraOfRevision(row);
+  recordEra(context, era);
+  if (era >= state.restore.era) {
+    watched.outdatedEraSince = null;
+    return false;
+  }
+  announceEra(context, member);
+  watched.outdatedEraSince ??= at.monotonic;
+  const {behindMs} = state.settings.tuning.leases;
+  return at.monotonic - watched.outdatedEraSince > behindMs;
+}
+
 /**
  * Records the version of a member's configuration and returns whether it has
  * been outdated for more than `behindMs`.
--- a/packages/core/src/leases/holder.ts
+++ b/packages/core/src/leases/holder.ts
@@ -7,6 +7,7 @@
 import {timeLeftMs} from '../clock/logic.js';
 import {hostOf} from '../ids/logic.js';
 import type {MemberId} from '../ids/types.js';
+import {nextVersion} from '../log/logic.js';
 import type {ControlMessage} from '../messages/types.js';
 import {chooseGrantors} from '../membership/ring.js';
 import {callStore, log, newWriteId, send} from '../ownership/effects.js';
@@ -16,10 +17,21 @@
   ROW_RENEWAL_THRESHOLD_MS,
   partitionTimeoutMs,
 } from '../settings/lease_times.js';
-import type {Row, StoreReply} from '../store/types.js';
-import {possibleGrantors, currentLease, isUnexpired} from './logic.js';
+import {NO_ERA} from '../restore/era.js';
+import type {RowCheck, StoreReply} from '../store/types.js';
+import {
+  possibleGrantors,
+  currentLease,
+  isUnexpired,
+  storedRevision,
+} from './logic.js';
+import {
+  applyNewerOwnRow,
+  applyOwnRow,
+  rankOfRow,
+  readOwnRow,
+} from './own_row.js';
 import {MAX_FOLLOW_DELAY_MS} from './state.js';
-import {parseMemberRow} from './rows.js';
 import type {GrantorStatus, LeaseState, MemberRow, RowWrite} from './types.js';
 
 /** Maximum number of renewals without a reply that are kept. */
@@ -50,7 +62,7 @@
  */
 export function maintainLease(context: OwnershipContext): void {
   const {state, at} = context;
-  if (state.lease.revision === 0) return;
+  if (rankOfRow(state.lease) === 0) return;
   dropExpiredLeases(state, at);
   recordLeaseChange(context);
   if (state.phase === 'left' || state.phase === 'ending') return;
@@ -117,7 +129,16 @@
   write.inFlight = false;
   switch (reply.kind) {
     case 'committed':
-      applyOwnRow(context, reply.revision, write.grantors, write.sentAt);
+      applyOwnRow(
+        context,
+        {
+          revision: reply.revision,
+          era: state.restore.era,
+          writtenEra: write.era,
+        },
+        write.grantors,
+        write.sentAt,
+      );
       return;
     case 'conflict':
       if (!applyNewerOwnRow(context, reply.rows)) readOwnRow(context);
@@ -138,63 +159,6 @@
   }
 }
 
-/**
- * Handles the store's reply to a read of this member's row. If it shows no
- * newer row, the log is read, since this member may have been removed.
- *
- * @param context - Context of the current input.
- * @param reply - The reply.
- */
-export function handleOwnRowRead(
-  context: OwnershipContext,
-  reply: StoreReply,
-): void {
-  if (reply.kind !== 'rows') return;
-  if (!applyNewerOwnRow(context, reply.rows)) {
-    context.state.logReader.readNeeded = true;
-  }
-}
-
-/**
- * Adopts a newer revision of this member's row. No unresolved write can take
- * effect any more, since each is conditional on an older revision.
- *
- * @param context - Context of the current input.
- * @param revision - Revision of the row.
- * @param grantors - Grantors that the row names.
- * @param sentAt - When the write that made it was sent, or null if unknown.
- */
-export function applyOwnRow(
-  context: OwnershipContext,
-  revision: number,
-  grantors: readonly MemberId[],
-  sentAt: Instant | null,
-): void {
-  const {lease} = context.state;
-  if (revision <= lease.revision) return;
-  if (lease.revision === 0) {
-    // The checks for revocation and partition count from the first row on.
-    lease.lastGrantedAt = context.at.monotonic;
-    lease.lastReplyAt = context.at.monotonic;
-  }
-  const changed = grantors.join() !== lease.grantors.join();
-  const former = lease.grantors.filter(id => !grantors.includes(id));
-  lease.revision = revision;
-  lease.grantors = grantors;
-  lease.unresolvedWrites = [];
-  lease.rowWriteFailures = 0;
-  if (sentAt !== null) lease.rowLeaseStart = sentAt;
-  if (!changed) return;
-  lease.grantorChangePendingSince = null;
-  lease.nextRenewalAt = context.at.monotonic;
-  for (const grantor of [...lease.grantedRenewals.keys()]) {
-    if (!grantors.includes(grantor)) lease.grantedRenewals.delete(grantor);
-  }
-  const {self} = context.state;
-  for (const id of former) send(context, id, {kind: 'cleared', member: self});
-  log(context, 'grantorsChanged', {grantors: grantors.join(' ')});
-}
-
 /**
  * Drops expired leases permanently. Otherwise an expired one could look valid
  * again: after a suspend in which the monotonic clock stood still, the wall
@@ -218,6 +182,7 @@
   const {source} = currentLease(state, at);
   if (source === 'grantor') state.lease.lastGrantedAt = at.monotonic;
   const held = source !== 'none';
+  if (!held) state.restore.leaseKept = false;
   if (held === state.lease.held) return;
   state.lease.held = held;
   log(context, held ? 'leaseHeld' : 'leaseLost', {source});
@@ -240,7 +205,7 @@
       kind: 'renew',
       member: state.self,
       round,
-      row: lease.revision,
+      row: rankOfRow(lease),
       version: map.version,
       configuration: map.configuration?.number ?? 0,
     });
@@ -404,6 +369,11 @@
   const now = at.monotonic;
   if (now < lease.nextRowWriteAt || pausesRowWrites(state, now)) return;
   if (lease.unresolvedWrites.some(write => write.inFlight)) return;
+  if (lease.revisionEra < state.restore.era) {
+    lease.nextRowWriteAt = now + rowWriteIntervalMs(context);
+    readOwnRow(context);
+    return;
+  }
   const preferred = chooseOwnGrantors(state);
   const hasUnusableGrantor = lease.grantors.some(id => !isUsable(state, id));
   const grantorsDiffer = preferred.join() !== lease.grantors.join();
@@ -412,6 +382,7 @@
   if (
     replacesUnusableGrantor ||
     unresolved ||
+    lease.writtenEra < state.restore.era ||
     needsRowRenewal(state, at) ||
     isGrantorChangeDue(context, grantorsDiffer)
   ) {
@@ -490,6 +461,7 @@
     writeId: newWriteId(context),
     grantors,
     sentAt: at,
+    era: state.restore.era,
     inFlight: true,
   };
   lease.unresolvedWrites.push(write);
@@ -503,6 +475,7 @@
     address: settings.address,
     grantors,
     writeId: write.writeId,
+    ...(write.era === NO_ERA ? {} : {era: write.era}),
   };
   const key = keys.member(self);
   callStore(
@@ -512,13 +485,28 @@
       kind: 'commit',
       transaction: {
         writeId: write.writeId,
-        checks: [{key, revision: lease.revision}],
+        checks: [
+          {key, revision: storedRevision(lease)},
+          ...(lease.rowLost ? checksOfNewestEntry(state) : []),
+        ],
         puts: [{key, value: JSON.stringify(row)}],
       },
     },
   );
 }
 
+/**
+ * Returns conditions that hold only if no entry follows those that this daemon
+ * has applied. Under them a member may write its row anew that a restored store
+ * has lost: it has not been ended, and can't be without its new row.
+ */
+function checksOfNewestEntry({keys, map}: OwnershipState): RowCheck[] {
+  return [
+    {key: keys.log(map.version), revision: map.revision},
+    {key: keys.log(nextVersion(map.version)), revision: 0},
+  ];
+}
+
 /**
  * Merges the two oldest unresolved writes into one that names only the grantors
  * common to both. A grantor counts only if every unresolved write names it, so
@@ -561,46 +549,6 @@
   lease.nextRowWriteAt = Math.max(lease.nextRowWriteAt, until);
 }
 
-/**
- * Reads this member's row from the store.
- *
- * @param context - Context of the current input.
- */
-export function readOwnRow(context: OwnershipContext): void {
-  const {state} = context;
-  const key = state.keys.member(state.self);
-  callStore(
-    context,
-    {kind: 'rowRead'},
-    {kind: 'read', query: {kind: 'row', key}},
-  );
-}
-
-/**
- * Adopts this member's row if the given rows have it at a newer revision.
- *
- * @param context - Context of the current input.
- * @param rows - Rows of a reply of the store.
- * @returns Whether a newer revision was among them.
- */
-export function applyNewerOwnRow(
-  context: OwnershipContext,
-  rows: readonly Row[],
-): boolean {
-  const {state} = context;
-  const {lease} = state;
-  const key = state.keys.member(state.self);
-  const row = rows.find(each => each.key === key);
-  if (row === undefined || row.revision <= lease.revision) return false;
-  const value = parseMemberRow(context, row);
-  const own = lease.unresolvedWrites.find(
-    write => write.writeId === value?.writeId,
-  );
-  const grantors = value?.grantors ?? [];
-  applyOwnRow(context, row.revision, grantors, own?.sentAt ?? null);
-  return true;
-}
-
 function getOrAddGrantorStatus(lease: LeaseState, id: MemberId): GrantorStatus {
   let status = lease.grantorStatuses.get(id);
   if (status === undefined) {
--- a/packages/core/src/leases/logic.ts
+++ b/packages/core/src/leases/logic.ts
@@ -4,6 +4,7 @@
 import type {MemberId} from '../ids/types.js';
 import type {OwnershipState} from '../ownership/state.js';
 import {isRuleEnabled} from '../ownership/state.js';
+import {isLeaseSuspended} from '../restore/state.js';
 import type {LeaseState, CurrentLease} from './types.js';
 
 const NO_LEASE: CurrentLease = {
@@ -44,9 +45,10 @@
 
 /** Returns the lease from the latest confirmed write of the row (R8). */
 function rowLease(
-  {lease, settings}: OwnershipState,
+  {lease, settings, restore, map}: OwnershipState,
   at: Instant,
 ): CurrentLease {
+  if (isLeaseSuspended(restore, map.era, at.monotonic)) return NO_LEASE;
   const {leaseMs} = settings.tuning.leases;
   const {rowLeaseStart} = lease;
   const isValid =
@@ -57,7 +59,8 @@
 
 /** Returns the valid lease from a grantor that ends last. */
 function grantedLease(state: OwnershipState, at: Instant): CurrentLease {
-  const {lease} = state;
+  const {lease, restore, map} = state;
+  if (isLeaseSuspended(restore, map.era, at.monotonic)) return NO_LEASE;
   const {leaseMs} = state.settings.tuning.leases;
   let best = NO_LEASE;
   for (const grantor of certainGrantors(state)) {
@@ -122,6 +125,16 @@
   );
 }
 
+/**
+ * Returns the revision that this member's row has in the store.
+ *
+ * @param lease - State of the lease.
+ * @returns The revision; 0 if a restored store has lost the row.
+ */
+export function storedRevision(lease: LeaseState): number {
+  return lease.rowLost ? 0 : lease.revision;
+}
+
 function expiryOf(sent: Instant, leaseMs: number): Instant {
   return {monotonic: sent.monotonic + leaseMs, wall: sent.wall + leaseMs};
 }
--- a/packages/core/src/leases/rows.ts
+++ b/packages/core/src/leases/rows.ts
@@ -13,6 +13,7 @@
 const memberRowSchema = z.object({
   grantors: z.array(nameSchema),
   writeId: nameSchema,
+  era: z.int().min(1).optional(),
 });
 
 /**
@@ -25,7 +26,7 @@
 export function parseMemberRow(
   context: OwnershipContext,
   row: Row,
-): Pick<MemberRow, 'grantors' | 'writeId'> | null {
+): Pick<MemberRow, 'grantors' | 'writeId' | 'era'> | null {
   const parsed = parseDocument(row.value, memberRowSchema);
   if (parsed.kind === 'ok') return parsed.value as unknown as MemberRow;
   log(context, 'storedRowUnreadable', {key: row.key});
--- a/packages/core/src/leases/state.ts
+++ b/packages/core/src/leases/state.ts
@@ -1,5 +1,6 @@
 /** @fileoverview Initial lease state of holders and grantors. */
 
+import {NO_ERA} from '../restore/era.js';
 import type {LeaseState, WatchedMember} from './types.js';
 
 /**
@@ -16,6 +17,9 @@
 export function createLeaseState(): LeaseState {
   return {
     revision: 0,
+    revisionEra: NO_ERA,
+    writtenEra: NO_ERA,
+    rowLost: false,
     grantors: [],
     unresolvedWrites: [],
     rowLeaseStart: null,
@@ -48,6 +52,7 @@
     nextReportAt: 0,
     reports: 0,
     outdatedConfigurationSince: null,
+    outdatedEraSince: null,
     version: 0,
     configuration: 0,
     rowRevision: 0,
--- a/packages/core/src/leases/types.ts
+++ b/packages/core/src/leases/types.ts
@@ -13,6 +13,8 @@
   readonly address: Address;
   readonly grantors: readonly MemberId[];
   readonly writeId: WriteId;
+  /** Era of the store when it was written; absent if the store sends none. */
+  readonly era?: number;
 }
 
 /** A write of this member's row whose outcome is not known yet. */
@@ -20,9 +22,20 @@
   readonly writeId: WriteId;
   readonly grantors: readonly MemberId[];
   readonly sentAt: Instant;
+  /** Era named in the row; `NO_ERA` if the store sends none. */
+  readonly era: number;
   inFlight: boolean;
 }
 
+/** What is known of this member's row in the store. */
+export interface OwnRow {
+  readonly revision: number;
+  /** Era in which the revision was learnt. */
+  readonly era: number;
+  /** Era that the row names. */
+  readonly writtenEra: number;
+}
+
 /** Failure-detection state of one grantor or candidate. */
 export interface GrantorStatus {
   /** Monotonic time of the oldest request without a reply, or null. */
@@ -42,6 +55,12 @@
    * Revision of this member's row in the store; 0 before it joined.
    */
   revision: number;
+  /** Era of the store in which this revision was learnt. */
+  revisionEra: number;
+  /** Era named in the row; evictions go by rows of the present era only (R2). */
+  writtenEra: number;
+  /** Whether a restored store has lost the row: writes require its absence. */
+  rowLost: boolean;
   /** Grantors that the row names at this revision. */
   grantors: readonly MemberId[];
   /**
@@ -129,6 +148,11 @@
    * daemon's, or null.
    */
   outdatedConfigurationSince: number | null;
+  /**
+   * Monotonic time since which it hasn't learnt its row's revision in a restored
+   * store, or null.
+   */
+  outdatedEraSince: number | null;
   /** Log version in its last renewal. */
   version: number;
   /** Version of its configuration in its last renewal. */
--- a/packages/core/src/log/logic.ts
+++ b/packages/core/src/log/logic.ts
@@ -2,7 +2,8 @@
 
 import type {MemberId, Version, WriteId} from '../ids/types.js';
 import type {LoggedEntry} from '../messages/types.js';
-import type {Row} from '../store/types.js';
+import type {Row, RowPut} from '../store/types.js';
+import {NO_ERA} from '../restore/era.js';
 import {parseDocument} from '../validation/logic.js';
 import {entrySchema} from './schemas.js';
 import type {Change, CommittedEntry, Entry} from './types.js';
@@ -27,7 +28,8 @@
   readonly logEnd: string;
   /** Exclusive end of the range of all audit rows. */
   readonly auditEnd: string;
-  snapshotObject(version: number): string;
+  /** The era is part of the name, since versions are written anew in another. */
+  snapshotObject(version: number, era: number): string;
   log(version: number): string;
   audit(version: number): string;
   member(member: MemberId): string;
@@ -45,7 +47,10 @@
     snapshot: `${workspace}/snapshot`,
     logEnd: `${workspace}/log/${AFTER_DIGITS}`,
     auditEnd: `${workspace}/audit/${AFTER_DIGITS}`,
-    snapshotObject: version => `${workspace}/snapshot/${padVersion(version)}`,
+    snapshotObject: (version, era) => {
+      const name = `${workspace}/snapshot/${padVersion(version)}`;
+      return era === NO_ERA ? name : `${name}-${era}`;
+    },
     log: version => `${workspace}/log/${padVersion(version)}`,
     audit: version => `${workspace}/audit/${padVersion(version)}`,
     member: member => `${workspace}/members/${member}`,
@@ -73,7 +78,8 @@
   const digits = VERSION_AT_END.exec(row.key)?.[1];
   if (digits === undefined) return null;
   const version = Number(digits) as Version;
-  return {entry: parseEntry(row.value, version), revision: row.revision};
+  const entry = parseEntry(row.value, version);
+  return withText({entry, revision: row.revision}, row.value);
 }
 
 /**
@@ -84,7 +90,23 @@
  */
 export function parseLoggedEntry(logged: LoggedEntry): CommittedEntry {
   const {text, version, revision} = logged;
-  return {entry: parseEntry(text, version), revision};
+  return withText({entry: parseEntry(text, version), revision}, text);
+}
+
+/** Keeps the text if the entry alone doesn't give it byte for byte. */
+function withText(committed: CommittedEntry, text: string): CommittedEntry {
+  if (serializeEntry(committed.entry) === text) return committed;
+  return {...committed, text};
+}
+
+/**
+ * Returns the value of the log row of an entry.
+ *
+ * @param committed - The entry.
+ * @returns The text, byte for byte as it was committed.
+ */
+export function textOf(committed: CommittedEntry): string {
+  return committed.text ?? serializeEntry(committed.entry);
 }
 
 /** An entry that can't be read changes nothing. */
@@ -107,7 +129,7 @@
   return {
     version: committed.entry.version,
     revision: committed.revision,
-    text: serializeEntry(committed.entry),
+    text: textOf(committed),
   };
 }
 
@@ -134,3 +156,45 @@
 function padVersion(version: number): string {
   return String(version).padStart(VERSION_DIGITS, '0');
 }
+
+/**
+ * Returns the row that keeps an entry in the audit trail.
+ *
+ * @param keys - Keys of the rows.
+ * @param entry - The entry.
+ * @returns The row, or null if the entry isn't audited.
+ */
+export function auditRowOf(keys: StoreKeys, entry: Entry): RowPut | null {
+  if (!changesOf(entry.change).some(isAudited)) return null;
+  return {key: keys.audit(entry.version), value: serializeAuditEntry(entry)};
+}
+
+/**
+ * Returns whether the entry of a change is written to the audit trail for operators. Server
+ * offers and placement are left out: the log has them, and they are not
+ * operators' changes.
+ */
+function isAudited(change: Change): boolean {
+  switch (change.kind) {
+    case 'configured':
+    case 'zone':
+    case 'draining':
+    case 'ended':
+    case 'joined':
+    case 'combined':
+      return true;
+    case 'offered':
+    case 'withdrawn':
+    case 'placed':
+    case 'moving':
+    case 'released':
+    case 'unreadable':
+      return false;
+  }
+}
+
+function serializeAuditEntry(entry: Entry): string {
+  const {version, by, at, change} = entry;
+  const what = {...change, document: undefined};
+  return JSON.stringify({by, at, from: version - 1, to: version, what});
+}
--- a/packages/core/src/log/schemas.ts
+++ b/packages/core/src/log/schemas.ts
@@ -128,6 +128,7 @@
   by: nameSchema,
   at: z.number(),
   change: changeSchema,
+  era: z.int().min(1).optional(),
 });
 
 function hasValidPort(address: string): boolean {
--- a/packages/core/src/log/types.ts
+++ b/packages/core/src/log/types.ts
@@ -144,10 +144,14 @@
   /** Wall clock of the daemon that wrote it, in ms since the epoch. */
   readonly at: number;
   readonly change: Change;
+  /** Era of the store when it was proposed; absent if the store sends none. */
+  readonly era?: number;
 }
 
 /** A committed entry with the revision of its log row in the store. */
 export interface CommittedEntry {
   readonly entry: Entry;
   readonly revision: number;
+  /** Value of its log row; absent if it is what `serializeEntry` returns. */
+  readonly text?: string;
 }
--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -190,6 +190,26 @@
     'This daemon started or stopped watching the configuration source.',
   ),
   settingsRead: event(515, 'info', 'The settings were read again.'),
+  storeRestored: event(
+    422,
+    'warn',
+    'The store was restored to an older copy; entries are compared with its log.',
+  ),
+  entriesPutBack: event(
+    423,
+    'warn',
+    'Entries that a restored store had lost were written back.',
+  ),
+  logContradicts: event(
+    424,
+    'error',
+    "The log of a restored store contradicts this member's entries; it joins again.",
+  ),
+  restoreSettled: event(
+    425,
+    'info',
+    'Entries are appended again after a restore of the store.',
+  ),
   sourceRestored: event(
     604,
     'warn',
--- a/packages/core/src/log_replication/reader.ts
+++ b/packages/core/src/log_replication/reader.ts
@@ -15,6 +15,7 @@
 import {callStore, log, send} from '../ownership/effects.js';
 import type {OwnershipContext, OwnershipState} from '../ownership/state.js';
 import {currentRing} from '../ownership/state.js';
+import {acceptsFromPeer} from '../restore/logic.js';
 import type {StoreReply} from '../store/types.js';
 
 /**
@@ -156,7 +157,12 @@
   const {state} = context;
   for (const logged of message.entries) {
     if (logged.version !== nextVersion(state.map.version)) continue;
-    apply(parseLoggedEntry(logged));
+    const committed = parseLoggedEntry(logged);
+    if (!acceptsFromPeer(context, committed.entry)) {
+      state.logReader.readNeeded = true;
+      return;
+    }
+    apply(committed);
   }
   if (message.version <= state.map.version) {
     state.logReader.upToDateAt = context.at.monotonic;
--- a/packages/core/src/log_replication/writer.ts
+++ b/packages/core/src/log_replication/writer.ts
@@ -6,6 +6,7 @@
 
 import type {WriteId} from '../ids/types.js';
 import {
+  auditRowOf,
   changesOf,
   nextVersion,
   parseLogRow,
@@ -19,6 +20,7 @@
   OwnershipState,
   ProposedChange,
 } from '../ownership/state.js';
+import {NO_ERA} from '../restore/era.js';
 import type {
   RowCheck,
   RowPut,
@@ -49,12 +51,14 @@
 ): WriteId {
   const {state, at} = context;
   const writeId = newWriteId(context);
+  const {era} = state.restore;
   const entry: Entry = {
     version: nextVersion(state.map.version),
     writeId,
     by: proposed.by,
     at: at.wall,
     change: proposed.change,
+    ...(era === NO_ERA ? {} : {era}),
   };
   state.logWriter.append = {
     entry,
@@ -251,10 +255,8 @@
   for (const change of changesOf(entry.change)) {
     addRowsOfChange(state, entry, change, checks, puts);
   }
-  if (changesOf(entry.change).some(isAudited)) {
-    const key = keys.audit(entry.version);
-    puts.push({key, value: serializeAuditEntry(entry)});
-  }
+  const audited = auditRowOf(keys, entry);
+  if (audited !== null) puts.push(audited);
   return {writeId: entry.writeId, checks, puts};
 }
 
@@ -289,35 +291,6 @@
     address: change.address,
     grantors: change.grantors ?? [],
     writeId: entry.writeId,
+    ...(entry.era === undefined ? {} : {era: entry.era}),
   };
 }
-
-/**
- * Returns whether the entry of a change is written to the audit trail for operators. Server
- * offers and placement are left out: the log has them, and they are not
- * operators' changes.
- */
-function isAudited(change: Change): boolean {
-  switch (change.kind) {
-    case 'configured':
-    case 'zone':
-    case 'draining':
-    case 'ended':
-    case 'joined':
-    case 'combined':
-      return true;
-    case 'offered':
-    case 'withdrawn':
-    case 'placed':
-    case 'moving':
-    case 'released':
-    case 'unreadable':
-      return false;
-  }
-}
-
-function serializeAuditEntry(entry: Entry): string {
-  const {version, by, at, change} = entry;
-  const what = {...change, document: undefined};
-  return JSON.stringify({by, at, from: version - 1, to: version, what});
-}
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -4,6 +4,7 @@
 import type {MemberId, ServiceName, Slice, ZoneName} from '../ids/types.js';
 import type {Change, CommittedEntry} from '../log/types.js';
 import type {ExternalConfiguration} from '../loop/types.js';
+import {NO_ERA} from '../restore/era.js';
 import type {Workspace} from '../workspace/types.js';
 import {
   NO_MEMBER,
@@ -20,6 +21,12 @@
   ServicePlacement,
 } from './types.js';
 
+/**
+ * Generations by which a slice rises with an era: more than entries issue in the
+ * seconds that a restore may lose, and 4,096 eras fit into 32 bits.
+ */
+const GENERATIONS_PER_ERA = 2 ** 20;
+
 /**
  * Applies the entry that follows the map's version.
  *
@@ -32,6 +39,8 @@
   committed: CommittedEntry,
   now: number,
 ): void {
+  const {era = NO_ERA} = committed.entry;
+  if (era > map.era) raiseGenerations(map, era);
   applyChange(map, committed.entry.change, now);
   map.version = committed.entry.version;
   map.revision = committed.revision;
@@ -197,6 +206,19 @@
   service.handovers.delete(slice);
 }
 
+/**
+ * Raises all generations at the first entry of an era, above those that entries
+ * may have issued which the restored store has lost.
+ */
+function raiseGenerations(map: ClusterMap, era: number): void {
+  map.era = era;
+  for (const {generation} of map.services.values()) {
+    for (let slice = 0; slice < generation.length; slice++) {
+      generation[slice] += GENERATIONS_PER_ERA;
+    }
+  }
+}
+
 /**
  * Gives a predecessor's slices, standby roles and move targets to its successor
  * on the host. The lease isn't taken over.
--- a/packages/core/src/map/state.ts
+++ b/packages/core/src/map/state.ts
@@ -10,6 +10,7 @@
   ServiceName,
   Slice,
 } from '../ids/types.js';
+import {NO_ERA} from '../restore/era.js';
 import type {ClusterMap, Member, ServicePlacement} from './types.js';
 
 /** Index that means "none" in the placement arrays. */
@@ -34,6 +35,7 @@
   return {
     version: NO_VERSION,
     revision: 0,
+    era: NO_ERA,
     members: new Map(),
     membersByIndex: [],
     services: new Map(),
--- a/packages/core/src/map/types.ts
+++ b/packages/core/src/map/types.ts
@@ -88,6 +88,8 @@
   version: Version;
   /** Revision in the store of the log row of the latest entry. */
   revision: number;
+  /** Highest era of an entry; `NO_ERA` in a store without eras. */
+  era: number;
   readonly members: Map<MemberId, Member>;
   /** Members by their index; null where an index is free. */
   readonly membersByIndex: Array<Member | null>;
--- a/packages/core/src/membership/evictions.ts
+++ b/packages/core/src/membership/evictions.ts
@@ -15,6 +15,7 @@
   ProposedChange,
 } from '../ownership/state.js';
 import {isRuleEnabled} from '../ownership/state.js';
+import {NO_ERA, rankRevision} from '../restore/era.js';
 import {MAX_TRANSACTION_ENTRIES} from '../store/types.js';
 import type {Row, StoreReply} from '../store/types.js';
 import type {Eviction, KnownRow, ReportedRevision} from './types.js';
@@ -123,8 +124,9 @@
   if (reply.kind !== 'rows') return;
   const row = reply.rows.find(each => each.key === state.keys.member(member));
   if (row === undefined || row.revision === 0) {
-    state.evictions.delete(member);
     state.logReader.readNeeded = true;
+    if (state.restore.era === NO_ERA) state.evictions.delete(member);
+    else recordLostRow(context, eviction);
     return;
   }
   if (row.revision !== eviction.row?.revision) {
@@ -223,11 +225,41 @@
   if (!isRuleEnabled(state, 'R2')) {
     return row.grantors.some(id => eviction.revokedBy.has(id));
   }
-  return row.grantors.every(id =>
+  return grantorsToRevoke(state, eviction).every(id =>
     cannotHaveValidLease(state, eviction, id, now, waitMs),
   );
 }
 
+/**
+ * Lists the members that may have granted the lease: those that the row names;
+ * all others, and those ended lately, if the row may be older than the member's
+ * last one.
+ */
+function grantorsToRevoke(
+  {map}: OwnershipState,
+  {row, member}: Eviction,
+): readonly MemberId[] {
+  if (row === null) return [];
+  if (row.namesGrantors) return row.grantors;
+  const others = [...map.members.keys(), ...map.ended.keys()];
+  return others.filter(id => id !== member);
+}
+
+/**
+ * Records that a restored store has no row of a member that the map lists. A row
+ * that the member writes anew makes the eviction conflict.
+ */
+function recordLostRow(context: OwnershipContext, eviction: Eviction): void {
+  if (eviction.row?.revision === 0) return;
+  eviction.row = {
+    revision: 0,
+    rank: 0,
+    namesGrantors: false,
+    grantors: [],
+    revisionSeenAt: context.at.monotonic,
+  };
+}
+
 /**
  * Returns whether no lease from this grantor can be valid any more: it has
  * revoked the member, or it was itself removed long enough ago.
@@ -260,7 +292,7 @@
   const known = eviction.reportedRevisions.get(reported.row) ?? since;
   eviction.reportedRevisions.set(reported.row, Math.min(known, since));
   const {row} = eviction;
-  if (row === null || row.revision !== reported.row) return;
+  if (row === null || row.rank !== reported.row) return;
   eviction.row = {...row, revisionSeenAt: Math.min(row.revisionSeenAt, since)};
 }
 
@@ -281,9 +313,13 @@
     return;
   }
   const {grantors} = value;
-  const revisionSeenAt = eviction.reportedRevisions.get(row.revision) ?? now;
+  const {era} = context.state.restore;
+  const rank = rankRevision(era, row.revision);
+  const revisionSeenAt = eviction.reportedRevisions.get(rank) ?? now;
   eviction.row = {
     revision: row.revision,
+    rank,
+    namesGrantors: (value.era ?? NO_ERA) === era,
     grantors,
     revisionSeenAt,
   };
@@ -313,7 +349,7 @@
   const {state, at} = context;
   if (eviction.row === null || eviction.confirmedBy !== null) return;
   if (!isRevocationDue(state, eviction.row, at.monotonic)) return;
-  for (const grantor of eviction.row.grantors) {
+  for (const grantor of grantorsToRevoke(state, eviction)) {
     if (eviction.revokedBy.has(grantor)) continue;
     if (grantor === state.self) {
       if (revokeMember(state, eviction.member, at.monotonic)) {
--- a/packages/core/src/membership/types.ts
+++ b/packages/core/src/membership/types.ts
@@ -4,7 +4,16 @@
 
 /** The newest revision of a member's row that this daemon has read. */
 export interface KnownRow {
+  /** 0 if a restored store has lost the row. */
   readonly revision: number;
+  /** Revision and era, comparable with those of reports. */
+  readonly rank: number;
+  /**
+   * Whether the row was written in the present era, or the store has none. A row
+   * of an earlier era may be older than the member's last one, so that any
+   * member may be a grantor.
+   */
+  readonly namesGrantors: boolean;
   readonly grantors: readonly MemberId[];
   /**
    * Earliest monotonic time at which this revision is known to have existed.
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -34,13 +34,15 @@
 import {
   recordReply,
   recordHeard,
+  handleRenewed,
+  handleOwnRowWritten,
+} from '../leases/holder.js';
+import {
   readOwnRow,
   applyOwnRow,
   applyNewerOwnRow,
-  handleRenewed,
   handleOwnRowRead,
-  handleOwnRowWritten,
-} from '../leases/holder.js';
+} from '../leases/own_row.js';
 import {createLeaseState} from '../leases/state.js';
 import type {Change, CommittedEntry} from '../log/types.js';
 import type {Subsystem} from '../loop/subsystem.js';
@@ -62,11 +64,12 @@
 import type {CallId} from '../ids/types.js';
 import {
   handleLoadPointerReply,
-  handlePointSnapshotReply,
-  handleSnapshotPointerReply,
   handleLoadSnapshotReply,
-  handleStoreSnapshotReply,
+  handleSnapshotReply,
 } from '../snapshots/storage.js';
+import {NO_ERA} from '../restore/era.js';
+import {handleRestoreReply, isComparing} from '../restore/logic.js';
+import {giveUpContradictedMap, replyOfEra} from '../restore/replies.js';
 import type {Row, StoreReply} from '../store/types.js';
 import {completeCommand, handleCommand} from './commands.js';
 import {runDueTasks} from './due_tasks.js';
@@ -98,6 +101,7 @@
   handleEvent(context, input.event);
   if (input.event.kind === 'ticked' || state.runTasksNow) {
     state.runTasksNow = false;
+    if (giveUpContradictedMap(context)) handleOwnRemoval(context);
     runDueTasks(context);
     checkInvariants(context);
   }
@@ -270,12 +274,14 @@
 function handleStoreReply(
   context: OwnershipContext,
   call: CallId,
-  reply: StoreReply,
+  received: StoreReply,
 ): void {
   const {state} = context;
   const pending = state.pendingCalls.get(call);
   if (pending === undefined) return;
   state.pendingCalls.delete(call);
+  const reply = replyOfEra(context, pending.purpose, received);
+  if (reply === null) return;
   state.storeReachable = reply.kind !== 'refused' && reply.kind !== 'unknown';
   const {purpose} = pending;
   const isCurrentIncarnation = pending.issuedBy === state.self;
@@ -301,6 +307,10 @@
       handleTailReply(context, reply, each => apply(context, each));
       dropConflictedAppend(context);
       return;
+    case 'compareLog':
+    case 'restoreEntries':
+      handleRestoreReply(context, purpose, reply);
+      return;
     case 'loadSnapshot':
       handleLoadedSnapshot(context, reply);
       return;
@@ -308,13 +318,9 @@
       handleLoadPointerReply(context, reply);
       return;
     case 'snapshotPointer':
-      handleSnapshotPointerReply(context, reply);
-      return;
     case 'storeSnapshot':
-      handleStoreSnapshotReply(context, purpose.version, reply);
-      return;
     case 'pointSnapshot':
-      handlePointSnapshotReply(context, purpose.pointer, reply);
+      handleSnapshotReply(context, purpose, reply);
       return;
     case 'evictionRead':
       handleEvictionRow(context, purpose.member, reply);
@@ -368,6 +374,7 @@
 function apply(context: OwnershipContext, committed: CommittedEntry): void {
   const {state, at} = context;
   const {entry} = committed;
+  if (isComparing(context)) return;
   if (entry.version !== state.map.version + 1) return;
   applyEntry(state.map, committed, at.monotonic);
   retainEntry(state, committed);
@@ -396,7 +403,15 @@
     // A member that committed the entry for this one was asked before it did.
     const {joinRequestedAt} = state.proposals;
     const sentAt = isOwn ? (append?.firstSentAt ?? null) : joinRequestedAt;
-    applyOwnRow(context, committed.revision, change.grantors ?? [], sentAt);
+    const {era = NO_ERA} = committed.entry;
+    // A restored store has lost the row of an entry that was put back (R8).
+    const isCurrent = era === state.restore.era;
+    applyOwnRow(
+      context,
+      {revision: committed.revision, era, writtenEra: era},
+      change.grantors ?? [],
+      isCurrent ? sentAt : null,
+    );
     state.lease.nextRenewalAt = at.monotonic;
     log(context, 'memberJoined', {member: state.self});
   }
--- a/packages/core/src/ownership/due_tasks.ts
+++ b/packages/core/src/ownership/due_tasks.ts
@@ -17,7 +17,8 @@
   maintainLease,
   mayOfferServer,
 } from '../leases/holder.js';
-import {currentLease} from '../leases/logic.js';
+import {advanceRestoration, isComparing, mayAppend} from '../restore/logic.js';
+import {currentLease, storedRevision} from '../leases/logic.js';
 import {reportSilentMembers, updateWatchedMembers} from '../leases/grantor.js';
 import {acceptsWork} from '../map/logic.js';
 import {
@@ -76,7 +77,8 @@
 export function runDueTasks(context: OwnershipContext): void {
   const {state} = context;
   if (state.phase === 'left') return;
-  readLogIfDue(context);
+  advanceRestoration(context);
+  if (!isComparing(context)) readLogIfDue(context);
   requestConfigurationIfDue(context);
   confirmConfiguration(context);
   retryAppendIfDue(context);
@@ -99,7 +101,9 @@
     reportLoad(context);
     updateCoordinatorRole(context);
     removeSelfIfDue(context);
-    if (state.actsAsCoordinator) storeSnapshotIfDue(context);
+    if (state.actsAsCoordinator && state.restore.pending === null) {
+      storeSnapshotIfDue(context);
+    }
   }
   appendNext(context);
 }
@@ -109,6 +113,7 @@
   const {logWriter, logReader} = state;
   if (logWriter.append !== null || at.monotonic < logWriter.notBefore) return;
   if (!logReader.caughtUp || logReader.inFlight || logReader.readNeeded) return;
+  if (!mayAppend(context)) return;
   const proposal = proposeNext(context);
   if (proposal === null) return;
   if (requestCommit(context, proposal)) return;
@@ -123,6 +128,7 @@
   if (state.phase === 'joining') return proposeJoin(context);
   if (state.phase === 'ending') return proposeOwnRemoval(context);
   return (
+    proposeFirstOfEra(state) ??
     proposeEvictions(context) ??
     proposeOperatorChange(context) ??
     proposeReceived(context) ??
@@ -149,7 +155,8 @@
     };
   }
   const {soleProcess} = state.settings.tuning.membership;
-  const replaces = soleProcess ? predecessor : null;
+  const isOwn = predecessor !== null && state.formerIds.has(predecessor);
+  const replaces = soleProcess || isOwn ? predecessor : null;
   const member = state.self;
   return {
     change: {kind: 'joined', member, zone, address, operators, replaces},
@@ -157,6 +164,17 @@
   };
 }
 
+/**
+ * Proposes an entry without a change as the first one after a restore, if this
+ * member is the coordinator. It raises all generations, and whoever is paused
+ * with a write that is conditional on an earlier entry can't append any more.
+ */
+function proposeFirstOfEra(state: OwnershipState): ProposedChange | null {
+  const {map, restore, actsAsCoordinator, self} = state;
+  if (!actsAsCoordinator || map.era >= restore.era) return null;
+  return {change: {kind: 'combined', changes: []}, by: self};
+}
+
 /** Returns another member on this host: an earlier process or incarnation. */
 function predecessorOf(state: OwnershipState): MemberId | null {
   for (const id of state.map.members.keys()) {
@@ -179,7 +197,7 @@
   return {
     change: {kind: 'ended', members: [self]},
     by: self,
-    removals: [{member: self, revision: lease.revision}],
+    removals: [{member: self, revision: storedRevision(lease)}],
   };
 }
 
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -47,6 +47,8 @@
 import type {Eviction} from '../membership/types.js';
 import {createProposals} from '../proposals/state.js';
 import type {Proposals} from '../proposals/types.js';
+import {createRestoreState} from '../restore/state.js';
+import type {RestoreState} from '../restore/types.js';
 import type {Tuning} from '../settings/defaults.js';
 import {createSnapshotWriter} from '../snapshots/state.js';
 import type {SnapshotPointer, SnapshotWriter} from '../snapshots/types.js';
@@ -120,6 +122,9 @@
  * - `append`: appends a log entry.
  * - `rowWrite`, `rowRead`: write or read this member's row.
  * - `tail`: reads log entries after the version of the map.
+ * - `compareLog`: reads the log of a restored store from entries on that were
+ *   applied.
+ * - `restoreEntries`: writes entries that a restored store has lost.
  * - `loadPointer`, `loadSnapshot`: read the snapshot pointer, then the
  *   snapshot, to replace the map by it.
  * - `snapshotPointer`, `storeSnapshot`, `pointSnapshot`: read the pointer,
@@ -132,6 +137,8 @@
   | {readonly kind: 'rowWrite'; readonly write: RowWrite}
   | {readonly kind: 'rowRead'}
   | {readonly kind: 'tail'}
+  | {readonly kind: 'compareLog'; readonly sentAt: number}
+  | {readonly kind: 'restoreEntries'; readonly version: Version}
   | {readonly kind: 'loadSnapshot'}
   | {readonly kind: 'loadPointer'}
   | {readonly kind: 'snapshotPointer'}
@@ -281,6 +288,9 @@
   readonly balance: Balance;
   readonly proposals: Proposals;
   readonly sourceWatch: SourceWatch;
+  readonly restore: RestoreState;
+  /** Ids that this process gave up since the store's log contradicted it. */
+  readonly formerIds: Set<MemberId>;
 }
 
 /** Context in which the reducer handles one input. */
@@ -357,6 +367,8 @@
     balance: createBalance(),
     proposals: createProposals(),
     sourceWatch: createSourceWatch(),
+    restore: createRestoreState(),
+    formerIds: new Set(),
   };
 }
 
--- a/packages/core/src/snapshots/logic.ts
+++ b/packages/core/src/snapshots/logic.ts
@@ -4,6 +4,7 @@
 import {parseConfiguration} from '../map/logic.js';
 import {createMap} from '../map/state.js';
 import type {ClusterMap, ServicePlacement} from '../map/types.js';
+import {NO_ERA} from '../restore/era.js';
 import {parseDocument} from '../validation/logic.js';
 import {mapSnapshotSchema} from './schemas.js';
 import type {MapSnapshot, ServiceSnapshot} from './types.js';
@@ -19,6 +20,7 @@
   const snapshot: MapSnapshot = {
     version: map.version,
     revision: map.revision,
+    ...(map.era === NO_ERA ? {} : {era: map.era}),
     members: [...map.members.values()],
     ended: [...map.ended.keys()],
     departures: [...map.departures],
@@ -46,6 +48,7 @@
   const map = createMap();
   map.version = snapshot.version;
   map.revision = snapshot.revision;
+  map.era = snapshot.era ?? NO_ERA;
   for (const member of snapshot.members) {
     while (map.membersByIndex.length <= member.index) {
       map.membersByIndex.push(null);
--- a/packages/core/src/snapshots/schemas.ts
+++ b/packages/core/src/snapshots/schemas.ts
@@ -45,6 +45,7 @@
 export const mapSnapshotSchema = z.looseObject({
   version: z.int().min(0),
   revision: z.number(),
+  era: z.int().min(1).optional(),
   members: z.array(memberSchema),
   ended: z.array(nameSchema),
   departures: z.array(z.tuple([nameSchema, nameSchema])).optional(),
--- a/packages/core/src/snapshots/state.ts
+++ b/packages/core/src/snapshots/state.ts
@@ -8,5 +8,12 @@
  * @returns The state.
  */
 export function createSnapshotWriter(): SnapshotWriter {
-  return {version: 0, revision: 0, trimmedTo: 1, busy: false, notBefore: 0};
+  return {
+    version: 0,
+    revision: 0,
+    trimmedTo: 1,
+    busy: false,
+    forced: false,
+    notBefore: 0,
+  };
 }
--- a/packages/core/src/snapshots/storage.ts
+++ b/packages/core/src/snapshots/storage.ts
@@ -4,7 +4,7 @@
 import {scheduleReadRetry} from '../log_replication/reader.js';
 import {callStore, log, newWriteId} from '../ownership/effects.js';
 import {checkGenerations} from '../ownership/invariants.js';
-import type {OwnershipContext} from '../ownership/state.js';
+import type {CallPurpose, OwnershipContext} from '../ownership/state.js';
 import {MAX_TRANSACTION_ENTRIES} from '../store/types.js';
 import type {RowPut, Row, StoreReply} from '../store/types.js';
 import {parseDocument} from '../validation/logic.js';
@@ -37,7 +37,8 @@
   const {snapshots, map} = state;
   if (snapshots.busy || at.monotonic < snapshots.notBefore) return;
   const {snapshotEntries} = state.settings.tuning.log;
-  if (map.version - snapshots.version < snapshotEntries) return;
+  const isDue = map.version - snapshots.version >= snapshotEntries;
+  if (!isDue && !snapshots.forced) return;
   snapshots.busy = true;
   snapshots.notBefore = at.monotonic + MIN_STORE_INTERVAL_MS;
   const {keys} = state;
@@ -48,6 +49,34 @@
   );
 }
 
+/**
+ * Handles the reply to a step of storing a snapshot.
+ *
+ * @param context - Context of the current input.
+ * @param purpose - The step.
+ * @param reply - The store's reply.
+ */
+export function handleSnapshotReply(
+  context: OwnershipContext,
+  purpose: Extract<
+    CallPurpose,
+    {kind: 'snapshotPointer' | 'storeSnapshot' | 'pointSnapshot'}
+  >,
+  reply: StoreReply,
+): void {
+  switch (purpose.kind) {
+    case 'snapshotPointer':
+      handleSnapshotPointerReply(context, reply);
+      return;
+    case 'storeSnapshot':
+      handleStoreSnapshotReply(context, purpose.version, reply);
+      return;
+    case 'pointSnapshot':
+      handlePointSnapshotReply(context, purpose.pointer, reply);
+      return;
+  }
+}
+
 /**
  * Second step of storing a snapshot: stores the object, unless the pointer row
  * shows that another daemon has stored a recent one.
@@ -55,7 +84,7 @@
  * @param context - Context of the current input.
  * @param reply - Reply with the pointer row.
  */
-export function handleSnapshotPointerReply(
+function handleSnapshotPointerReply(
   context: OwnershipContext,
   reply: StoreReply,
 ): void {
@@ -67,7 +96,8 @@
   }
   recordPointer(context, reply.rows);
   const {snapshotEntries} = state.settings.tuning.log;
-  if (map.version - snapshots.version < snapshotEntries) {
+  const isDue = map.version - snapshots.version >= snapshotEntries;
+  if (!isDue && !snapshots.forced) {
     snapshots.busy = false;
     return;
   }
@@ -77,7 +107,7 @@
     {kind: 'storeSnapshot', version},
     {
       kind: 'putObject',
-      name: state.keys.snapshotObject(version),
+      name: state.keys.snapshotObject(version, map.era),
       body: serializeMap(map),
     },
   );
@@ -93,13 +123,14 @@
  * @param version - Version of the snapshot.
  * @param reply - Reply to storing the object.
  */
-export function handleStoreSnapshotReply(
+function handleStoreSnapshotReply(
   context: OwnershipContext,
   version: Version,
   reply: StoreReply,
 ): void {
   const {state} = context;
   const {snapshots, keys} = state;
+  const {era} = state.map;
   if (reply.kind !== 'stored') {
     snapshots.busy = false;
     return;
@@ -109,7 +140,7 @@
   const end = Math.min(version - kept, trimmedTo + MAX_TRIMMED_ROWS);
   const pointer: SnapshotPointer = {
     version,
-    object: keys.snapshotObject(version),
+    object: keys.snapshotObject(version, era),
     trimmedTo: Math.max(trimmedTo, end),
   };
   const puts: RowPut[] = [{key: keys.snapshot, value: JSON.stringify(pointer)}];
@@ -137,7 +168,7 @@
  * @param pointer - The pointer.
  * @param reply - Reply to the write.
  */
-export function handlePointSnapshotReply(
+function handlePointSnapshotReply(
   context: OwnershipContext,
   pointer: SnapshotPointer,
   reply: StoreReply,
@@ -148,6 +179,7 @@
   snapshots.version = pointer.version;
   snapshots.trimmedTo = pointer.trimmedTo;
   snapshots.revision = reply.revision;
+  snapshots.forced = false;
   log(context, 'snapshotStored', {version: pointer.version});
 }
 
@@ -208,7 +240,10 @@
   logReader.readNeeded = true;
   const loaded = parseMap(reply.body, at.monotonic);
   if (loaded === null) {
-    const key = state.keys.snapshotObject(state.snapshots.version);
+    const key = state.keys.snapshotObject(
+      state.snapshots.version,
+      state.map.era,
+    );
     log(context, 'storedRowUnreadable', {key});
     scheduleReadRetry(context);
     return false;
--- a/packages/core/src/snapshots/types.ts
+++ b/packages/core/src/snapshots/types.ts
@@ -28,6 +28,8 @@
   readonly version: Version;
   /** Revision of the log row of that version. */
   readonly revision: number;
+  /** Highest era of an entry; absent if the store sends none. */
+  readonly era?: number;
   readonly members: readonly Member[];
   /** Removed members. */
   readonly ended: readonly MemberId[];
@@ -68,6 +70,11 @@
   trimmedTo: number;
   /** True while a snapshot is being stored. */
   busy: boolean;
+  /**
+   * Whether to store one although there is a recent one: a restored store may
+   * have lost its object.
+   */
+  forced: boolean;
   /** Monotonic time before which no snapshot is stored. */
   notBefore: number;
 }
--- a/packages/core/src/store/types.ts
+++ b/packages/core/src/store/types.ts
@@ -60,8 +60,14 @@
   | {readonly kind: 'getObject'; readonly name: string}
   | {readonly kind: 'putObject'; readonly name: string; readonly body: string};
 
-/** The store's reply to a call. */
-export type StoreReply =
+/** The store's reply to a call, with the era of the store if it sent one. */
+export type StoreReply = StoreOutcome & {
+  /** Counted from 1; absent without the header `Store-Era`. */
+  readonly era?: number;
+};
+
+/** What came of a call to the store. */
+export type StoreOutcome =
   /** `revision` is the new revision of every row that was written. */
   | {readonly kind: 'committed'; readonly revision: number}
   /** A condition did not hold, and nothing was written. */
--- a/packages/daemon/src/metrics/gauges.ts
+++ b/packages/daemon/src/metrics/gauges.ts
@@ -78,6 +78,11 @@
       help: 'Log version that this daemon has applied.',
       value: ownership.map.version,
     },
+    {
+      name: 'store_era',
+      help: 'Era of the store, counted from 1; it rises when the store is restored. 0 if it sends none.',
+      value: ownership.restore.era,
+    },
     {
       name: 'configuration_version',
       help: 'Version of the configuration in force; 0 for none.',
--- a/packages/daemon/src/store_client/logic.ts
+++ b/packages/daemon/src/store_client/logic.ts
@@ -5,6 +5,7 @@
  */
 
 import type {StoreCall, StoreReply} from '@jackdawfall/core';
+import {NO_ERA, parseEra} from '@jackdawfall/core';
 import {z} from 'zod';
 
 import type {Store} from '../adapters/types.js';
@@ -55,7 +56,9 @@
         httpRequest,
         timeoutMs,
       );
-      return toStoreReply(call, response.status, response.text);
+      const reply = toStoreReply(call, response.status, response.text);
+      const era = parseEra(response.headers['store-era']);
+      return era === NO_ERA ? reply : {...reply, era};
     } catch (error) {
       this.addressIndex++;
       return replyFromError(error);
--- a/packages/emulator/src/soak/actions.ts
+++ b/packages/emulator/src/soak/actions.ts
@@ -62,6 +62,24 @@
   {weight: 2, arbitrary: of('server', {host: HOST, up: BOOLEAN})},
 );
 
+/** Age of the copy to which the store is restored. */
+const COPY_AGE_MS = fc.integer({min: 0, max: 6000});
+const OUTAGE_MS = fc.integer({min: 10, max: 2000});
+
+const RESTORE: fc.Arbitrary<Action> = of('restoreStore', {
+  ageMs: COPY_AGE_MS,
+  ms: OUTAGE_MS,
+});
+
+/** Generates an action, among them restores of the store, and the time after. */
+export const STEP_WITH_RESTORES: fc.Arbitrary<Step> = fc.record({
+  action: fc.oneof(
+    {weight: 12, arbitrary: ACTION},
+    {weight: 1, arbitrary: RESTORE},
+  ),
+  ms: SHORT_MS,
+});
+
 /** Generates an action and the time after it. */
 export const STEP: fc.Arbitrary<Step> = fc.record({
   action: ACTION,
--- a/packages/emulator/src/soak/cluster.ts
+++ b/packages/emulator/src/soak/cluster.ts
@@ -212,6 +212,18 @@
     this.storeFaults.setMode(mode, this.now + ms);
   }
 
+  /**
+   * Restores the store to an older copy, and lets it refuse calls meanwhile.
+   *
+   * @param ageMs - Minimum age of the copy.
+   * @param ms - Duration of the outage before its return.
+   */
+  restoreStore(ageMs: number, ms: number): void {
+    this.store.restore(this.now, ageMs);
+    this.checks.recordRestore();
+    this.setStoreMode({kind: 'down'}, ms);
+  }
+
   /**
    * Partitions one host from the store for a time.
    *
@@ -577,7 +589,7 @@
     plan: StoreCallPlan,
     deliverReply: (reply: StoreReply) => void,
   ): void {
-    const reply = plan.instead ?? this.store.execute(request);
+    const reply = plan.instead ?? this.store.execute(request, this.now);
     if (plan.replyLost) return;
     this.queue.add(this.now + plan.replyMs, () => deliverReply(reply));
   }
--- a/packages/emulator/src/soak/fake_store.ts
+++ b/packages/emulator/src/soak/fake_store.ts
@@ -9,9 +9,23 @@
   Transaction,
 } from '@jackdawfall/core';
 
+/** The rows after a transaction, with the time at which it was made. */
+interface Copy {
+  readonly at: number;
+  readonly rows: ReadonlyMap<string, Row>;
+  readonly revision: number;
+}
+
+/** Time for which copies are kept, in milliseconds. */
+const MAX_COPY_AGE_MS = 10_000;
+
 /** Rows and objects in memory. */
 export class FakeStore {
-  private readonly rows = new Map<string, Row>();
+  private rows = new Map<string, Row>();
+  /** Copies to which the store may be restored, the oldest first. */
+  private copies: Copy[] = [];
+  /** Era that replies name; null if they name none and no copies are kept. */
+  private era: number | null = null;
   private readonly objects = new Map<string, string>();
   private revision = 0;
   reads = 0;
@@ -22,9 +36,50 @@
    * Executes a call immediately.
    *
    * @param call - The call.
+   * @param now - Simulated time, in milliseconds.
    * @returns The reply.
    */
-  execute(call: StoreCall): StoreReply {
+  execute(call: StoreCall, now = 0): StoreReply {
+    const reply = this.executeCall(call);
+    if (this.era === null) return reply;
+    if (reply.kind === 'committed') this.keepCopy(now);
+    return {...reply, era: this.era};
+  }
+
+  /** Has replies name the era, and keeps copies from now on. */
+  startEras(): void {
+    this.era ??= 1;
+    this.keepCopy(0);
+  }
+
+  /**
+   * Restores the rows to the latest copy that is old enough; revisions go back
+   * with it. Objects stay.
+   *
+   * @param now - Simulated time, in milliseconds.
+   * @param ageMs - Minimum age of the copy.
+   */
+  restore(now: number, ageMs: number): void {
+    if (this.era === null) return;
+    const copy = this.copies.findLast(({at}) => at <= now - ageMs);
+    if (copy === undefined) return;
+    this.era += 1;
+    this.rows = new Map(copy.rows);
+    this.revision = copy.revision;
+    this.copies = [];
+    this.keepCopy(now);
+  }
+
+  private keepCopy(at: number): void {
+    const {rows, revision} = this;
+    this.copies.push({at, rows: new Map(rows), revision});
+    const oldest = this.copies.findLastIndex(
+      copy => copy.at <= at - MAX_COPY_AGE_MS,
+    );
+    if (oldest > 0) this.copies.splice(0, oldest);
+  }
+
+  private executeCall(call: StoreCall): StoreReply {
     switch (call.kind) {
       case 'commit':
         this.writes += 1;
--- a/packages/emulator/src/soak/invariants.ts
+++ b/packages/emulator/src/soak/invariants.ts
@@ -22,6 +22,10 @@
   private acknowledgedConfiguration = 0;
   private readonly configurations = new Map<SimulatedNode, number>();
 
+  /** Incarnation under which each version was seen. */
+  private readonly incarnations = new Map<SimulatedNode, string>();
+  private restored = false;
+
   constructor(private readonly slices: number) {
     this.generations = new Array<number>(slices).fill(0);
   }
@@ -152,8 +156,22 @@
     }
   }
 
+  /**
+   * Records that the store was restored. A process that the restored log
+   * contradicts joins again with the map that the log gives.
+   */
+  recordRestore(): void {
+    this.restored = true;
+  }
+
   private checkMonotone(now: number, node: SimulatedNode): void {
     const {version, configuration} = node.state.map;
+    const rejoined = this.incarnations.get(node) !== node.self;
+    this.incarnations.set(node, node.self);
+    if (this.restored && rejoined) {
+      this.versions.delete(node);
+      this.configurations.delete(node);
+    }
     if (version < (this.versions.get(node) ?? 0)) {
       this.reportViolation(now, 'versions-rise', node.self);
     }
--- a/packages/emulator/src/soak/main.ts
+++ b/packages/emulator/src/soak/main.ts
@@ -20,6 +20,11 @@
     describe: 'Number of steps',
   })
   .option('off', {choices: RULES, describe: 'Rule to disable'})
+  .option('restores', {
+    type: 'boolean',
+    default: false,
+    describe: 'Whether the store is restored to older copies',
+  })
   .strict()
   .parseSync();
 
@@ -27,6 +32,7 @@
   seed: options.seed,
   steps: options.steps,
   rulesOff: new Set(options.off === undefined ? [] : [options.off]),
+  restores: options.restores,
   shrink: true,
   onSeed: (seed, steps) => {
     process.stderr.write(`seed ${seed} done, ${steps} steps\n`);
--- a/packages/emulator/src/soak/run.ts
+++ b/packages/emulator/src/soak/run.ts
@@ -17,6 +17,12 @@
 /** Time after which every live member must hold a lease from its grantors. */
 const RECOVERY_MS = 10_000;
 
+/**
+ * The same if the store is restored: nothing is appended for a while, and then a
+ * member that was ended meanwhile joins again, each up to twice.
+ */
+const RECOVERY_AFTER_RESTORE_MS = 40_000;
+
 /** Frequent snapshots and trimming; catching up takes several reads. */
 const TUNING: Tuning = {
   ...DEFAULT_TUNING,
@@ -33,6 +39,8 @@
   readonly seed: number;
   readonly hosts: number;
   readonly rulesOff: ReadonlySet<Rule>;
+  /** Whether the store names its era and may be restored; false if absent. */
+  readonly restores?: boolean;
 }
 
 /** Result of one run. */
@@ -60,6 +68,7 @@
     tuning: TUNING,
     lateGrants: true,
   });
+  if (settings.restores === true) cluster.store.startEras();
   for (let host = 0; host < settings.hosts; host++) cluster.start(host);
   cluster.advance(FORM_MS);
   applyDocument(cluster, cluster.nodes[0]);
@@ -68,7 +77,9 @@
     applyAction(cluster, step.action);
     if (!cluster.advance(step.ms)) break;
   }
-  if (cluster.violation === null) recover(cluster);
+  const recoveryMs =
+    settings.restores === true ? RECOVERY_AFTER_RESTORE_MS : RECOVERY_MS;
+  if (cluster.violation === null) recover(cluster, recoveryMs);
   return {
     violation: cluster.violation,
     digest: cluster.digest(),
@@ -80,10 +91,10 @@
  * Ends all faults, then checks that each live member holds a lease and has the
  * acknowledged configuration. A single live host has no grantors to hold a lease from.
  */
-function recover(cluster: SimulatedCluster): void {
+function recover(cluster: SimulatedCluster, recoveryMs: number): void {
   cluster.heal();
   cluster.advance(MAX_FAULT_MS);
-  cluster.advance(RECOVERY_MS);
+  cluster.advance(recoveryMs);
   const hosts = new Set(cluster.liveNodes().map(node => node.host));
   if (hosts.size < 2) return;
   for (const node of cluster.liveNodes()) {
@@ -106,6 +117,9 @@
     case 'store':
       cluster.setStoreMode(action.mode, action.ms);
       return;
+    case 'restoreStore':
+      cluster.restoreStore(action.ageMs, action.ms);
+      return;
     case 'cutStore':
       cluster.cutStore(action.host, action.ms);
       return;
--- a/packages/emulator/src/soak/search.ts
+++ b/packages/emulator/src/soak/search.ts
@@ -4,7 +4,7 @@
 import type {Rule} from '@jackdawfall/core';
 import {createHash} from 'node:crypto';
 
-import {MAX_HOSTS, STEP} from './actions.js';
+import {MAX_HOSTS, STEP, STEP_WITH_RESTORES} from './actions.js';
 import {runSteps} from './run.js';
 import type {Step, Violation} from './types.js';
 
@@ -20,6 +20,8 @@
   readonly seed: number;
   readonly steps: number;
   readonly rulesOff: ReadonlySet<Rule>;
+  /** Whether the store is restored to older copies; false if absent. */
+  readonly restores?: boolean;
   /** Whether to shrink a violation to a short run. */
   readonly shrink: boolean;
   /** Called after each seed with the number of steps so far. */
@@ -47,11 +49,8 @@
   readonly digest: string;
 }
 
-const RUN = fc.tuple(
-  fc.nat({max: 2 ** 30}),
-  fc.integer({min: 2, max: MAX_HOSTS}),
-  fc.array(STEP, {minLength: 1, maxLength: STEPS_PER_RUN, size: 'max'}),
-);
+const RUN = arbitraryRun(STEP);
+const RUN_WITH_RESTORES = arbitraryRun(STEP_WITH_RESTORES);
 
 /**
  * Runs random steps until the number of steps is reached or a violation found.
@@ -84,9 +83,10 @@
   onRun: (steps: number, digest: string) => void,
 ): Finding | null {
   let found = false;
-  const property = fc.property(RUN, ([seed, hosts, steps]) => {
-    const {rulesOff} = settings;
-    const result = runSteps({seed, hosts, rulesOff}, steps);
+  const {rulesOff, restores = false} = settings;
+  const run = restores ? RUN_WITH_RESTORES : RUN;
+  const property = fc.property(run, ([seed, hosts, steps]) => {
+    const result = runSteps({seed, hosts, rulesOff, restores}, steps);
     // Runs that only serve to shrink a violation are not counted.
     if (!found) onRun(steps.length, result.digest);
     found ||= result.violation !== null;
@@ -102,8 +102,20 @@
   const example = details.counterexample?.[0];
   if (example === undefined) return null;
   const [runSeed, hosts, steps] = example;
-  const {rulesOff} = settings;
-  const {violation, lines} = runSteps({seed: runSeed, hosts, rulesOff}, steps);
+  const {violation, lines} = runSteps(
+    {seed: runSeed, hosts, rulesOff, restores},
+    steps,
+  );
   if (violation === null) throw new Error('a run is not reproducible');
   return {librarySeed, runSeed, hosts, steps, violation, lines};
 }
+
+function arbitraryRun(
+  step: fc.Arbitrary<Step>,
+): fc.Arbitrary<[number, number, Step[]]> {
+  return fc.tuple(
+    fc.nat({max: 2 ** 30}),
+    fc.integer({min: 2, max: MAX_HOSTS}),
+    fc.array(step, {minLength: 1, maxLength: STEPS_PER_RUN, size: 'max'}),
+  );
+}
--- a/packages/emulator/src/soak/types.ts
+++ b/packages/emulator/src/soak/types.ts
@@ -41,6 +41,12 @@
       readonly ms: number;
     }
   | {readonly kind: 'store'; readonly mode: StoreMode; readonly ms: number}
+  /** Restores the store to a copy of this age, after an outage. */
+  | {
+      readonly kind: 'restoreStore';
+      readonly ageMs: number;
+      readonly ms: number;
+    }
   /** Partitions this host from the store. */
   | {readonly kind: 'cutStore'; readonly host: number; readonly ms: number}
   | {
