--- a/packages/core/src/log_replication/reader.ts
+++ b/packages/core/src/log_replication/reader.ts
@@ -15,6 +15,7 @@
 import {callStore, log, send} from '../ownership/effects.js';
 import type {OwnershipContext, OwnershipState} from '../ownership/state.js';
 import {currentRing} from '../ownership/state.js';
+import {NO_ERA} from '../restore/era.js';
 import {acceptsFromPeer} from '../restore/logic.js';
 import type {StoreReply} from '../store/types.js';
 
@@ -96,6 +97,8 @@
     return;
   }
   logReader.caughtUp = true;
+  // A store that was restored may have lost entries whose versions peers name.
+  if (state.restore.era !== NO_ERA) logReader.heardVersion = 0;
   logReader.upToDateAt = at.monotonic;
   state.runTasksNow = true;
 }
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -7,6 +7,7 @@
 import {NO_ERA} from '../restore/era.js';
 import type {Workspace} from '../workspace/types.js';
 import {
+  GENERATIONS_PER_ERA,
   NO_MEMBER,
   addMember,
   createServicePlacement,
@@ -21,12 +22,6 @@
   ServicePlacement,
 } from './types.js';
 
-/**
- * Generations by which a slice rises with an era: more than entries issue in the
- * seconds that a restore may lose, and 4,096 eras fit into 32 bits.
- */
-const GENERATIONS_PER_ERA = 2 ** 20;
-
 /**
  * Applies the entry that follows the map's version.
  *
@@ -214,7 +209,8 @@
   map.era = era;
   for (const {generation} of map.services.values()) {
     for (let slice = 0; slice < generation.length; slice++) {
-      generation[slice] += GENERATIONS_PER_ERA;
+      const wasPlaced = generation[slice] % GENERATIONS_PER_ERA > 0;
+      generation[slice] = era * GENERATIONS_PER_ERA + Number(wasPlaced);
     }
   }
 }
@@ -357,7 +353,7 @@
 ): ServicePlacement {
   const existing = findOrCreatePlacement(map, name, slices);
   if (existing.slices === slices || !wasNeverPlaced(existing)) return existing;
-  const created = createServicePlacement(name, slices);
+  const created = createServicePlacement(name, slices, map.era);
   map.services.set(name, created);
   if (map.configuration !== null) configure(map, map.configuration);
   return created;
@@ -381,7 +377,7 @@
 ): ServicePlacement {
   const existing = map.services.get(name);
   if (existing !== undefined) return existing;
-  const created = createServicePlacement(name, slices);
+  const created = createServicePlacement(name, slices, map.era);
   map.services.set(name, created);
   return created;
 }
--- a/packages/core/src/map/state.ts
+++ b/packages/core/src/map/state.ts
@@ -26,6 +26,12 @@
 /** Maximum number of hosts whose last departure is kept. */
 const MAX_DEPARTURES = 1024;
 
+/**
+ * Generations of each era: more than entries issue in one. 1,023 eras fit into
+ * 32 bits.
+ */
+export const GENERATIONS_PER_ERA = 2 ** 20;
+
 /**
  * Creates the map of a log without entries.
  *
@@ -48,22 +54,25 @@
 }
 
 /**
- * Creates the placement of a service, without owners.
+ * Creates the placement of a service, without owners. Its generations begin above
+ * those of earlier eras, in which lost entries may have placed it.
  *
  * @param name - The service.
  * @param slices - Number of its slices.
+ * @param era - Highest era of an entry of the map.
  * @returns The placement.
  */
 export function createServicePlacement(
   name: ServiceName,
   slices: number,
+  era: number = NO_ERA,
 ): ServicePlacement {
   return {
     name,
     slices,
     owner: new Uint16Array(slices).fill(NO_MEMBER),
     standby: new Uint16Array(slices).fill(NO_MEMBER),
-    generation: new Uint32Array(slices),
+    generation: new Uint32Array(slices).fill(era * GENERATIONS_PER_ERA),
     moves: new Map<Slice, number>(),
     handovers: new Map<Slice, string>(),
   };
@@ -78,7 +87,7 @@
 export function wasNeverPlaced(service: ServicePlacement): boolean {
   return (
     service.owner.every(owner => owner === NO_MEMBER) &&
-    service.generation.every(generation => generation === 0)
+    service.generation.every(each => each % GENERATIONS_PER_ERA === 0)
   );
 }
 
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -142,7 +142,12 @@
   | {readonly kind: 'loadSnapshot'}
   | {readonly kind: 'loadPointer'}
   | {readonly kind: 'snapshotPointer'}
-  | {readonly kind: 'storeSnapshot'; readonly version: Version}
+  | {
+      readonly kind: 'storeSnapshot';
+      readonly version: Version;
+      /** Name of the object. */
+      readonly object: string;
+    }
   | {readonly kind: 'pointSnapshot'; readonly pointer: SnapshotPointer}
   | {readonly kind: 'evictionRead'; readonly member: MemberId}
   | {
--- a/packages/core/src/snapshots/storage.ts
+++ b/packages/core/src/snapshots/storage.ts
@@ -1,6 +1,5 @@
 /** @fileoverview Storing and loading snapshots, and trimming the log. */
 
-import type {Version} from '../ids/types.js';
 import {scheduleReadRetry} from '../log_replication/reader.js';
 import {callStore, log, newWriteId} from '../ownership/effects.js';
 import {checkGenerations} from '../ownership/invariants.js';
@@ -69,7 +68,7 @@
       handleSnapshotPointerReply(context, reply);
       return;
     case 'storeSnapshot':
-      handleStoreSnapshotReply(context, purpose.version, reply);
+      handleStoreSnapshotReply(context, purpose, reply);
       return;
     case 'pointSnapshot':
       handlePointSnapshotReply(context, purpose.pointer, reply);
@@ -102,12 +101,13 @@
     return;
   }
   const {version} = map;
+  const object = state.keys.snapshotObject(version, map.era);
   callStore(
     context,
-    {kind: 'storeSnapshot', version},
+    {kind: 'storeSnapshot', version, object},
     {
       kind: 'putObject',
-      name: state.keys.snapshotObject(version, map.era),
+      name: object,
       body: serializeMap(map),
     },
   );
@@ -120,17 +120,17 @@
  * write of version 1 always fails: no daemon can start the log again.
  *
  * @param context - Context of the current input.
- * @param version - Version of the snapshot.
+ * @param stored - Version and object of the snapshot.
  * @param reply - Reply to storing the object.
  */
 function handleStoreSnapshotReply(
   context: OwnershipContext,
-  version: Version,
+  stored: Pick<SnapshotPointer, 'version' | 'object'>,
   reply: StoreReply,
 ): void {
   const {state} = context;
+  const {version, object} = stored;
   const {snapshots, keys} = state;
-  const {era} = state.map;
   if (reply.kind !== 'stored') {
     snapshots.busy = false;
     return;
@@ -140,7 +140,7 @@
   const end = Math.min(version - kept, trimmedTo + MAX_TRIMMED_ROWS);
   const pointer: SnapshotPointer = {
     version,
-    object: keys.snapshotObject(version, era),
+    object,
     trimmedTo: Math.max(trimmedTo, end),
   };
   const puts: RowPut[] = [{key: keys.snapshot, value: JSON.stringify(pointer)}];
--- a/packages/emulator/src/soak/run.ts
+++ b/packages/emulator/src/soak/run.ts
@@ -77,9 +77,8 @@
     applyAction(cluster, step.action);
     if (!cluster.advance(step.ms)) break;
   }
-  const recoveryMs =
-    settings.restores === true ? RECOVERY_AFTER_RESTORE_MS : RECOVERY_MS;
-  if (cluster.violation === null) recover(cluster, recoveryMs);
+  const {restores = false} = settings;
+  if (cluster.violation === null) recover(cluster, restores);
   return {
     violation: cluster.violation,
     digest: cluster.digest(),
@@ -91,10 +90,10 @@
  * Ends all faults, then checks that each live member holds a lease and has the
  * acknowledged configuration. A single live host has no grantors to hold a lease from.
  */
-function recover(cluster: SimulatedCluster, recoveryMs: number): void {
+function recover(cluster: SimulatedCluster, restores: boolean): void {
   cluster.heal();
   cluster.advance(MAX_FAULT_MS);
-  cluster.advance(recoveryMs);
+  cluster.advance(restores ? RECOVERY_AFTER_RESTORE_MS : RECOVERY_MS);
   const hosts = new Set(cluster.liveNodes().map(node => node.host));
   if (hosts.size < 2) return;
   for (const node of cluster.liveNodes()) {
@@ -103,6 +102,8 @@
     const detail = `${node.self}: ${source}`;
     cluster.checks.reportViolation(cluster.now, 'leases-recover', detail);
   }
+  // A configuration that is kept in the log is lost with the members that have it.
+  if (restores) return;
   cluster.checks.checkAcknowledged(cluster.now, cluster.liveNodes());
 }
 
