--- a/packages/core/src/ownership/due_tasks.ts
+++ b/packages/core/src/ownership/due_tasks.ts
@@ -19,6 +19,7 @@
 } from '../leases/holder.js';
 import {advanceRestoration, isComparing, mayAppend} from '../restore/logic.js';
 import {currentLease, storedRevision} from '../leases/logic.js';
+import {readOwnRow} from '../leases/own_row.js';
 import {reportSilentMembers, updateWatchedMembers} from '../leases/grantor.js';
 import {acceptsWork} from '../map/logic.js';
 import {
@@ -66,6 +67,8 @@
  * takes over as coordinator.
  */
 const COORDINATOR_TIMEOUT_MS = 1500;
+/** Time between two reads of the own row in a restored store, before removal. */
+const OWN_ROW_READ_MS = 500;
 /** Interval at which the number of ranges of slices is checked. */
 const MERGE_CHECK_MS = 1000;
 
@@ -194,6 +197,13 @@
   if (mayRun && work.inFlightTotal() > 0) return null;
   if (mayServerHoldAny(state.grants, at.monotonic)) return null;
   const {self, lease} = state;
+  if (lease.revisionEra < state.restore.era) {
+    // The removal is conditional on the row as the restored store has it.
+    if (at.monotonic < lease.nextRowWriteAt) return null;
+    lease.nextRowWriteAt = at.monotonic + OWN_ROW_READ_MS;
+    readOwnRow(context);
+    return null;
+  }
   return {
     change: {kind: 'ended', members: [self]},
     by: self,
