--- a/packages/core/src/configuration/logic.ts
+++ b/packages/core/src/configuration/logic.ts
@@ -12,6 +12,12 @@
 import type {ControlMessage} from '../messages/types.js';
 import {log, send} from '../ownership/effects.js';
 import type {OwnershipContext} from '../ownership/state.js';
+import {
+  NO_ERA,
+  makeConfigurationNumber,
+  parseConfigurationNumber,
+} from '../restore/era.js';
+import {recordEra} from '../restore/logic.js';
 import {isWatcher, recordConfirmation} from './watchers.js';
 
 /**
@@ -49,8 +55,12 @@
   configuration: ExternalConfiguration,
 ): void {
   const {state} = context;
-  const {number, document, zonesOut} = configuration;
-  if (number <= currentNumber(context)) return;
+  recordEra(context, parseConfigurationNumber(configuration.number).era);
+  if (configuration.number <= currentNumber(context)) return;
+  const {number, document, zonesOut} = withoutRegress(
+    state.externalConfiguration,
+    configuration,
+  );
   state.externalConfiguration = {number, document, zonesOut};
   applyExternalConfiguration(state.map, state.externalConfiguration);
   state.placementCheckedVersion = -1;
@@ -86,6 +96,7 @@
   }
   const {number} = message;
   const {state, at} = context;
+  recordEra(context, parseConfigurationNumber(number).era);
   if (message.kind === 'configurationConfirmed') {
     recordConfirmation(context, from, message);
   }
@@ -124,6 +135,38 @@
   send(context, heard.from, {kind: 'configurationNumber', number});
 }
 
+/**
+ * Keeps what is in force and a restored source may have lost: a document with a
+ * higher version of the operator, and, until the operator has had the time to
+ * write its rows again, evacuated zones. The result ranks just above the
+ * configuration that was read, so that it spreads.
+ *
+ * @param own - The configuration in force, or null.
+ * @param read - The one that was read, with a higher number.
+ * @returns The configuration to put in force.
+ */
+export function withoutRegress(
+  own: ExternalConfiguration | null,
+  read: ExternalConfiguration,
+): ExternalConfiguration {
+  const parts = parseConfigurationNumber(read.number);
+  if (own === null || parts.era === NO_ERA) return read;
+  const keepsDocument = versionOf(own.document) > versionOf(read.document);
+  const kept = own.zonesOut.filter(zone => !read.zonesOut.includes(zone));
+  const keepsZones = !parts.settled && kept.length > 0;
+  if (!keepsDocument && !keepsZones) return read;
+  return {
+    number: makeConfigurationNumber({...parts, merged: true}),
+    document: keepsDocument ? own.document : read.document,
+    zonesOut: keepsZones ? [...read.zonesOut, ...kept].sort() : read.zonesOut,
+  };
+}
+
+/** Returns the operator's version of a document. */
+function versionOf(document: string): number {
+  return (JSON.parse(document) as {version: number}).version;
+}
+
 function currentNumber({state}: OwnershipContext): number {
   return state.externalConfiguration?.number ?? 0;
 }
--- a/packages/core/src/log_replication/reader.ts
+++ b/packages/core/src/log_replication/reader.ts
@@ -15,6 +15,8 @@
 import {callStore, log, send} from '../ownership/effects.js';
 import type {OwnershipContext, OwnershipState} from '../ownership/state.js';
 import {currentRing} from '../ownership/state.js';
+import {NO_ERA} from '../restore/era.js';
+import {acceptsFromPeer} from '../restore/logic.js';
 import type {StoreReply} from '../store/types.js';
 
 /**
@@ -95,6 +97,8 @@
     return;
   }
   logReader.caughtUp = true;
+  // A store that was restored may have lost entries whose versions peers name.
+  if (state.restore.era !== NO_ERA) logReader.heardVersion = 0;
   logReader.upToDateAt = at.monotonic;
   state.runTasksNow = true;
 }
@@ -156,7 +160,12 @@
   const {state} = context;
   for (const logged of message.entries) {
     if (logged.version !== nextVersion(state.map.version)) continue;
-    apply(parseLoggedEntry(logged));
+    const committed = parseLoggedEntry(logged);
+    if (!acceptsFromPeer(context, committed.entry)) {
+      state.logReader.readNeeded = true;
+      return;
+    }
+    apply(committed);
   }
   if (message.version <= state.map.version) {
     state.logReader.upToDateAt = context.at.monotonic;
--- a/packages/core/src/map/logic.ts
+++ b/packages/core/src/map/logic.ts
@@ -4,8 +4,10 @@
 import type {MemberId, ServiceName, Slice, ZoneName} from '../ids/types.js';
 import type {Change, CommittedEntry} from '../log/types.js';
 import type {ExternalConfiguration} from '../loop/types.js';
+import {NO_ERA} from '../restore/era.js';
 import type {Workspace} from '../workspace/types.js';
 import {
+  GENERATIONS_PER_ERA,
   NO_MEMBER,
   addMember,
   createServicePlacement,
@@ -32,6 +34,8 @@
   committed: CommittedEntry,
   now: number,
 ): void {
+  const {era = NO_ERA} = committed.entry;
+  if (era > map.era) raiseGenerations(map, era);
   applyChange(map, committed.entry.change, now);
   map.version = committed.entry.version;
   map.revision = committed.revision;
@@ -197,6 +201,20 @@
   service.handovers.delete(slice);
 }
 
+/**
+ * Raises all generations at the first entry of an era, above those that entries
+ * may have issued which the restored store has lost.
+ */
+function raiseGenerations(map: ClusterMap, era: number): void {
+  map.era = era;
+  for (const {generation} of map.services.values()) {
+    for (let slice = 0; slice < generation.length; slice++) {
+      const wasPlaced = generation[slice] % GENERATIONS_PER_ERA > 0;
+      generation[slice] = era * GENERATIONS_PER_ERA + Number(wasPlaced);
+    }
+  }
+}
+
 /**
  * Gives a predecessor's slices, standby roles and move targets to its successor
  * on the host. The lease isn't taken over.
@@ -335,7 +353,7 @@
 ): ServicePlacement {
   const existing = findOrCreatePlacement(map, name, slices);
   if (existing.slices === slices || !wasNeverPlaced(existing)) return existing;
-  const created = createServicePlacement(name, slices);
+  const created = createServicePlacement(name, slices, map.era);
   map.services.set(name, created);
   if (map.configuration !== null) configure(map, map.configuration);
   return created;
@@ -359,7 +377,7 @@
 ): ServicePlacement {
   const existing = map.services.get(name);
   if (existing !== undefined) return existing;
-  const created = createServicePlacement(name, slices);
+  const created = createServicePlacement(name, slices, map.era);
   map.services.set(name, created);
   return created;
 }
--- a/packages/core/src/ownership/due_tasks.ts
+++ b/packages/core/src/ownership/due_tasks.ts
@@ -17,7 +17,9 @@
   maintainLease,
   mayOfferServer,
 } from '../leases/holder.js';
-import {currentLease} from '../leases/logic.js';
+import {advanceRestoration, isComparing, mayAppend} from '../restore/logic.js';
+import {currentLease, storedRevision} from '../leases/logic.js';
+import {readOwnRow} from '../leases/own_row.js';
 import {reportSilentMembers, updateWatchedMembers} from '../leases/grantor.js';
 import {acceptsWork} from '../map/logic.js';
 import {
@@ -65,6 +67,8 @@
  * takes over as coordinator.
  */
 const COORDINATOR_TIMEOUT_MS = 1500;
+/** Time between two reads of the own row in a restored store, before removal. */
+const OWN_ROW_READ_MS = 500;
 /** Interval at which the number of ranges of slices is checked. */
 const MERGE_CHECK_MS = 1000;
 
@@ -76,7 +80,8 @@
 export function runDueTasks(context: OwnershipContext): void {
   const {state} = context;
   if (state.phase === 'left') return;
-  readLogIfDue(context);
+  advanceRestoration(context);
+  if (!isComparing(context)) readLogIfDue(context);
   requestConfigurationIfDue(context);
   confirmConfiguration(context);
   retryAppendIfDue(context);
@@ -99,7 +104,9 @@
     reportLoad(context);
     updateCoordinatorRole(context);
     removeSelfIfDue(context);
-    if (state.actsAsCoordinator) storeSnapshotIfDue(context);
+    if (state.actsAsCoordinator && state.restore.pending === null) {
+      storeSnapshotIfDue(context);
+    }
   }
   appendNext(context);
 }
@@ -109,6 +116,7 @@
   const {logWriter, logReader} = state;
   if (logWriter.append !== null || at.monotonic < logWriter.notBefore) return;
   if (!logReader.caughtUp || logReader.inFlight || logReader.readNeeded) return;
+  if (!mayAppend(context)) return;
   const proposal = proposeNext(context);
   if (proposal === null) return;
   if (requestCommit(context, proposal)) return;
@@ -123,6 +131,7 @@
   if (state.phase === 'joining') return proposeJoin(context);
   if (state.phase === 'ending') return proposeOwnRemoval(context);
   return (
+    proposeFirstOfEra(state) ??
     proposeEvictions(context) ??
     proposeOperatorChange(context) ??
     proposeReceived(context) ??
@@ -149,7 +158,8 @@
     };
   }
   const {soleProcess} = state.settings.tuning.membership;
-  const replaces = soleProcess ? predecessor : null;
+  const isOwn = predecessor !== null && state.formerIds.has(predecessor);
+  const replaces = soleProcess || isOwn ? predecessor : null;
   const member = state.self;
   return {
     change: {kind: 'joined', member, zone, address, operators, replaces},
@@ -157,6 +167,17 @@
   };
 }
 
+/**
+ * Proposes an entry without a change as the first one after a restore, if this
+ * member is the coordinator. It raises all generations, and whoever is paused
+ * with a write that is conditional on an earlier entry can't append any more.
+ */
+function proposeFirstOfEra(state: OwnershipState): ProposedChange | null {
+  const {map, restore, actsAsCoordinator, self} = state;
+  if (!actsAsCoordinator || map.era >= restore.era) return null;
+  return {change: {kind: 'combined', changes: []}, by: self};
+}
+
 /** Returns another member on this host: an earlier process or incarnation. */
 function predecessorOf(state: OwnershipState): MemberId | null {
   for (const id of state.map.members.keys()) {
@@ -176,10 +197,17 @@
   if (mayRun && work.inFlightTotal() > 0) return null;
   if (mayServerHoldAny(state.grants, at.monotonic)) return null;
   const {self, lease} = state;
+  if (lease.revisionEra < state.restore.era) {
+    // The removal is conditional on the row as the restored store has it.
+    if (at.monotonic < lease.nextRowWriteAt) return null;
+    lease.nextRowWriteAt = at.monotonic + OWN_ROW_READ_MS;
+    readOwnRow(context);
+    return null;
+  }
   return {
     change: {kind: 'ended', members: [self]},
     by: self,
-    removals: [{member: self, revision: lease.revision}],
+    removals: [{member: self, revision: storedRevision(lease)}],
   };
 }
 
--- a/packages/core/src/ownership/state.ts
+++ b/packages/core/src/ownership/state.ts
@@ -49,6 +49,8 @@
 import type {Eviction} from '../membership/types.js';
 import {createProposals} from '../proposals/state.js';
 import type {Proposals} from '../proposals/types.js';
+import {createRestoreState} from '../restore/state.js';
+import type {RestoreState} from '../restore/types.js';
 import type {Tuning} from '../settings/defaults.js';
 import {createSnapshotWriter} from '../snapshots/state.js';
 import type {SnapshotPointer, SnapshotWriter} from '../snapshots/types.js';
@@ -122,6 +124,9 @@
  * - `append`: appends a log entry.
  * - `rowWrite`, `rowRead`: write or read this member's row.
  * - `tail`: reads log entries after the version of the map.
+ * - `compareLog`: reads the log of a restored store from entries on that were
+ *   applied.
+ * - `restoreEntries`: writes entries that a restored store has lost.
  * - `loadPointer`, `loadSnapshot`: read the snapshot pointer, then the
  *   snapshot, to replace the map by it.
  * - `snapshotPointer`, `storeSnapshot`, `pointSnapshot`: read the pointer,
@@ -134,10 +139,17 @@
   | {readonly kind: 'rowWrite'; readonly write: RowWrite}
   | {readonly kind: 'rowRead'}
   | {readonly kind: 'tail'}
+  | {readonly kind: 'compareLog'; readonly sentAt: number}
+  | {readonly kind: 'restoreEntries'; readonly version: Version}
   | {readonly kind: 'loadSnapshot'}
   | {readonly kind: 'loadPointer'}
   | {readonly kind: 'snapshotPointer'}
-  | {readonly kind: 'storeSnapshot'; readonly version: Version}
+  | {
+      readonly kind: 'storeSnapshot';
+      readonly version: Version;
+      /** Name of the object. */
+      readonly object: string;
+    }
   | {readonly kind: 'pointSnapshot'; readonly pointer: SnapshotPointer}
   | {readonly kind: 'evictionRead'; readonly member: MemberId}
   | {
@@ -284,6 +296,9 @@
   readonly proposals: Proposals;
   readonly sourceWatch: SourceWatch;
   readonly freshness: ConfigurationFreshness;
+  readonly restore: RestoreState;
+  /** Ids that this process gave up since the store's log contradicted it. */
+  readonly formerIds: Set<MemberId>;
 }
 
 /** Context in which the reducer handles one input. */
@@ -361,6 +376,8 @@
     proposals: createProposals(),
     sourceWatch: createSourceWatch(),
     freshness: createFreshness(),
+    restore: createRestoreState(),
+    formerIds: new Set(),
   };
 }
 
