The memory budget holds one body of 64 MB on a machine of 250 MB

Cause: a quarter of 250 MB is less than the largest body that a configuration allows, so that a single request within the limits was refused.

Change: three tenths of the machine's memory.

--- a/packages/core/src/membership/evictions.ts
+++ b/packages/core/src/membership/evictions.ts
@@ -432,3 +432,20 @@
     lastReportedAt: now,
   };
 }
+
+/**
+ * Revokes a member for a peer that evicts it, and tells that peer the result.
+ *
+ * @param context - Context of the current input.
+ * @param from - The peer.
+ * @param message - Its request.
+ */
+export function handleRevokeRequest(
+  context: OwnershipContext,
+  from: MemberId,
+  message: Extract<ControlMessage, {kind: 'close'}>,
+): void {
+  const {member, round} = message;
+  const closed = revokeMember(context.state, member, context.at.monotonic);
+  send(context, from, {kind: 'closed', member, round, closed});
+}
--- a/packages/core/src/memory/logic.ts
+++ b/packages/core/src/memory/logic.ts
@@ -16,7 +16,7 @@
  * Share of the machine's memory for what is held; the rest is for the heap, for
  * copies in sockets and for fragmentation.
  */
-const BUDGET_SHARE = 0.25;
+const BUDGET_SHARE = 0.3;
 /** Share of the descriptors for callers' connections. */
 const CONNECTION_SHARE = 0.5;
 /** Share of the heap for the heads of requests that are still arriving. */
--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -27,7 +27,6 @@
 import {
   forgetWatchedMembers,
   handleCleared,
-  revokeMember,
   markUnresponsive,
   handleRenew,
 } from '../leases/grantor.js';
@@ -52,6 +51,7 @@
   suspectMember,
   handleRevoked,
   handleEvictionRow,
+  handleRevokeRequest,
   updateEvictionRows,
 } from '../membership/evictions.js';
 import type {ControlMessage, Message} from '../messages/types.js';
@@ -76,7 +76,7 @@
 import {completeCommand, handleCommand} from './commands.js';
 import {runDueTasks} from './due_tasks.js';
 import {checkInvariants} from './invariants.js';
-import {log, send, reportViolation} from './effects.js';
+import {log, reportViolation} from './effects.js';
 import {recordAllUnproven} from '../grants/unproven.js';
 import {handleAnnouncement, handleServerGone} from './local_server.js';
 import type {OwnershipContext, OwnershipState} from './state.js';
@@ -265,16 +265,6 @@
   suspectMember(context, message.member, from, message);
 }
 
-function handleRevokeRequest(
-  context: OwnershipContext,
-  from: MemberId,
-  message: Extract<ControlMessage, {kind: 'close'}>,
-): void {
-  const {member, round} = message;
-  const closed = revokeMember(context.state, member, context.at.monotonic);
-  send(context, from, {kind: 'closed', member, round, closed});
-}
-
 function handleStoreReply(
   context: OwnershipContext,
   call: CallId,
