Quotas take no time where there are no tenants

Cause: the subsystem of quotas ran for each event and spread its dependencies into a new object: 5.4 us an event in place of 0.7.

Change: it returns at once in a workspace without tenants, and builds its context without spreading. Freshness is recorded only where a time for revocation is set.

--- a/packages/core/src/ownership/definition.ts
+++ b/packages/core/src/ownership/definition.ts
@@ -100,7 +100,9 @@
   dependencies: OwnershipDependencies,
 ): Effect[] {
   const context = createContext(state, input, dependencies.work);
-  recordEvent(state.freshness, input.at);
+  if (state.settings.tuning.tenants.revokeMs > 0) {
+    recordEvent(state.freshness, input.at);
+  }
   handleEvent(context, input.event);
   if (input.event.kind === 'ticked' || state.runTasksNow) {
     state.runTasksNow = false;
--- a/packages/core/src/quotas/definition.ts
+++ b/packages/core/src/quotas/definition.ts
@@ -42,7 +42,10 @@
 export const QUOTAS: Subsystem<QuotaState, QuotaDependencies> = {
   name: 'quotas',
   reduce(state, input, dependencies) {
-    const context = {...dependencies, state, input, effects: []};
+    const {membership, tuning} = dependencies;
+    if (!isUsed(state, membership)) return [];
+    // Without spreading: that takes 3 us for each event.
+    const context = {membership, tuning, state, input, effects: []};
     followConfiguration(context);
     handleEvent(context, input.event);
     return context.effects;
@@ -50,6 +53,13 @@
   render: renderQuotas,
 };
 
+/** Whether there are tenants, or were until now; saves work for each event. */
+function isUsed(state: QuotaState, {workspace}: QuotaMembership): boolean {
+  if (workspace !== state.workspace) return true;
+  if (workspace?.tenants !== undefined) return true;
+  return state.quotas.size > 0 || state.divider.accounts.size > 0;
+}
+
 function handleEvent(context: QuotaContext, event: Event): void {
   switch (event.kind) {
     case 'messageReceived':
