One check for a standing queue, one way to record the freshness of a configuration

The time after which a queue counts as overload stood in admission and again in the shares of slices; both now ask hasStandingQueue. recordAnswer only passed on to another function; confirmations of peers use it. Behaviour is as before.

--- a/packages/core/src/admission/logic.ts
+++ b/packages/core/src/admission/logic.ts
@@ -258,6 +258,17 @@
   return nextByCost(queue, admission.lateSkips, now);
 }
 
+/**
+ * Returns whether the queue of interactive work is overload rather than a burst.
+ *
+ * @param admission - The admission state.
+ * @param now - Monotonic time, in milliseconds.
+ * @returns Whether it was not empty for `STANDING_QUEUE_MS`.
+ */
+export function hasStandingQueue(admission: Admission, now: number): boolean {
+  return now - admission.queueEmptyAt > STANDING_QUEUE_MS;
+}
+
 /**
  * Removes the attempts whose time in the queue has expired.
  *
@@ -537,13 +548,13 @@
         : maxUsefulWaitMs(request.cost, request.objectiveMs) * share;
     return Math.max(tuning.leastQueueMs, shareMs);
   }
-  const standingMs = now - admission.queueEmptyAt;
   if (admission.inSlowStart) {
-    const isBurst = !request.shared && standingMs <= tuning.burstQueueMs;
+    const isBurst =
+      !request.shared && now - admission.queueEmptyAt <= tuning.burstQueueMs;
     if (!isBurst) return tuning.rampQueueMs * share;
     return maxBurstWaitMs(admission, expectedMs, request.deadline - now);
   }
-  if (standingMs > STANDING_QUEUE_MS) {
+  if (hasStandingQueue(admission, now)) {
     return tuning.queueMs * share;
   }
   return Math.max(tuning.queueMs, admission.meanRunMs) * share;
--- a/packages/core/src/configuration/freshness.ts
+++ b/packages/core/src/configuration/freshness.ts
@@ -54,7 +54,7 @@
 }
 
 /**
- * Records an answer of the source that this daemon got itself.
+ * Records an answer of the source, unless a later one is known.
  *
  * @param freshness - The state.
  * @param at - Instant of the event.
@@ -65,7 +65,11 @@
   at: Instant,
   answerAgeMs: number,
 ): void {
-  advance(freshness, at, answerAgeMs);
+  if (answerAgeMs >= freshnessAgeMs(freshness, at)) return;
+  freshness.provenAt = {
+    monotonic: at.monotonic - answerAgeMs,
+    wall: at.wall - answerAgeMs,
+  };
 }
 
 /**
@@ -84,7 +88,7 @@
   transitMs: number,
 ): void {
   if (at.monotonic < freshness.distrustUntil) return;
-  advance(freshness, at, peerAgeMs + transitMs);
+  recordAnswer(freshness, at, peerAgeMs + transitMs);
 }
 
 /**
@@ -120,19 +124,6 @@
   return revokeMs === 0 || freshnessAgeMs(freshness, at) < revokeMs - MARGIN_MS;
 }
 
-function advance(
-  freshness: ConfigurationFreshness,
-  at: Instant,
-  elapsedMs: number,
-): void {
-  const provenAt = {
-    monotonic: at.monotonic - elapsedMs,
-    wall: at.wall - elapsedMs,
-  };
-  if (elapsedMs >= freshnessAgeMs(freshness, at)) return;
-  freshness.provenAt = provenAt;
-}
-
 function ageMs(earlier: Instant, at: Instant): number {
   return Math.max(at.monotonic - earlier.monotonic, at.wall - earlier.wall);
 }
--- a/packages/core/src/execution/shares.ts
+++ b/packages/core/src/execution/shares.ts
@@ -1,13 +1,11 @@
 /** @fileoverview Shares of the server's slots among the slices held here. */
 
+import {hasStandingQueue} from '../admission/logic.js';
 import type {SharingJob} from '../overload/slice_shares.js';
 import {exceedsShare} from '../overload/slice_shares.js';
 import type {ExecutionContext} from './state.js';
 import type {Job} from './types.js';
 
-/** A queue that was not empty for this time is overload rather than a burst. */
-const STANDING_QUEUE_MS = 100;
-
 /**
  * Returns whether a job is refused since its slice has its share of the slots
  * and others wait, where the workspace schedules by cost.
@@ -18,11 +16,11 @@
  */
 export function isBeyondShare(context: ExecutionContext, job: Job): boolean {
   const {state, ownership, now} = context;
-  const {queues, limit, queueEmptyAt} = state.admission;
+  const {queues, limit} = state.admission;
   if (ownership.workspace?.scheduling !== 'cost') return false;
   if (queues.interactive.length + queues.deferrable.length === 0) return false;
   // A burst below the capacity is worth queueing whatever slice it is for.
-  if (now - queueEmptyAt <= STANDING_QUEUE_MS) return false;
+  if (!hasStandingQueue(state.admission, now)) return false;
   return exceedsShare(job, sharingJobs(state.jobs.values()), limit);
 }
 
