Overload and quotas: constants and a function have the usual names

passesTrickle is admitsProbe, its constants are named after probes, and the rate above which there are no extra permits is MAX_EXTRA_PERMIT_RATE.

--- a/packages/core/src/overload/logic.spec.ts
+++ b/packages/core/src/overload/logic.spec.ts
@@ -8,7 +8,7 @@
   expectRoom,
   forgetOld,
   isKnownFull,
-  passesTrickle,
+  admitsProbe,
   promiseRoom,
   recordDispatch,
   recordRefusal,
@@ -70,17 +70,15 @@
   t.true(isKnownFull(state, OWNER, {...CLAIM, slice: 5 as Slice}, 0));
 });
 
-// Without the trickle, a server with room again is noticed late.
+// Without probes, a server with room again is noticed late.
 test('a full server gets one request in ten, and one each 100 ms', t => {
   const state = fullServer();
   recordDispatch(state, OWNER, 0);
-  const passed = Array.from({length: 10}, () =>
-    passesTrickle(state, OWNER, 50),
-  );
+  const passed = Array.from({length: 10}, () => admitsProbe(state, OWNER, 50));
   t.deepEqual(passed.indexOf(true), 9);
   recordDispatch(state, OWNER, 50);
-  t.false(passesTrickle(state, OWNER, 149));
-  t.true(passesTrickle(state, OWNER, 150));
+  t.false(admitsProbe(state, OWNER, 149));
+  t.true(admitsProbe(state, OWNER, 150));
 });
 
 // All refused callers returned together after 150 ms.
--- a/packages/core/src/overload/logic.ts
+++ b/packages/core/src/overload/logic.ts
@@ -30,9 +30,9 @@
 const MIN_REPORT_MS = 10;
 const MAX_REPORT_MS = 500;
 /** One of so many requests for a full server is sent there all the same. */
-const TRICKLE_REQUESTS = 10;
+const REQUESTS_PER_PROBE = 10;
 /** Time after which one request is sent to a full server, in milliseconds. */
-const TRICKLE_MS = 100;
+const PROBE_INTERVAL_MS = 100;
 /** Time without a report after which a server is forgotten, in milliseconds. */
 const FORGET_MS = 5000;
 /**
@@ -183,15 +183,15 @@
  * @param now - Monotonic time, in milliseconds.
  * @returns Whether to send it.
  */
-export function passesTrickle(
+export function admitsProbe(
   state: OverloadState,
   member: MemberId,
   now: number,
 ): boolean {
   const record = recordOf(state, member);
-  if (now - record.sentAt >= TRICKLE_MS) return true;
+  if (now - record.sentAt >= PROBE_INTERVAL_MS) return true;
   record.rejectedSinceSent += 1;
-  return record.rejectedSinceSent >= TRICKLE_REQUESTS;
+  return record.rejectedSinceSent >= REQUESTS_PER_PROBE;
 }
 
 /**
--- a/packages/core/src/quotas/divider.ts
+++ b/packages/core/src/quotas/divider.ts
@@ -43,7 +43,7 @@
  * Rate of all requests, as a multiple of the limit, above which there are no
  * extra permits: they would be used at once and be missing later in the window.
  */
-const MAX_CALM_RATE = 2;
+const MAX_EXTRA_PERMIT_RATE = 2;
 /**
  * Reported rate, per second, up to which half of it counts: it rises at once and
  * falls slowly, so that a single request counts twice.
@@ -227,7 +227,7 @@
 
 /** Returns the permits that all members may hold by the token bucket. */
 function totalPermits(account: TenantAccount, quota: TenantQuota): number {
-  const isOver = account.rate > MAX_CALM_RATE * quota.ratePerSecond;
+  const isOver = account.rate > MAX_EXTRA_PERMIT_RATE * quota.ratePerSecond;
   if (isOver) return Math.min(account.level, quota.burst) + quota.reserve;
   const fill = Math.min(1, Math.max(0, account.level / maxLevel(quota)));
   return account.level + quota.reserve + (fill > 0 ? quota.extra * fill : 0);
--- a/packages/core/src/routing/overload.ts
+++ b/packages/core/src/routing/overload.ts
@@ -9,7 +9,7 @@
 import {
   expectRoom,
   isKnownFull,
-  passesTrickle,
+  admitsProbe,
   promiseRoom,
   recordDispatch,
   recordRefusal,
@@ -100,7 +100,7 @@
   if (!isFull(member)) return null;
   const servers = slice === null ? serversFor(context, pending) : [];
   if (!servers.every(each => isFull(each.member))) return null;
-  if (passesTrickle(overload, member, now)) return null;
+  if (admitsProbe(overload, member, now)) return null;
   const record = overload.servers.get(member);
   const fields = {
     request,
