--- a/review/besides-2/heads-by-rate.mjs
+++ b/review/besides-2/heads-by-rate.mjs
@@ -1,6 +1,6 @@
 /**
- * A busy key gets 450 requests a second, half of what its upstream can serve.
- * Their heads are close to `max_header_bytes`; with TROUBLE=0 they are short.
+ * Case 7 with other rates and heads.
+ * RATE is the number of requests a second, HEAD the length of their heads.
  */
 import http from 'node:http';
 
@@ -24,10 +24,7 @@
   {zone, service: 'aa', sharded: true, slots: 18, behaviour: {workMs: 4}},
   {zone, service: 'bb', slots: 18, behaviour: {workMs: 600}},
 ]);
-const fleet = new Fleet(
-  machines,
-  new URL('record.txt', import.meta.url).pathname,
-);
+const fleet = new Fleet(machines, '/dev/null');
 const answered = {};
 /** Requests whose kept connection ended without a complete answer. */
 const cut = [];
--- a/review/besides-2/random-clients.mjs
+++ b/review/besides-2/random-clients.mjs
@@ -1,3 +1,8 @@
+/**
+ * Clients of several kinds on random connections, while daemons and upstreams
+ * are frozen, killed, stopped and replaced at random. Compares each answer with
+ * its request. The first argument is the seed; ONLY names the only disruption.
+ */
 import net from 'node:net';
 import {Fleet, configOf, newId, runCase, sleep} from '../kit-2/fleet.mjs';
 let seed = Number(process.argv[2] ?? 1);
@@ -19,7 +24,7 @@
     behaviour: {workMs: 250, bodyBytes: 20000, echo: false},
   },
 ]);
-const fleet = new Fleet(machines, `/tmp/rnd/record-${process.argv[2]}.txt`);
+const fleet = new Fleet(machines, process.env.RECORD ?? '/dev/null');
 const sent = new Map(); // id -> {kind}
 const bad = [];
 const stats = {};
@@ -210,6 +215,9 @@
     if (conn.queue.length && !conn.closed) {
       for (const q of conn.queue) {
         count(`silent ${q.kind}`);
+        fleet.note(
+          `SILENT ${conn.type} ${q.kind} ${q.id} ${machine.name} sent ${Date.now() - q.at} ms ago`,
+        );
       }
     }
     conn.left = true;
@@ -232,10 +240,11 @@
   });
   await fleet.start(base);
   await sleep(3000);
-  fleet.endAt = Date.now() + 55000;
+  fleet.endAt = Date.now() + 62_000;
+  const quietAt = fleet.endAt - 24_000;
   const clients = Array.from({length: 24}, (_, i) => client(i));
   let version = 7;
-  while (!stopAt()) {
+  while (Date.now() < quietAt) {
     await sleep(500 + rnd() * 1500);
     const m = pick(fleet.machines);
     const what =
@@ -249,6 +258,9 @@
         'upkill',
         'upstop',
         'config',
+        'busy',
+        'evacuate',
+        'kill all',
       ]);
     fleet.note(`DISRUPT ${what} ${m.name}`);
     count(`~${what}`);
@@ -284,6 +296,23 @@
       u.kill('SIGSTOP');
       setTimeout(() => u.kill('SIGCONT'), 300 + rnd() * 3000);
     }
+    if (what === 'busy') {
+      fleet.store.busy = true;
+      setTimeout(() => (fleet.store.busy = false), 1000 + rnd() * 7000);
+    }
+    if (what === 'evacuate') {
+      const key = `evacuate/${m.zone}`;
+      fleet.store.operatorPut('op', key, {});
+      setTimeout(() => fleet.store.operatorRemove('op', key), 6000);
+    }
+    if (what === 'kill all') {
+      for (const each of fleet.machines) {
+        if (each.daemonEnd) continue;
+        each.daemon.kill('SIGKILL');
+        setTimeout(() => fleet.startDaemon(each), 1000);
+      }
+      await sleep(1500);
+    }
     if (what === 'config') {
       version += 3;
       fleet.store.operatorPut('op', 'config', {
@@ -315,6 +344,18 @@
     for (const q of sent.values())
       if (q.lost && runs.has(q.id))
         bad.push(`LOST ${q.type} ${q.kind} ${q.id} ${q.lost - q.at}`);
+  const late = [...sent.values()].filter(
+    q => q.at > quietAt + 15_000 && q.at < fleet.endAt - 3000,
+  );
+  const share = kind => {
+    const some = late.filter(q => q.kind === kind);
+    const served = some.filter(q => q.status === 200).length;
+    return `${kind} ${served} of ${some.length}`;
+  };
+  console.log(
+    'served at the end:',
+    ['get', 'post', 'key'].map(share).join(', '),
+  );
   console.log('seed', process.argv[2], JSON.stringify(stats));
   console.log(
     'bad',
--- a/review/besides-2/reused-attempt-id.mjs
+++ b/review/besides-2/reused-attempt-id.mjs
@@ -1,3 +1,6 @@
+/**
+ * A client sends bookings for one key with the same Attempt-Id to six machines.
+ */
 import http from 'node:http';
 import {Fleet, configOf, newId, runCase, send, sleep} from '../kit-2/fleet.mjs';
 const machines = ['z0', 'z1', 'z2'].flatMap(zone => [
--- a/review/besides-2/slow-reader-at-stop.mjs
+++ b/review/besides-2/slow-reader-at-stop.mjs
@@ -1,3 +1,7 @@
+/**
+ * A client pipelines N requests with answers of 60 KB and reads none of them for
+ * some seconds, in which its daemon gets SIGTERM.
+ */
 import net from 'node:net';
 import {
   Fleet,
