--- /dev/null
+++ b/review/besides-3/foreign-heartbeat/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec node "$(dirname "$0")/run.mjs"
