review/lib-3: a run that is ended by a signal or an error ends its daemons

Cause: two trial scripts that ended by an error left daemons running, and a case ended by a signal would have left its own; an aborted request at a stand-in could end a run with status 1. Change: the run kills its daemons, removes its folder and exits with 2 on a signal, on an error outside of the case and after 115 s; stand-ins drop requests that are aborted.

--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -25,6 +25,8 @@
 export const ROOT = fileURLToPath(new URL('../..', import.meta.url));
 export const IS_TROUBLED = process.env.TROUBLE !== '0';
 const SETUP_TIMEOUT_MS = 20_000;
+/** A run that takes longer could not run. */
+const RUN_TIMEOUT_MS = 115_000;
 /** Bounds of the small deployments on the users' pages. */
 export const BOUNDS = {
   seed_lag_s: 3,
@@ -316,6 +318,27 @@
 /** The case could not run. */
 export class CannotRun extends Error {}
 
+/**
+ * Ends the daemons and removes the folder however the run ends: by an error
+ * outside of the case, by a signal, or because it takes too long.
+ */
+function endWithRun(fleet) {
+  const abandon = reason => {
+    process.stderr.write(`cannot run: ${reason?.stack ?? reason}\n`);
+    process.exit(2);
+  };
+  process.on('uncaughtException', abandon);
+  process.on('unhandledRejection', abandon);
+  for (const name of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(name, abandon);
+  setTimeout(() => abandon('the run takes too long'), RUN_TIMEOUT_MS).unref();
+  process.on('exit', () => {
+    for (const machine of fleet.machines) machine.process?.kill('SIGKILL');
+    if (process.env.KEEP !== '1') {
+      rmSync(fleet.folder, {recursive: true, force: true});
+    }
+  });
+}
+
 /**
  * Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case
  * could not run.
@@ -328,6 +351,7 @@
   const recorder = new Recorder();
   const fleet = new Fleet(recorder);
   let status = 2;
+  endWithRun(fleet);
   try {
     await fleet.open();
     const held = await play(fleet, recorder);
--- a/review/lib-3/upstream.mjs
+++ b/review/lib-3/upstream.mjs
@@ -23,12 +23,14 @@
     /** Monotonic time until which it is cold, in milliseconds. */
     this.coldUntilMs = 0;
     this.server = createServer({keepAliveTimeout: 10_000});
-    this.server.on('request', (incoming, outgoing) => {
-      void this.handle(incoming, outgoing);
-    });
+    // A request whose connection ends before its body is in has no answer.
+    const handle = (incoming, outgoing) => {
+      this.handle(incoming, outgoing).catch(() => outgoing.destroy());
+    };
+    this.server.on('request', handle);
     this.server.on('checkContinue', (incoming, outgoing) => {
       outgoing.writeContinue();
-      void this.handle(incoming, outgoing);
+      handle(incoming, outgoing);
     });
   }
 
