review/13: leave out what the rule doesn't count

Cause: the check didn't leave out requests at the upstream that ended or past their deadline. Change: both are left out.

--- a/review/13/run.mjs
+++ b/review/13/run.mjs
@@ -15,6 +15,7 @@
 const THINK_MS = 100;
 const DRAIN_MS = 2000;
 const GRACE_MS = 6000;
+const DEADLINE_MS = 2000;
 const HOST = 'orders.example';
 
 async function answer({incoming, outgoing, headers}) {
@@ -39,7 +40,8 @@
     }
     const body = Buffer.alloc(1000, 'x');
     const request = {method: 'POST', host: HOST, path: '/orders/new', body};
-    state.results.push(await connection.send(request));
+    const deadlineMs = DEADLINE_MS;
+    state.results.push(await connection.send({...request, deadlineMs}));
     await sleep(THINK_MS);
   }
   connection?.destroy();
@@ -100,20 +102,25 @@
     await machine.exited;
     state.stopped = true;
     await Promise.all(clients);
-    return isHeld(recorder, state);
+    return isHeld(recorder, state, upstream.options.id);
   },
 );
 
 /**
  * LOST: a process has read a whole request and the connection ends without a
- * complete answer once it has been passed on to an upstream.
+ * complete answer once it has been passed on to an upstream. Not counted are
+ * requests that ran at the upstream that ended, or that reached their deadline.
  */
-function isHeld(recorder, {results, stopMs}) {
-  const ran = new Set(recorder.of('run').map(each => each.attempt));
+function isHeld(recorder, {results, stopMs}, endedUpstream) {
+  const ran = new Map(
+    recorder.of('run').map(each => [each.attempt, each.upstream]),
+  );
   const lost = results.filter(
     each =>
       each.status === null &&
+      each.ms < DEADLINE_MS &&
       ran.has(each.attempt) &&
+      ran.get(each.attempt) !== endedUpstream &&
       each.sentMs < stopMs + GRACE_MS + 1000,
   );
   recorder.add({event: 'summary', requests: results.length, lost: lost.length});
