Process: a stop that is requested during the start is heard

What callers saw: nothing of it yet, since a second SIGTERM ends such a process. With a listener that stays, nothing would but SIGKILL: the daemon would go on serving until the end of its grace period, and cut what it has then.

Cause: runProcess added the listener to the stop's signal after the ports and the adapters were open, and the listener to `left` after that. An abort signal that was aborted before tells a later listener nothing.

Change: runProcess waits for both signals with a function that looks at the state of the signal first.

--- a/packages/daemon/src/process/logic.ts
+++ b/packages/daemon/src/process/logic.ts
@@ -39,7 +39,8 @@
 const STANDARD_OUTPUT = 1;
 
 /**
- * Runs a daemon until it has left the workspace after a planned stop.
+ * Runs a daemon until it has left the workspace after a planned stop. A stop
+ * that is requested during the start takes effect after it.
  *
  * @param settings - Validated settings.
  * @param stop - Aborted to request a planned stop.
@@ -93,13 +94,10 @@
       settings.tuning.loop.tickMs,
     );
     shutdown.signal.addEventListener('abort', () => clearInterval(ticker));
-    logger.log('processStarted', {
-      callers: formatEndpoint(settings.callers),
-      links: formatEndpoint(settings.links),
-      operators: formatEndpoint(settings.operators),
-    });
-    stop.addEventListener('abort', () => runtime.stop());
-    await once(left.signal, 'abort');
+    logStart(logger, settings);
+    await aborted(stop);
+    runtime.stop();
+    await aborted(left.signal);
     await finishResponses(runtime);
     logger.log('processLeaving', {});
   } finally {
@@ -108,6 +106,19 @@
   }
 }
 
+function logStart(logger: Logger, settings: Settings): void {
+  logger.log('processStarted', {
+    callers: formatEndpoint(settings.callers),
+    links: formatEndpoint(settings.links),
+    operators: formatEndpoint(settings.operators),
+  });
+}
+
+/** Waits until a signal is aborted; it may be already. */
+async function aborted(signal: AbortSignal): Promise<void> {
+  if (!signal.aborted) await once(signal, 'abort');
+}
+
 function identityOf(
   settings: Settings,
   incarnation: string,
