Process: a further SIGTERM doesn't end a stopping process

What callers saw: an operator stops a daemon while its upstream leaves; when the upstream has terminated, the platform sends SIGTERM again. The process ended at once.

The second signal found no listener, so the system's default action ended the process. The stop itself went well; readiness, leases and links had no part in it.

Change: the listeners stay. The abort controller ignores all but the first request, so that a further one starts nothing anew: neither the grace period nor the closing of connections.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -24,8 +24,9 @@
   .parseAsync();
 
 const stop = new AbortController();
-process.once('SIGTERM', () => stop.abort());
-process.once('SIGINT', () => stop.abort());
+// Kept for further signals, whose default action would end the process.
+process.on('SIGTERM', () => stop.abort());
+process.on('SIGINT', () => stop.abort());
 
 try {
   await runProcess(await readSettings(args.settings), stop.signal);
