Process: SIGHUP doesn't end a process that starts or shuts down

What callers saw: a SIGHUP, which says that the settings file has changed, ended a daemon that had just been started, or one whose adapters had closed while the last responses were sent. `jackdawfalld` had no listener for it at all.

Cause: the listener belonged to the platform's adapters and lived as long as they did; before and after, the system's default action ended the process.

Evidence: the bundle with settings that can't be read yet, SIGHUP after N seconds: before, each of 0.02 to 0.3 s ended it.

Change: ProcessSignals takes SIGHUP from the first statement of a process, before the rest is loaded, to its end; runProcess handles all signals, so that both daemons do the same: settings are read again and event 515 says whether they differ. Signals during a read lead to one more read. Until runProcess takes over, SIGTERM and SIGINT keep the default action, which is right: nothing is open yet. Each signal writes event 521 with the phase of the process and its open connections, at most ten lines a second.

--- a/packages/core/src/log_events/catalogue.ts
+++ b/packages/core/src/log_events/catalogue.ts
@@ -14,9 +14,10 @@
   /**
    * Rate limiting class of the event: `state` for a state change of the
    * process, never limited; `request` for a step of one request; `failure` for
-   * a step that failed. The last two have separate limits per second.
+   * a step that failed; `signal` for a signal that the process received. The
+   * last three have separate limits per second.
    */
-  readonly flow: 'state' | 'request' | 'failure';
+  readonly flow: 'state' | 'request' | 'failure' | 'signal';
 }
 
 /** Every log event by name. */
@@ -222,7 +223,11 @@
     'info',
     'This daemon started or stopped watching the configuration source.',
   ),
-  settingsRead: event(515, 'info', 'The settings were read again.'),
+  settingsRead: received(
+    515,
+    'The settings were read again; a change applies after a restart.',
+  ),
+  signalReceived: received(521, 'The process received a signal.'),
   storeRestored: event(
     422,
     'warn',
@@ -269,3 +274,7 @@
 function failed(code: number, text: string): LogEvent {
   return {code, level: 'info', text, flow: 'failure'};
 }
+
+function received(code: number, text: string): LogEvent {
+  return {code, level: 'info', text, flow: 'signal'};
+}
--- a/packages/core/src/log_events/view.ts
+++ b/packages/core/src/log_events/view.ts
@@ -12,7 +12,7 @@
 \`tuning.logs.level\` of the settings are not written. The code of an event is
 never used for another one.
 
-Lines of the flows \`request\` and \`failure\` are limited to a number per second.
+Lines of the flows \`request\`, \`failure\` and \`signal\` are limited to a number per second.
 Event 516 reports how many lines were dropped, by this limit or since nobody
 reads the output.
 
--- a/packages/daemon/src/logs/limiter.ts
+++ b/packages/daemon/src/logs/limiter.ts
@@ -15,6 +15,7 @@
   state: Infinity,
   request: 150,
   failure: 100,
+  signal: 10,
 };
 /** Capacity of a bucket, as seconds of its rate. */
 const MAX_BURST_SECONDS = 4;
--- a/packages/daemon/src/process/logic.spec.ts
+++ b/packages/daemon/src/process/logic.spec.ts
@@ -1,5 +1,7 @@
 /** @fileoverview Tests of requests to stop at every moment of a process. */
 
+import {EventEmitter} from 'node:events';
+
 import {mergeTuning} from '@jackdawfall/core';
 import type {StoreReply} from '@jackdawfall/core';
 import test from 'ava';
@@ -9,12 +11,11 @@
 import {SERVER_PROTOCOL} from '../runs/protocol.js';
 import type {Settings} from '../settings/types.js';
 import {runProcess} from './logic.js';
+import {ProcessSignals} from './signals.js';
 
 const ENDPOINT = {ip: '127.0.0.1', port: 0};
 /** Time for a process without requests and without a store to stop. */
 const STOPPED_WITHIN_MS = 1000;
-/** Time for a process to start. */
-const START_MS = 100;
 const SETTINGS = {
   workspace: 'w',
   host: 'a',
@@ -27,19 +28,32 @@
   tuning: mergeTuning({logs: {level: 'error'}}),
 } as unknown as Settings;
 
-type Moment = 'ports are opened' | 'adapters start' | 'it has started';
+type Moment =
+  'ports are opened' | 'adapters start' | 'it has started' | 'it stops';
+
+interface Case {
+  readonly moment: Moment;
+  readonly signals: readonly string[];
+}
 
-const MOMENTS: readonly Moment[] = [
-  'ports are opened',
-  'adapters start',
-  'it has started',
+const CASES: readonly Case[] = [
+  {moment: 'ports are opened', signals: ['SIGTERM']},
+  {moment: 'ports are opened', signals: ['SIGHUP', 'SIGTERM', 'SIGTERM']},
+  {moment: 'adapters start', signals: ['SIGTERM']},
+  {moment: 'adapters start', signals: ['SIGINT', 'SIGHUP', 'SIGTERM']},
+  {moment: 'it has started', signals: ['SIGTERM']},
+  {moment: 'it has started', signals: ['SIGHUP', 'SIGINT']},
+  {moment: 'it stops', signals: ['SIGTERM']},
+  {moment: 'it stops', signals: ['SIGINT', 'SIGHUP', 'SIGTERM']},
 ];
 
 // Guards against a request to stop during the start that is never heard, so
 // that only SIGKILL ends the process.
-for (const moment of MOMENTS) {
-  test(`a stop is requested while ${moment}: the process stops`, async t => {
-    const ended = runAndStop(moment).then(() => 'ended');
+for (const {moment, signals} of CASES) {
+  test(`${signals.join(', ')} while ${moment}: the process stops`, async t => {
+    const source = new EventEmitter();
+    const send = () => signals.forEach(name => source.emit(name));
+    const ended = startAndSend(source, moment, send).then(() => 'ended');
     const late = new Promise(resolve =>
       setTimeout(resolve, STOPPED_WITHIN_MS, 'still running'),
     );
@@ -47,21 +61,40 @@
   });
 }
 
-/** Runs a process and requests its stop at a moment of it. */
-async function runAndStop(moment: Moment): Promise<void> {
-  const stop = new AbortController();
-  const running = runProcess(SETTINGS, stop.signal, () => ({
-    store: UNREACHABLE_STORE,
-    callers: CALLER_PROTOCOL,
-    servers: SERVER_PROTOCOL,
-    async start() {
-      if (moment === 'adapters start') stop.abort();
-      await new Promise(setImmediate);
-    },
-  }));
-  if (moment === 'ports are opened') stop.abort();
-  await new Promise(resolve => setTimeout(resolve, START_MS));
-  stop.abort();
+/** Runs a process and calls `send` at a moment of it. */
+async function startAndSend(
+  source: EventEmitter,
+  moment: Moment,
+  send: () => void,
+): Promise<void> {
+  const running = runProcess({
+    settings: SETTINGS,
+    signals: new ProcessSignals(source),
+    haveSettingsChanged: () => Promise.resolve(false),
+    createAdapters: () => ({
+      store: UNREACHABLE_STORE,
+      callers: CALLER_PROTOCOL,
+      servers: SERVER_PROTOCOL,
+      async start() {
+        if (moment === 'adapters start') send();
+        await new Promise(setImmediate);
+      },
+    }),
+  });
+  if (moment === 'ports are opened') send();
+  await new Promise(resolve => setTimeout(resolve, 100));
+  switch (moment) {
+    case 'ports are opened':
+    case 'adapters start':
+      break;
+    case 'it has started':
+      send();
+      break;
+    case 'it stops':
+      source.emit('SIGTERM');
+      send();
+      break;
+  }
   await running;
 }
 
--- a/packages/daemon/src/process/logic.ts
+++ b/packages/daemon/src/process/logic.ts
@@ -27,6 +27,8 @@
   listen,
   listenForCallers,
 } from './listen.js';
+import {SettingsCheck} from './settings_check.js';
+import type {ProcessSignals} from './signals.js';
 import {StoreClient} from '../store_client/logic.js';
 import {SERVER_PROTOCOL} from '../runs/protocol.js';
 import type {Endpoint, Settings} from '../settings/types.js';
@@ -38,22 +40,40 @@
 /** Descriptor of standard output. */
 const STANDARD_OUTPUT = 1;
 
+/** What a daemon in this process runs with. */
+export interface ProcessOptions {
+  /** Validated settings. */
+  readonly settings: Settings;
+  /** Requests to stop and to check the settings. */
+  readonly signals: ProcessSignals;
+  /** Reads the settings again; returns whether they differ from those in use. */
+  readonly haveSettingsChanged: () => Promise<boolean>;
+  /**
+   * Creates the adapters; the built-in ones by default. Its argument is aborted
+   * when the process shuts down.
+   */
+  readonly createAdapters?: (signal: AbortSignal) => Adapters;
+}
+
+/** Where a process is between its start and its end, and what ends it. */
+interface Lifecycle {
+  phase: 'starting' | 'serving' | 'stopping' | 'shutting down';
+  /** Aborted by the first request to stop. */
+  readonly stop: AbortController;
+}
+
 /**
- * Runs a daemon until it has left the workspace after a planned stop. A stop
- * that is requested during the start takes effect after it.
+ * Runs a daemon until it has left the workspace after a planned stop. Only the
+ * first request to stop has an effect; one that arrives during the start takes
+ * effect after it.
  *
- * @param settings - Validated settings.
- * @param stop - Aborted to request a planned stop.
- * @param createAdapters - Creates the adapters; the built-in ones by default.
- *     Its argument is aborted when the process shuts down.
+ * @param options - Settings, signals and adapters.
  * @throws ListenError if a port can't be opened.
  */
-export async function runProcess(
-  settings: Settings,
-  stop: AbortSignal,
-  createAdapters: (signal: AbortSignal) => Adapters = signal =>
-    createBuiltInAdapters(settings, signal),
-): Promise<void> {
+export async function runProcess(options: ProcessOptions): Promise<void> {
+  const {settings} = options;
+  const {createAdapters = signal => createBuiltInAdapters(settings, signal)} =
+    options;
   const incarnation = randomBytes(INCARNATION_BYTES).toString('hex');
   const member = makeMemberId(settings.host, incarnation);
   const {workspace, host} = settings;
@@ -82,6 +102,8 @@
       exitOnViolation(logger, invariant, detail),
     signal: shutdown.signal,
   });
+  const lifecycle: Lifecycle = {phase: 'starting', stop: new AbortController()};
+  handleSignals(options, runtime, lifecycle);
   const servers = [runtime.callers.server, createOperatorServer(runtime)];
   try {
     await listenForCallers(runtime.callers.server, settings.callers);
@@ -89,15 +111,14 @@
     await listenForLinks(runtime, settings.links);
     runtime.start();
     await adapters.start(runtime, shutdown.signal);
-    const ticker = setInterval(
-      () => runtime.tick(),
-      settings.tuning.loop.tickMs,
-    );
-    shutdown.signal.addEventListener('abort', () => clearInterval(ticker));
+    startTicks(runtime, settings, shutdown.signal);
     logStart(logger, settings);
-    await aborted(stop);
+    lifecycle.phase = 'serving';
+    await aborted(lifecycle.stop.signal);
+    lifecycle.phase = 'stopping';
     runtime.stop();
     await aborted(left.signal);
+    lifecycle.phase = 'shutting down';
     await finishResponses(runtime);
     logger.log('processLeaving', {});
   } finally {
@@ -106,6 +127,42 @@
   }
 }
 
+/**
+ * Handles the signals of the process until it ends: those that arrive after the
+ * first request to stop are logged and have no further effect.
+ */
+function handleSignals(
+  {signals, haveSettingsChanged}: ProcessOptions,
+  runtime: DaemonRuntime,
+  lifecycle: Lifecycle,
+): void {
+  const settingsCheck = new SettingsCheck(haveSettingsChanged, fields =>
+    runtime.log('settingsRead', fields),
+  );
+  signals.handle(({request, name}) => {
+    const {phase, stop} = lifecycle;
+    const connections = runtime.callers.openConnections;
+    runtime.log('signalReceived', {signal: name, request, phase, connections});
+    switch (request) {
+      case 'stop':
+        stop.abort();
+        return;
+      case 'reload':
+        settingsCheck.request();
+        return;
+    }
+  });
+}
+
+function startTicks(
+  runtime: DaemonRuntime,
+  {tuning}: Settings,
+  signal: AbortSignal,
+): void {
+  const ticker = setInterval(() => runtime.tick(), tuning.loop.tickMs);
+  signal.addEventListener('abort', () => clearInterval(ticker));
+}
+
 function logStart(logger: Logger, settings: Settings): void {
   logger.log('processStarted', {
     callers: formatEndpoint(settings.callers),
--- a/packages/emulator/src/deployment/signals.spec.ts
+++ b/packages/emulator/src/deployment/signals.spec.ts
@@ -46,6 +46,7 @@
   {name: 'SIGTERM', signals: [{afterMs: 100, name: 'SIGTERM'}]},
   {name: 'SIGTERM at once', signals: [{afterMs: 5, name: 'SIGTERM'}]},
   {name: 'SIGINT', signals: [{afterMs: 100, name: 'SIGINT'}]},
+  {name: 'SIGHUP', signals: [{afterMs: 100, name: 'SIGHUP'}]},
   {name: 'signals in series', signals: seriesOf(7, 50)},
   {name: 'signals until its end', signals: seriesOf(250, 20)},
 ];
@@ -99,6 +100,10 @@
     t.is(await daemon.exited, '0');
     t.true(performance.now() - stoppedMs < STOP_MS + RUN_MS);
     t.true(outcomes.some(isDone));
+    const received = daemon.output.filter(line =>
+      line.includes('"signalReceived"'),
+    );
+    t.true(received.length > 1, daemon.output.join('\n'));
   });
 }
 
@@ -113,7 +118,7 @@
 }
 
 function seriesOf(count: number, afterMs: number): DelayedSignal[] {
-  const names = ['SIGINT', 'SIGTERM'] as const;
+  const names = ['SIGINT', 'SIGTERM', 'SIGHUP', 'SIGTERM'] as const;
   return Array.from({length: count}, (_, index) => ({
     afterMs,
     name: names[index % names.length],
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -23,6 +23,7 @@
   alias: {
     '@jackdawfall/core': sourceIndex('core'),
     '@jackdawfall/wire': sourceIndex('wire'),
+    '@jackdawfall/daemon/signals': `${root}packages/daemon/src/process/signals.ts`,
     '@jackdawfall/daemon': sourceIndex('daemon'),
   },
 });
