Tools: a tool that is ended by a signal ends its child processes

What users saw: SIGTERM to the demo, or SIGHUP (a terminal that is closed) to the demo, the scenarios, the random stops or a bench left daemons, servers and the platform's stand-in running.

Each tool listened for some of the signals, once; the default action of all others ended it before it had ended what it started. An emulator process that was asked to end while it started added its listener after the abort.

Change: one function listens for SIGINT, SIGTERM and SIGHUP for the whole life of a tool. The first of them kills all child processes; a further one changes nothing. The command line takes SIGTERM like SIGINT: it aborts its requests and exits.

--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -15,7 +15,9 @@
 logger.setLevel('info', false);
 
 const stop = new AbortController();
-process.once('SIGINT', () => stop.abort());
+for (const name of ['SIGINT', 'SIGTERM'] as const) {
+  process.on(name, () => stop.abort());
+}
 
 try {
   process.exitCode = await runProgram(
--- a/packages/emulator/src/bench/main.ts
+++ b/packages/emulator/src/bench/main.ts
@@ -6,6 +6,7 @@
 import {availableParallelism, totalmem} from 'node:os';
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
+import {abortOnSignals} from '../control/signals.js';
 import {BENCHES} from './definitions.js';
 import {printProgress} from './progress.js';
 import type {Bench, Measurements} from './types.js';
@@ -29,8 +30,7 @@
   .parseAsync();
 
 const abort = new AbortController();
-process.once('SIGINT', () => abort.abort());
-process.once('SIGTERM', () => abort.abort());
+abortOnSignals(abort);
 
 const requested = args._.map(String);
 const outcomes: Record<string, BenchOutcome> = {};
--- a/packages/emulator/src/control/process.ts
+++ b/packages/emulator/src/control/process.ts
@@ -1,7 +1,12 @@
 /** @fileoverview Start and end of an emulator process. */
 
+import {abortOnSignals} from './signals.js';
+
+/** Time for what is under way to end after the abort. */
+const EXIT_DELAY_MS = 100;
+
 /**
- * Runs a process until SIGTERM or SIGINT. Prints the result of its start, such
+ * Runs a process until a signal asks it to end. Prints the result of its start, such
  * as its ports, as one line of JSON.
  *
  * @param start - Starts the work, which ends when the signal aborts.
@@ -10,9 +15,7 @@
   start: (signal: AbortSignal) => Promise<unknown>,
 ): Promise<void> {
   const controller = new AbortController();
-  for (const name of ['SIGTERM', 'SIGINT'] as const) {
-    process.once(name, () => controller.abort());
-  }
+  abortOnSignals(controller);
   try {
     const ports = await start(controller.signal);
     process.stdout.write(`${JSON.stringify(ports)}\n`);
@@ -20,7 +23,9 @@
     process.stderr.write(`${String(error)}\n`);
     process.exit(1);
   }
-  controller.signal.addEventListener('abort', () => {
-    setTimeout(() => process.exit(0), 100).unref();
-  });
+  const exitSoon = () => {
+    setTimeout(() => process.exit(0), EXIT_DELAY_MS).unref();
+  };
+  if (controller.signal.aborted) exitSoon();
+  else controller.signal.addEventListener('abort', exitSoon);
 }
--- a/packages/emulator/src/demo/main.ts
+++ b/packages/emulator/src/demo/main.ts
@@ -8,6 +8,7 @@
 import type {Load} from '../load/definition.js';
 import type {Workspace} from '@jackdawfall/core';
 
+import {abortOnSignals} from '../control/signals.js';
 import {sleep} from '../control/logic.js';
 import {startCluster} from '../deployment/cluster.js';
 import {
@@ -44,7 +45,7 @@
 };
 
 const stop = new AbortController();
-process.once('SIGINT', () => stop.abort());
+abortOnSignals(stop);
 try {
   process.exitCode = await run(stop.signal);
 } catch (error) {
--- a/packages/emulator/src/owners/main.ts
+++ b/packages/emulator/src/owners/main.ts
@@ -9,6 +9,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 
+import {abortOnSignals} from '../control/signals.js';
 import {runScenario} from '../scenario/runner.js';
 import {buildOwnersScenario, parseKnownRedSeeds} from './logic.js';
 
@@ -30,8 +31,7 @@
   .parse();
 
 const stop = new AbortController();
-process.once('SIGINT', () => stop.abort());
-process.once('SIGTERM', () => stop.abort());
+abortOnSignals(stop);
 const {seed: first, seeds, seconds, hosts, logs} = ARGUMENTS;
 const knownRed = parseKnownRedSeeds(readFileSync(KNOWN_RED, 'utf8'));
 for (let seed = first; seed < first + seeds; seed++) {
--- a/packages/emulator/src/scenario/main.ts
+++ b/packages/emulator/src/scenario/main.ts
@@ -7,6 +7,7 @@
 import yargs from 'yargs';
 import {hideBin} from 'yargs/helpers';
 
+import {abortOnSignals} from '../control/signals.js';
 import {parseKnownRed, parseScenario} from './logic.js';
 import {runScenario} from './runner.js';
 import {renderFaults, renderResults} from './view.js';
@@ -45,8 +46,7 @@
   .parse();
 
 const stop = new AbortController();
-process.once('SIGINT', () => stop.abort());
-process.once('SIGTERM', () => stop.abort());
+abortOnSignals(stop);
 try {
   process.exitCode = await main(ARGUMENTS._.map(String), stop.signal);
 } catch (error) {
