Random stops: stops and reloads in series, while the server leaves or ends

A process that ends by any signal but SIGKILL fails a scenario or a random run, also one that was replaced since; that is stricter than before (SIGABRT of a full heap passed). Without the option a seed plays what it played.

The spec on the kinds of disturbance now checks both lists; the one on kills and their restarts is as it was for runs without signals, and holds in a wider form for the others (the server is killed within a series, and the host restarted after it).

--- a/packages/emulator/src/deployment/cluster.ts
+++ b/packages/emulator/src/deployment/cluster.ts
@@ -100,6 +100,7 @@
   const {logFile, daemonLimits: limits} = host;
   const program = {name, entry: DAEMON_ENTRY, args, logFile, limits};
   const daemon = startProcess(program, signal);
+  if (host.daemon !== null) host.earlierDaemons.push(host.daemon);
   host.daemon = daemon;
   const untilMs = performance.now() + READY_TIMEOUT_MS;
   while (!(await isReachable(host.operators))) {
@@ -254,6 +255,7 @@
     serverControlAddress: `${LOOPBACK}:${serverControl}`,
     relayControlAddress: relay && `${LOOPBACK}:${relay.controlPort}`,
     frozen: false,
+    earlierDaemons: [],
     daemon: null,
     server: null,
   };
--- a/packages/emulator/src/deployment/processes.spec.ts
+++ b/packages/emulator/src/deployment/processes.spec.ts
@@ -26,6 +26,28 @@
   });
 }
 
+const ENDS = [
+  {signal: 'SIGTERM', failure: null},
+  {signal: 'SIGKILL', failure: null},
+  {signal: 'SIGABRT', failure: 'SIGABRT'},
+] as const;
+
+// Guards against a process that counts as killed by the test, although it ended
+// by itself or by a signal that asked for something else.
+for (const {signal, failure} of ENDS) {
+  test(`a process that gets ${signal}: failure ${failure}`, async t => {
+    const stop = new AbortController();
+    t.teardown(() => stop.abort());
+    const entry = 'emulator/dist/platform/main.js';
+    const program = {name: 'platform', entry, args: []};
+    const {child} = await startEmulatorProcess(program, stop.signal);
+    t.is(child.failure(), null);
+    child.kill(signal);
+    await child.exited;
+    t.is(child.failure(), failure);
+  });
+}
+
 test('an unknown argument ends the process with an error', async t => {
   const stop = new AbortController();
   t.teardown(() => stop.abort());
--- a/packages/emulator/src/deployment/processes.ts
+++ b/packages/emulator/src/deployment/processes.ts
@@ -59,8 +59,12 @@
   });
   const isRunning = (): boolean =>
     child.exitCode === null && child.signalCode === null;
-  const hasFailed = (): boolean =>
-    child.exitCode !== null && child.exitCode !== 0;
+  const failure = (): string | null => {
+    const {exitCode, signalCode} = child;
+    if (signalCode === 'SIGKILL') return null;
+    if (signalCode !== null) return signalCode;
+    return exitCode === null || exitCode === 0 ? null : `code ${exitCode}`;
+  };
   const kill = (name: NodeJS.Signals): void => {
     if (isRunning()) child.kill(name);
   };
@@ -68,7 +72,7 @@
   if (signal.aborted) kill('SIGKILL');
   const pid = child.pid ?? 0;
   const {name} = program;
-  return {name, pid, output, exited, isRunning, hasFailed, kill};
+  return {name, pid, output, exited, isRunning, failure, kill};
 }
 
 /**
--- a/packages/emulator/src/deployment/types.ts
+++ b/packages/emulator/src/deployment/types.ts
@@ -12,8 +12,11 @@
   /** Resolves with the exit code or the name of the signal. */
   readonly exited: Promise<string>;
   readonly isRunning: () => boolean;
-  /** True once it has exited with an error code, not by a signal. */
-  readonly hasFailed: () => boolean;
+  /**
+   * The error code or signal that it ended with. Null while it runs, after an
+   * end in order, and after SIGKILL, which only tests send.
+   */
+  readonly failure: () => string | null;
   readonly kill: (signal: NodeJS.Signals) => void;
 }
 
@@ -67,6 +70,8 @@
   readonly relayControlAddress: string | null;
   /** True while the daemon is stopped by SIGSTOP. */
   frozen: boolean;
+  /** Daemons that ran on the host before the latest one. */
+  readonly earlierDaemons: ManagedProcess[];
   /** Null while the process isn't running. */
   daemon: ManagedProcess | null;
   server: ManagedProcess | null;
--- a/packages/emulator/src/owners/logic.spec.ts
+++ b/packages/emulator/src/owners/logic.spec.ts
@@ -18,7 +18,7 @@
 
 test('the same seed gives the same scenario, another seed another one', t => {
   const [first, again, other] = [1, 1, 2].map(seed =>
-    buildOwnersScenario(seed, SECONDS, HOSTS),
+    buildOwnersScenario(seed, SECONDS, HOSTS, true),
   );
   t.deepEqual(first, again);
   t.notDeepEqual(first?.beside, other?.beside);
@@ -38,6 +38,18 @@
   });
 }
 
+test('a host whose daemon got a series of signals is started again', t => {
+  const signalled = sequences(true).filter(sequence =>
+    sequence.some(({name}) => name === 'reload'),
+  );
+  t.true(signalled.length > SEEDS.length);
+  for (const sequence of signalled) {
+    const names = sequence.map(({name}) => name);
+    t.true(names.lastIndexOf('restart') > names.lastIndexOf('reload'));
+    t.true(names.lastIndexOf('restart') > names.lastIndexOf('kill'));
+  }
+});
+
 test('zones that are taken out come back', t => {
   for (const sequence of sequences()) {
     const changes = sequence.filter(step => step.name === 'zone');
@@ -53,35 +65,49 @@
   }
 });
 
-test('every kind of disturbance occurs', t => {
-  const names = new Set(sequences().flatMap(all => all.map(({name}) => name)));
-  const expected = [
-    'freeze',
-    'kill',
-    'restart',
-    'spoil',
-    'stop',
-    'straggle',
-    'wait',
-    'wake',
-    'zone',
-  ];
-  t.deepEqual([...names].sort(), expected);
-  t.true(expected.every(name => Object.hasOwn(STEP_SCHEMAS, name)));
-});
+const KINDS = [
+  'freeze',
+  'kill',
+  'restart',
+  'spoil',
+  'stop',
+  'straggle',
+  'wait',
+  'wake',
+  'zone',
+];
+
+for (const {signals, kinds} of [
+  {signals: false, kinds: KINDS},
+  {signals: true, kinds: [...KINDS, 'reload'].sort()},
+]) {
+  test(`every kind of disturbance occurs, series of signals: ${signals}`, t => {
+    const steps = sequences(signals).flat();
+    const names = new Set<string>(steps.map(({name}) => name));
+    t.deepEqual([...names].sort(), kinds);
+    t.true(kinds.every(name => Object.hasOwn(STEP_SCHEMAS, name)));
+  });
+}
 
-function sequences(): ReadonlyArray<readonly Step[]> {
+function sequences(signals = false): ReadonlyArray<readonly Step[]> {
   return SEEDS.flatMap(
-    seed => buildOwnersScenario(seed, SECONDS, HOSTS).beside ?? [],
+    seed => buildOwnersScenario(seed, SECONDS, HOSTS, signals).beside ?? [],
   );
 }
 
-test('only seeds of entries about two holders are known to fail', t => {
-  const text = `Tests that fail.
+const KNOWN_RED = `Tests that fail.
 
 - random stops, two holders. Command: npm run owners -- --seed 14 --seconds 20
+- random stops, two holders. Command: npm run owners -- --signals --seed 2
 - random stops. Command: npm run owners -- --seed 3 --seconds 20
 - scenario two_holders. Command: npm run scenarios -- two_holders
 `;
-  t.deepEqual([...parseKnownRedSeeds(text)], [14]);
-});
+
+for (const {signals, seeds} of [
+  {signals: false, seeds: [14]},
+  {signals: true, seeds: [2]},
+]) {
+  test(`seeds known to have two holders, series of signals: ${signals}`, t => {
+    t.deepEqual([...parseKnownRedSeeds(KNOWN_RED, signals)], seeds);
+  });
+}
--- a/packages/emulator/src/owners/logic.ts
+++ b/packages/emulator/src/owners/logic.ts
@@ -31,6 +31,13 @@
 
 type Range = readonly [number, number];
 
+/** Number of signals that a stopping daemon gets. */
+const SIGNALS: Range = [2, 7];
+/** Time between them. */
+const SIGNAL_INTERVAL_MS: Range = [0, 500];
+/** Share of these signals that ask the daemon to read its settings. */
+const RELOAD_SHARE = 0.4;
+
 /** What happens to one host, as a sequence of steps. */
 type Disturbance = (host: string, zone: string, random: Random) => Step[];
 
@@ -67,6 +74,27 @@
   ],
 ];
 
+/**
+ * Disturbances of runs with series of signals: a daemon gets further ones while
+ * it stops, and its server leaves or ends meanwhile.
+ */
+const SIGNAL_DISTURBANCES: readonly Disturbance[] = [
+  (daemon, _, random) => [
+    ...signalSeries(daemon, random),
+    wait(LEAVING_MS, random),
+    ...replace({daemon}, random),
+  ],
+  (host, _, random) => [
+    {name: 'stop', args: {server: host}},
+    wait(LEAVING_MS, random),
+    ...signalSeries(host, random),
+    {name: 'kill', args: {server: host}},
+    ...signalSeries(host, random),
+    wait(LEAVING_MS, random),
+    ...replace({host}, random),
+  ],
+];
+
 /**
  * Builds a random scenario. Every host has its own series of disturbances, and
  * those of different hosts overlap.
@@ -74,13 +102,18 @@
  * @param seed - The same seed gives the same scenario.
  * @param seconds - Duration of its load.
  * @param hosts - Number of hosts, each in a zone of its own.
+ * @param signals - Whether stopping daemons get series of signals.
  * @returns The scenario.
  */
 export function buildOwnersScenario(
   seed: number,
   seconds: number,
   hosts: number,
+  signals: boolean,
 ): Scenario {
+  const disturbances = signals
+    ? [...DISTURBANCES, ...SIGNAL_DISTURBANCES]
+    : DISTURBANCES;
   const random = seededRandom(seed);
   const durationMs = seconds * MS_PER_SECOND;
   const zones = Array.from({length: hosts}, (_, index) => `z${index + 1}`);
@@ -123,15 +156,24 @@
       {name: 'expect', args: {served: [SERVICE], within: SERVED_WITHIN_MS}},
     ],
     beside: zones.map(zone =>
-      buildSequence(`${SERVICE}-${zone}`, zone, durationMs, random),
+      buildSequence(
+        {host: `${SERVICE}-${zone}`, zone, disturbances},
+        durationMs,
+        random,
+      ),
     ),
   };
 }
 
+interface SequencePlan {
+  readonly host: string;
+  readonly zone: string;
+  readonly disturbances: readonly Disturbance[];
+}
+
 /** Lists disturbances of one host whose times add up to a duration. */
 function buildSequence(
-  host: string,
-  zone: string,
+  {host, zone, disturbances}: SequencePlan,
   durationMs: number,
   random: Random,
 ): Step[] {
@@ -139,8 +181,8 @@
   let passedMs = 0;
   for (;;) {
     const pause = wait([0, MAX_PAUSE_MS], random);
-    const index = Math.floor(random() * DISTURBANCES.length);
-    const disturbance = DISTURBANCES[index](host, zone, random);
+    const index = Math.floor(random() * disturbances.length);
+    const disturbance = disturbances[index](host, zone, random);
     const steps = [pause, ...disturbance];
     for (const step of steps) if (step.name === 'wait') passedMs += step.args;
     if (passedMs >= durationMs) return sequence;
@@ -166,6 +208,21 @@
   ];
 }
 
+/** A stop of a daemon and further signals, in a random order. */
+function signalSeries(daemon: string, random: Random): Step[] {
+  const [least, most] = SIGNALS;
+  const count = Math.round(least + random() * (most - least));
+  const steps: Step[] = [{name: 'stop', args: {daemon}}];
+  while (steps.length < 2 * count) {
+    const isReload = random() < RELOAD_SHARE;
+    steps.push(wait(SIGNAL_INTERVAL_MS, random), {
+      name: isReload ? 'reload' : 'stop',
+      args: {daemon},
+    });
+  }
+  return steps;
+}
+
 function wait([least, most]: Range, random: Random): Step {
   return {name: 'wait', args: Math.round(least + random() * (most - least))};
 }
@@ -184,14 +241,20 @@
  *
  * @param text - Text of KNOWN-RED.txt; an entry begins with `random stops, two
  *     holders` and has the command with the seed.
+ * @param signals - Whether the runs have series of signals; the same seed gives
+ *     another run without them.
  * @returns The seeds.
  */
-export function parseKnownRedSeeds(text: string): ReadonlySet<number> {
+export function parseKnownRedSeeds(
+  text: string,
+  signals: boolean,
+): ReadonlySet<number> {
   const entries = text
     .split(/^- /m)
     .filter(entry => entry.startsWith('random stops, two holders'));
-  const seeds = entries.flatMap(entry => [
-    ...entry.matchAll(/npm run owners -- --seed (\d+)/g),
-  ]);
+  const command = signals
+    ? /npm run owners -- --signals --seed (\d+)/g
+    : /npm run owners -- --seed (\d+)/g;
+  const seeds = entries.flatMap(entry => [...entry.matchAll(command)]);
   return new Set(seeds.map(match => Number(match[1])));
 }
--- a/packages/emulator/src/owners/main.ts
+++ b/packages/emulator/src/owners/main.ts
@@ -22,6 +22,11 @@
     seeds: {type: 'number', default: 1, describe: 'number of seeds'},
     seconds: {type: 'number', default: 30, describe: 'seconds of each seed'},
     hosts: {type: 'number', default: 5, describe: 'number of hosts'},
+    signals: {
+      type: 'boolean',
+      default: false,
+      describe: 'stopping daemons get series of signals',
+    },
     logs: {
       type: 'string',
       describe: 'folder for logs and records, one below it a seed',
@@ -32,8 +37,8 @@
 
 const stop = new AbortController();
 abortOnSignals(stop);
-const {seed: first, seeds, seconds, hosts, logs} = ARGUMENTS;
-const knownRed = parseKnownRedSeeds(readFileSync(KNOWN_RED, 'utf8'));
+const {seed: first, seeds, seconds, hosts, signals, logs} = ARGUMENTS;
+const knownRed = parseKnownRedSeeds(readFileSync(KNOWN_RED, 'utf8'), signals);
 for (let seed = first; seed < first + seeds; seed++) {
   if (stop.signal.aborted) break;
   const isGood = await play(seed);
@@ -45,7 +50,7 @@
 async function play(seed: number): Promise<boolean> {
   const folder = logs === undefined ? undefined : join(logs, String(seed));
   if (folder !== undefined) mkdirSync(folder, {recursive: true});
-  const scenario = buildOwnersScenario(seed, seconds, hosts);
+  const scenario = buildOwnersScenario(seed, seconds, hosts, signals);
   const result = await runScenario(scenario, stop.signal, folder);
   const {verdict, faults, ledger} = result;
   const violations = ledger?.violations ?? [];
--- a/packages/emulator/src/scenario/runner.ts
+++ b/packages/emulator/src/scenario/runner.ts
@@ -78,14 +78,24 @@
   writeFileSync(join(logFolder, 'servers.jsonl'), lines.join('\n'));
 }
 
-/** Lists processes that exited with an error, such as a violated invariant. */
+/**
+ * Lists processes that ended by themselves, for example since an invariant was
+ * violated, and daemons that a signal ended which asked for something else.
+ */
 function failedProcesses(run: ScenarioRun): string[] {
   const hosts = [...(run.cluster?.hosts.values() ?? [])];
   return hosts
-    .flatMap(({daemon, server}) => [daemon, server])
+    .flatMap(({daemon, server, earlierDaemons}) => [
+      ...earlierDaemons,
+      daemon,
+      server,
+    ])
     .filter(child => child !== null)
-    .filter(child => child.hasFailed())
-    .map(({name, output}) => `${name} failed: ${output.slice(-3).join(' ')}`);
+    .filter(child => child.failure() !== null)
+    .map(({name, output, failure}) => {
+      const latest = output.slice(-3).join(' ');
+      return `${name} ended with ${failure()}: ${latest}`;
+    });
 }
 
 async function runSteps(run: ScenarioRun): Promise<void> {
@@ -160,6 +170,8 @@
       return steps.zone(run, step.args);
     case 'stop':
       return steps.stop(run, step.args);
+    case 'reload':
+      return steps.reload(run, step.args);
     case 'cold':
       return steps.cold(run, step.args);
     case 'straggle':
--- a/packages/emulator/src/scenario/steps.ts
+++ b/packages/emulator/src/scenario/steps.ts
@@ -279,6 +279,11 @@
   });
 }
 
+/** Tells a daemon that its settings may have changed. */
+export function reload(run: ScenarioRun, args: StepArguments<'reload'>): void {
+  requireHost(run, args.daemon).daemon?.kill('SIGHUP');
+}
+
 /** Makes a backend server cold without a restart. */
 export async function cold(
   run: ScenarioRun,
--- a/packages/emulator/src/scenario/types.ts
+++ b/packages/emulator/src/scenario/types.ts
@@ -133,6 +133,8 @@
   zone: z.strictObject({name: NAME, out: z.boolean()}),
   /** A planned stop: SIGTERM to a daemon, the command to leave to a server. */
   stop: z.union([DAEMON_TARGET, SERVER_TARGET]),
+  /** Tells a daemon that its settings may have changed, with SIGHUP. */
+  reload: DAEMON_TARGET,
   /** Makes a backend server warm up again without a restart. */
   cold: z.strictObject({server: NAME, announced: z.boolean()}),
   /** Makes a backend server slow: for a time, runs take `factor` as long. */
