--- a/packages/daemon/src/command_line.ts
+++ b/packages/daemon/src/command_line.ts
@@ -8,8 +8,7 @@
 import {ListenError} from './process/listen.js';
 import {runProcess} from './process/logic.js';
 import type {ProcessSignals} from './process/signals.js';
-import {readSettings} from './settings/logic.js';
-import {SettingsError} from './settings/logic.js';
+import {SettingsError, readSettings} from './settings/logic.js';
 
 const EXIT_FAILURE = 1;
 const EXIT_USAGE = 2;
